--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -76,7 +76,7 @@
         let instance = self.instances.get_mut(&who).ok_or_else(unknown)?;
         let input = match event {
             Event::Members { scope, rev, count, .. } => {
-                let entries = entries(&instance.names, line, count.unwrap_or(0), items)?;
+                let entries = entries(&mut instance.names, line, count.unwrap_or(0), items)?;
                 Input::Hosts { scope: scope_of(*scope), version: *rev, entries }
             }
             _ => match instance.names.input(event) {
@@ -91,7 +91,7 @@
 }
 
 /// A list counts only whole: with an entry missing, a host would look gone that is not.
-fn entries(names: &Names, line: u64, count: u64, items: &[(u64, Event)]) -> Result<Vec<Listing>, Fault> {
+fn entries(names: &mut Names, line: u64, count: u64, items: &[(u64, Event)]) -> Result<Vec<Listing>, Fault> {
     if items.len() as u64 != count {
         let expected = format!("{count} sound ITEM lines behind it, not {}", items.len());
         return Err(fault(line, "MEMBERS", "members-list", expected));
--- a/crates/wirehost/src/names.rs
+++ b/crates/wirehost/src/names.rs
@@ -2,6 +2,7 @@
 
 use coppersail::interface as api;
 use coppersail_wire as wire;
+use std::collections::BTreeMap;
 use wire::boot::{Admission, Boot, Class, Discovery, Flag, Group, Semantics, WeightSource};
 
 /// A field of a sound line that does not fit the settings: its name and what was expected.
@@ -42,6 +43,9 @@
     zones: Vec<String>,
     kinds: Vec<String>,
     routes: Vec<String>,
+    /// Addresses by number, and numbers by address.
+    hosts: Vec<String>,
+    numbers: BTreeMap<String, api::HostId>,
 }
 
 fn place(list: &[String], name: &str, field: &'static str, what: &str) -> Result<u16, Misfit> {
@@ -58,9 +62,25 @@
             zones: names(&boot.top.zones),
             kinds: names(&boot.top.kinds),
             routes: boot.classes.iter().map(|class| class.name.clone().unwrap_or_default()).collect(),
+            hosts: Vec::new(),
+            numbers: BTreeMap::new(),
         }
     }
 
+    fn host(&mut self, address: &str) -> api::HostId {
+        if let Some(host) = self.numbers.get(address) {
+            return *host;
+        }
+        let host = api::HostId(self.hosts.len() as u32);
+        self.hosts.push(address.to_string());
+        self.numbers.insert(address.to_string(), host);
+        host
+    }
+
+    fn address(&self, host: api::HostId) -> String {
+        self.hosts[host.0 as usize].clone()
+    }
+
     fn zone(&self, name: &str) -> Result<api::ZoneId, Misfit> {
         place(&self.zones, name, "rack-zone", "a zone").map(api::ZoneId)
     }
@@ -69,7 +89,7 @@
         place(&self.routes, name, "grade", "a class").map(api::RouteId)
     }
 
-    pub fn listing(&self, item: &wire::Event) -> Result<api::Listing, Misfit> {
+    pub fn listing(&mut self, item: &wire::Event) -> Result<api::Listing, Misfit> {
         let wire::Event::Item { sku, born_ns, host, w, block, zone, status } = item else {
             return Err(("members-list", "as many ITEM lines as it says".to_string()));
         };
@@ -77,7 +97,7 @@
             return Err(("w", "a size of 0 or more".to_string()));
         }
         Ok(api::Listing {
-            host: host_id(host),
+            host: self.host(host),
             state: match status {
                 wire::Status::Gone => api::HostState::Gone,
                 wire::Status::Draining => api::HostState::Draining,
@@ -92,7 +112,7 @@
     }
 
     /// The input that an event stands for; lists and the start and end of instances are not handled here.
-    pub fn input(&self, event: &wire::Event) -> Result<Option<api::Input>, Misfit> {
+    pub fn input(&mut self, event: &wire::Event) -> Result<Option<api::Input>, Misfit> {
         use wire::Event as E;
         Ok(Some(match event {
             E::Configure { .. } | E::Members { .. } | E::Item { .. } | E::Stop { .. } => return Ok(None),
@@ -113,13 +133,13 @@
                 fresh: *set,
             },
             E::CurrentOwner { table, w, host, .. } => {
-                api::Input::StoredLine { slice: api::SliceId(*table), host: host_id(host), weight: *w }
+                api::Input::StoredLine { slice: api::SliceId(*table), host: self.host(host), weight: *w }
             }
             E::Datagram { src, octets, .. } => {
                 api::Input::Heard { from: api::PeerId(*src), bytes: octets.0.clone() }
             }
             E::Pong { host, outcome, time_taken_ns, telemetry, .. } => api::Input::Probed {
-                host: host_id(host),
+                host: self.host(host),
                 outcome: outcome_of(*outcome),
                 took: span(*time_taken_ns),
                 load: load(telemetry),
@@ -139,7 +159,7 @@
             },
             E::Roundup { time_taken_ns, zone, covers_ns, host, many, bad, telemetry, .. } => {
                 api::Input::Tries {
-                    host: host_id(host),
+                    host: self.host(host),
                     zone: self.zone(zone)?,
                     span: span(*covers_ns),
                     tries: *many,
@@ -156,10 +176,10 @@
         let mask = |routes: Vec<api::RouteId>| routes.iter().fold(0u64, |mask, route| mask | 1 << route.0);
         match order {
             api::Order::Line { slice, host, weight } => {
-                O::SetLine { who, host: host.0.to_string(), table: slice.0, w: weight }
+                O::SetLine { who, host: self.address(host), table: slice.0, w: weight }
             }
             api::Order::Clear(slice) => O::ResetTable { who, table: slice.0 },
-            api::Order::Withdraw { host, out } => O::HoldBack { who, host: host.0.to_string(), set: out },
+            api::Order::Withdraw { host, out } => O::HoldBack { who, host: self.address(host), set: out },
             api::Order::Admit { scope, routes, level, retry } => O::Admit {
                 who,
                 table: match scope {
@@ -181,7 +201,7 @@
             api::Order::Mark { mark, all } => O::Nonce { who, rev: mark.0, set: all },
             api::Order::Follow(on) => O::Follow { who, set: on },
             api::Order::FetchList => O::GetList { who },
-            api::Order::Probe(host) => O::Sample { who, host: host.0.to_string() },
+            api::Order::Probe(host) => O::Sample { who, host: self.address(host) },
             api::Order::Tell { to, bytes } => O::Signal {
                 who,
                 dst: to.map_or(wire::Receiver::Others, |peer| wire::Receiver::One(peer.0)),
@@ -190,15 +210,15 @@
             api::Order::WakeAt { wake, at } => {
                 O::WakeAt { who, token: wake.0, time_ns: self.clock.nanoseconds(at) }
             }
-            api::Order::Log(text) => O::Trace { who, reason: wire::Text(text) },
+            api::Order::Log { text, hosts } => {
+                let addresses: Vec<String> = hosts.into_iter().map(|host| self.address(host)).collect();
+                let colon = if addresses.is_empty() { "" } else { ": " };
+                O::Trace { who, reason: wire::Text(format!("{text}{colon}{}", addresses.join(" "))) }
+            }
         }
     }
 }
 
-fn host_id(host: &str) -> api::HostId {
-    api::HostId(host.into())
-}
-
 pub fn scope_of(scope: wire::Scope) -> api::ListScope {
     match scope {
         wire::Scope::Delta => api::ListScope::Changes,
--- a/src/figures.rs
+++ b/src/figures.rs
@@ -9,6 +9,8 @@
     /// Period of the reports.
     pub interval: f64,
     pub may_probe: bool,
+    /// A host that the list drops without calling it draining may go on serving.
+    pub gone_is_advice: bool,
     /// A slice has one owner, so a table one line.
     pub exclusive: bool,
     /// By route.
@@ -37,6 +39,7 @@
             fall_multiple: s.fall_multiple,
             interval: s.report_interval,
             may_probe: s.may_probe,
+            gone_is_advice: s.gone_is_advice,
             exclusive: s.exclusive,
             importance: s.routes.iter().map(|r| r.importance).collect(),
             tightest_slo: slo_times.iter().copied().fold(f64::INFINITY, f64::min),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -1,11 +1,9 @@
 //! What goes into a director and what comes out. Plain types, no behaviour; times are seconds with fractions on
 //! the caller's clock, spans are seconds.
 
-use std::sync::Arc;
-
-/// A host that answers calls. The text is opaque and goes back as it came.
-#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub struct HostId(pub Arc<str>);
+/// A host that answers calls, numbered by the caller as it first names them; addresses stay with the caller.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct HostId(pub u32);
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ProxyId(pub u16);
@@ -227,7 +225,11 @@
         wake: WakeId,
         at: f64,
     },
-    Log(String),
+    /// What was decided and why, and the hosts that it is about.
+    Log {
+        text: String,
+        hosts: Vec<HostId>,
+    },
 }
 
 /// Whether a call may run again.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -31,6 +31,12 @@
     /// When it started, as listed or as guessed from its silence; none: long ago.
     born: Option<f64>,
     times: Times,
+    /// Sums have come since the fleet was last compared; when they last did, and when with answers.
+    fresh: bool,
+    heard_at: f64,
+    answered_at: f64,
+    /// Tries dropped since the last that was answered.
+    unmet: f64,
     /// What load reports say was done, and in how much work.
     done: f64,
     spent: f64,
@@ -39,12 +45,16 @@
     /// Probes answered in a row, and missed in a row: one for a time-out, two where no process was met.
     hits: u32,
     misses: u32,
-    answered_at: f64,
+    /// How often it was lost lately, and when last.
+    falls: u32,
+    fell_at: f64,
+    /// The list has dropped it, but it serves.
+    unlisted: bool,
 }
 
 impl Host {
-    fn new(id: HostId, phase: f64) -> Self {
-        let view = View { weight: 1.0, ramp: 1.0, ease: 1.0, ..View::default() };
+    fn new(id: HostId, phase: f64, f: &Figures) -> Self {
+        let view = View { weight: 1.0, ramp: 1.0, ease: 1.0, proven: !f.may_probe, ..View::default() };
         Host { id, view, probe_at: Some(phase), ..Host::default() }
     }
 
@@ -57,14 +67,21 @@
                     // A new process: what was measured of the old one is void.
                     (self.born, self.times, self.view.ease) = (l.born, Times::default(), 1.0);
                 }
+                self.unlisted = false;
                 self.view = View { ready, senior, weight: l.weight, zone: l.zone, ..self.view.clone() };
             }
-            Note::Unlisted => (self.view.ready, self.view.suspect, self.misses) = (false, false, 0),
+            // Where gone is advice a list may be wrong: a host that answers stays until its probes fail.
+            Note::Unlisted if f.gone_is_advice && self.serves() => self.unlisted = true,
+            Note::Unlisted => self.lose(now, f),
+            // A table that names it is as good as an answer: the store outlives directors.
+            Note::In(Input::StoredLine { .. }) => self.view.proven = true,
             Note::In(Input::Tries { tries, dropped, rt, load, .. }) => {
                 self.reported(load);
                 let (tries, dropped) = (tries as f64, dropped.min(tries) as f64);
                 self.times.add(rt, tries, dropped);
-                self.answered_at = if tries > dropped { now } else { self.answered_at };
+                (self.fresh, self.heard_at) = (true, now);
+                (self.answered_at, self.unmet) =
+                    if tries > dropped { (now, 0.0) } else { (self.answered_at, self.unmet + dropped) };
                 // What a dead host drops is no sign that the fleet can't keep up.
                 if self.view.ready && !self.view.suspect {
                     post.note(To::Gate, Note::Tries { rt, tries, dropped });
@@ -74,11 +91,17 @@
                 self.reported(load);
                 self.probed(now, f, outcome, post);
             }
-            Note::Fleet { rt } => {
-                // What slows all condemns none: slow is past 1.6 times the median. The power damps late sums.
-                let pressure = self.times.mean() / (1.6 * rt).max(0.4 * f.tightest_slo);
-                let factor = if pressure > 1.0 { pressure.powf(-0.7) } else { 1.2 };
-                self.view.ease = (self.view.ease * factor).clamp(0.05, 1.0);
+            // Once for each piece of evidence, as sums may be rarer than comparisons; without any it recovers.
+            Note::Fleet { rt, dropped } if self.fresh || now - self.heard_at > 4.0 => {
+                self.fresh = false;
+                // What strikes all condemns none: slow is past 1.6 times the median, failing past a seventh
+                // more than the best quarter drops. The power damps late sums.
+                let slow = self.times.mean() / (1.6 * rt).max(0.4 * f.tightest_slo);
+                let fails = (self.times.dropped_share() - dropped) / 0.15;
+                let factor = if slow.max(fails) > 1.0 { slow.max(fails).powf(-0.7) } else { 1.2 };
+                // A host that fails one route serves the others: it keeps three tenths.
+                let least = if slow > 1.0 { 0.05 } else { self.view.ease.min(0.3) };
+                self.view.ease = (self.view.ease * factor).clamp(least, 1.0);
             }
             // Two seconds: long enough for a few reports, short enough to forget a trouble that is over.
             Note::Tick if now - self.halved > 2.0 => {
@@ -87,7 +110,7 @@
             }
             Note::Tick if f.may_probe && self.view.ready && self.probe_at.is_some_and(|at| now >= at) => {
                 self.probe_at = None;
-                post.orders.push(Order::Probe(self.id.clone()));
+                post.orders.push(Order::Probe(self.id));
             }
             _ => {}
         }
@@ -95,7 +118,18 @@
         self.view.ramp = (f.cold_from + (1.0 - f.cold_from) * age / f.ramp_time.max(1e-9)).clamp(0.05, 1.0);
         self.view.rt = self.times.mean();
         self.view.answered = self.times.answered();
-        post.note(To::Tables, Note::View(self.id.clone(), self.view.clone()));
+        self.view.dropped = self.times.dropped_share();
+        post.note(To::Tables, Note::View(self.id, self.view.clone()));
+    }
+
+    fn serves(&self) -> bool {
+        self.view.ready && self.view.proven && !self.view.suspect && self.misses == 0
+    }
+
+    fn lose(&mut self, now: f64, f: &Figures) {
+        let view = View { ready: false, suspect: false, dead: false, proven: !f.may_probe, ..self.view.clone() };
+        self.view = view;
+        (self.misses, self.hits, self.unlisted, self.fell_at) = (0, 0, false, now);
     }
 
     fn reported(&mut self, load: Load) {
@@ -112,28 +146,40 @@
     fn probed(&mut self, now: f64, f: &Figures, outcome: Outcome, post: &mut Post) {
         // Twice a second: death shows within about a second, and the price is a few hundredths of a point.
         self.probe_at = Some(now + 0.5);
-        // An error or a full house still comes from a process that lives.
+        // An error or a full house still comes from a process that lives, but proves no host of ours.
         let miss = match outcome {
             Outcome::Unreachable | Outcome::Broken => 2,
             outcome => (outcome == Outcome::TimedOut) as u32,
         };
-        (self.misses, self.hits) = if miss > 0 { (self.misses + miss, 0) } else { (0, self.hits + 1) };
+        let hit = (outcome == Outcome::Answered) as u32;
+        (self.misses, self.hits) = if miss > 0 { (self.misses + miss, 0) } else { (0, self.hits + hit) };
         // One refusal may be chance, and a probe that times out may queue behind calls that are answered.
         let mute = self.misses >= 3 && now - self.answered_at > pace(f);
         if !self.view.suspect && (mute || miss == 2 && self.misses >= 4) {
             self.view.suspect = true;
-            post.log(format!("host {} suspected: probes unanswered", self.id.0));
+            // A minute without a loss, and the earlier ones are forgotten.
+            self.falls = if now - self.fell_at > 60.0 { 1 } else { self.falls + 1 };
+            self.fell_at = now;
+            if self.unlisted {
+                return self.lose(now, f);
+            }
+            if self.view.proven {
+                post.log("suspected, probes unanswered".into(), vec![self.id]);
+            }
         }
-        if self.view.suspect && self.hits >= 2 {
+        self.view.dead = self.view.suspect && self.unmet >= 3.0;
+        // Who falls again and again must answer for longer each time, up to where a fall is forgotten.
+        let enough = if self.falls < 2 { 2 } else { 8 * self.falls.min(6) };
+        self.view.proven |= self.hits > 0;
+        if self.view.suspect && self.hits >= enough {
             // It may have restarted before the list tells; it is eased in as a young one.
-            (self.view.suspect, self.born) = (false, Some(now));
-            post.log(format!("host {} trusted again: probes answered", self.id.0));
+            (self.view.suspect, self.view.dead, self.unmet, self.born) = (false, false, 0.0, Some(now));
+            post.log("trusted again, probes answered".into(), vec![self.id]);
         }
     }
 }
 
 type Plan = (Sums, Sums);
-type Ranked = ((bool, f64, SliceId), Sums);
 
 /// A quarter up or down is worth a line; less is not.
 fn alike(old: Option<&f64>, weight: f64) -> bool {
@@ -163,8 +209,10 @@
     balancing: bool,
     /// Most hosts that were ready at a time; by these a host's part is reckoned, however many fail.
     most: usize,
-    /// The fleet's median response time.
+    /// The fleet's median response time; the mean weight, and the mean speed of the hosts that report one.
     rt: f64,
+    weight: f64,
+    speed: f64,
     /// What the hosts carry for what they can, when last reckoned.
     full: Sums,
     mean: f64,
@@ -189,7 +237,7 @@
             Note::In(Input::Joined { .. }) => self.again = true,
             Note::In(Input::Taken(id)) => drop(self.slices.remove(&id)),
             Note::In(Input::StoredLine { slice, host, weight }) => {
-                self.slices.entry(slice).and_modify(|slice| add(&mut slice.lines, &Some(host), weight));
+                self.slices.entry(slice).and_modify(|slice| add(&mut slice.lines, Some(host), weight));
             }
             Note::In(Input::Demand { slice, route, calls, .. }) => {
                 let sum = self.slices.get_mut(&slice).and_then(|s| s.demand.get_mut(route.0 as usize));
@@ -217,6 +265,7 @@
         if now - self.given_at < 0.2 || !self.views.values().any(|v| v.ready) {
             return;
         }
+        self.means();
         self.suspects(now, post);
         self.lay(f, post);
         self.rescue(now, f);
@@ -230,31 +279,42 @@
     }
 
     fn compare(&mut self, post: &mut Post) {
-        let heard = self.views.values().filter(|v| v.ready && v.answered >= 1.0);
-        let mut rts: Vec<f64> = heard.map(|v| v.rt).collect();
-        rts.sort_by(f64::total_cmp);
-        self.rt = rts.get(rts.len() / 2).copied().unwrap_or(0.0);
-        let note = |host: &HostId| post.note(To::Host(host.clone()), Note::Fleet { rt: self.rt });
-        self.views.keys().for_each(note);
+        let heard: Vec<&View> = self.views.values().filter(|v| v.ready && v.answered >= 1.0).collect();
+        let nth = |part: f64, figure: fn(&View) -> f64| {
+            let mut figures: Vec<f64> = heard.iter().map(|v| figure(v)).collect();
+            figures.sort_by(f64::total_cmp);
+            figures.get((figures.len() as f64 * part) as usize).copied().unwrap_or(0.0)
+        };
+        // A trouble that strikes three in five leaves the best quarter to compare with.
+        let (rt, dropped) = (nth(0.5, |v| v.rt), nth(0.25, |v| v.dropped));
+        self.rt = rt;
+        self.views.keys().for_each(|host| post.note(To::Host(*host), Note::Fleet { rt, dropped }));
     }
 
-    fn open(&self) -> Vec<&HostId> {
-        self.views.keys().filter(|host| self.is_open(host)).collect()
+    fn means(&mut self) {
+        let speeds = || self.views.values().filter(|v| v.ready).filter_map(|v| v.speed);
+        let weights = self.views.values().map(|v| v.weight).sum::<f64>();
+        self.speed = speeds().sum::<f64>() / speeds().count().max(1) as f64;
+        self.weight = weights / self.views.len().max(1) as f64;
+    }
+
+    fn open(&self) -> Vec<HostId> {
+        self.views.keys().copied().filter(|host| self.is_open(*host)).collect()
     }
-    fn is_open(&self, host: &HostId) -> bool {
-        self.views.get(host).is_some_and(|v| v.ready) && !self.withdrawn.contains_key(host)
+    /// A stranger on the list, which has answered nobody yet, is none of ours to use.
+    fn is_open(&self, host: HostId) -> bool {
+        self.views.get(&host).is_some_and(|v| v.ready && v.proven) && !self.withdrawn.contains_key(&host)
     }
 
     fn counts(&self) -> Sums {
-        let mut counts: Sums = self.views.keys().map(|host| (host.clone(), 0.0)).collect();
-        self.slices.values().for_each(|slice| add(&mut counts, &slice.owner, 1.0));
+        let mut counts: Sums = self.views.keys().map(|host| (*host, 0.0)).collect();
+        self.slices.values().for_each(|slice| add(&mut counts, slice.owner, 1.0));
         counts
     }
 
     /// The weight by which counts are reckoned: as listed, less what a young host can't carry yet.
-    fn unit(&self, host: &HostId) -> f64 {
-        let mean = self.views.values().map(|v| v.weight).sum::<f64>() / self.views.len().max(1) as f64;
-        self.views.get(host).map_or(1.0, |v| (v.weight / mean).max(0.01) * v.ramp)
+    fn unit(&self, host: HostId) -> f64 {
+        self.views.get(&host).map_or(1.0, |v| (v.weight / self.weight).max(0.01) * v.ramp)
     }
 
     /// The paper's score; a slice without counted calls scores as the average one.
@@ -282,38 +342,40 @@
         let spare = (0.5 * f.tightest_slo / if self.rt > 0.0 { self.rt } else { f64::MAX }).clamp(1.0, 2.0);
         let most = (0.6 * f.fall_multiple).min(2.0) * spare * part;
         let limit = |v: &View| if v.ramp < 1.0 { most * v.ramp } else { f64::INFINITY };
-        let mut rooms: Sums = self.views.iter().map(|(host, v)| (host.clone(), limit(v))).collect();
+        let mut rooms: Sums = self.views.iter().map(|(host, v)| (*host, limit(v))).collect();
         for slice in self.slices.values() {
-            add(&mut rooms, &slice.owner, -slice.score);
-            add(&mut rooms, &slice.standby, -slice.score);
+            add(&mut rooms, slice.owner, -slice.score);
+            add(&mut rooms, slice.standby, -slice.score);
         }
         rooms
     }
 
     /// The open host with room that would hold fewest slices per unit of weight, the longest listed. For a
     /// standby the least loaded, young ones late; the owner's zone counts as two, each shared one as 0.7.
-    fn emptiest(&self, (counts, rooms): &Plan, score: f64, owner: Option<&HostId>) -> Seat {
-        let zone = owner.and_then(|owner| self.views.get(owner)).map(|v| v.zone);
-        let mine = self.slices.values().filter(|s| owner.is_some() && s.owner.as_ref() == owner);
-        let key = |host: &HostId| {
-            let view = &self.views[host];
+    fn emptiest(&self, (counts, rooms): &Plan, score: f64, owner: Seat) -> Seat {
+        let zone = owner.and_then(|owner| self.views.get(&owner)).map(|v| v.zone);
+        let mut shared = Sums::new();
+        let mine = self.slices.values().filter(|s| owner.is_some() && s.owner == owner);
+        mine.for_each(|s| add(&mut shared, s.standby, 1.0));
+        let key = |host: HostId| {
+            let view = &self.views[&host];
             let zone = if zone == Some(view.zone) { 2.0 } else { 0.0 };
-            let shared = mine.clone().filter(|s| s.standby.as_ref() == Some(host)).count();
+            let shared = shared.get(&host).copied().unwrap_or(0.0);
             let unit = if owner.is_some() { self.able(host) * view.ramp.sqrt() } else { self.unit(host) };
-            (rooms[host] < score, (counts[host] + 1.0 + zone + 0.7 * shared as f64) / unit, view.senior)
+            (rooms[&host] < score, (counts[&host] + 1.0 + zone + 0.7 * shared) / unit, view.senior)
         };
-        let less = |a: &&HostId, b: &&HostId| key(a).partial_cmp(&key(b)).unwrap_or(Ordering::Equal);
-        let fits = |host: &&HostId| Some(*host) != owner && (owner.is_none() || rooms[*host] >= score);
-        self.open().into_iter().filter(fits).min_by(less).cloned()
+        let fits = |host: &HostId| Some(*host) != owner && (owner.is_none() || rooms[host] >= score);
+        let keys = self.open().into_iter().filter(fits).map(|host| (key(host), host));
+        keys.min_by(|a, b| a.partial_cmp(b).unwrap_or(Ordering::Equal)).map(|(_, host)| host)
     }
 
     /// Takes a slice from a host and gives it to the emptiest one, in a plan of counts and rooms.
-    fn reseat(&self, plan: &mut Plan, old: &Seat, score: f64, owner: Option<&HostId>) -> Seat {
+    fn reseat(&self, plan: &mut Plan, old: Seat, score: f64, owner: Seat) -> Seat {
         add(&mut plan.0, old, -1.0);
         add(&mut plan.1, old, score);
         let new = self.emptiest(plan, score, owner);
-        add(&mut plan.0, &new, 1.0);
-        add(&mut plan.1, &new, -score);
+        add(&mut plan.0, new, 1.0);
+        add(&mut plan.1, new, -score);
         new
     }
 
@@ -328,30 +390,31 @@
         let (mut counts, mut slices) = (self.counts(), std::mem::take(&mut self.slices));
         let all = slices.len() as f64;
         for slice in slices.values_mut().filter(|slice| slice.owner.is_none()) {
-            let open = slice.lines.iter().filter(|(host, _)| self.is_open(host));
-            let holder = open.max_by(|a, b| a.1.total_cmp(b.1)).map(|(host, _)| host.clone());
-            slice.owner = holder.filter(|host| counts[host] < (all * self.unit(host) / units).ceil() + 2.0);
-            add(&mut counts, &slice.owner, 1.0);
-            slice.standby = slice.lines.keys().find(|host| Some(*host) != slice.owner.as_ref()).cloned();
+            let open = slice.lines.iter().filter(|(host, _)| self.is_open(**host));
+            let holder = open.max_by(|a, b| a.1.total_cmp(b.1)).map(|(host, _)| *host);
+            slice.owner = holder.filter(|host| counts[host] < (all * self.unit(*host) / units).ceil() + 2.0);
+            add(&mut counts, slice.owner, 1.0);
+            slice.standby = slice.lines.keys().copied().find(|host| Some(*host) != slice.owner);
         }
         self.slices = slices;
-        post.log(format!("{fresh} slices laid"));
+        post.log(format!("{fresh} slices laid"), vec![]);
     }
 
     /// Moves slices of gone and draining hosts, of those withdrawn a while, and those beyond a host's room.
     fn rescue(&mut self, now: f64, f: &Figures) {
         let mut plan = (self.counts(), self.rooms(f));
-        let mut ids: Vec<SliceId> = self.slices.keys().copied().collect();
-        ids.sort_by(|a, b| self.slices[b].score.total_cmp(&self.slices[a].score));
-        for id in ids {
-            let (old, score) = (self.slices[&id].owner.clone(), self.slices[&id].score);
-            // Two seconds: past a passing fault, and before the list would tell.
-            let lost = |owner: &HostId| self.withdrawn.get(owner).is_some_and(|since| now - since > 2.0);
-            let fit = |o: &HostId| self.views.get(o).is_some_and(|v| v.ready) && !lost(o) && plan.1[o] >= 0.0;
-            if old.as_ref().is_some_and(fit) {
-                continue;
+        // Two seconds: past a passing fault, and before the list would tell.
+        let lost = |owner: &HostId| self.withdrawn.get(owner).is_some_and(|since| now - since > 2.0);
+        let stays = |o: &HostId| self.views.get(o).is_some_and(|v| v.ready) && !lost(o);
+        let mut moves: Vec<(f64, SliceId, Seat)> = self.slices.iter().map(|(id, s)| (s.score, *id, s.owner)).collect();
+        moves.sort_by(|a, b| b.0.total_cmp(&a.0));
+        let mut moved = Vec::new();
+        for (score, id, old) in moves {
+            if !old.is_some_and(|old| stays(&old) && plan.1[&old] >= 0.0) {
+                moved.push((id, self.reseat(&mut plan, old, score, None)));
             }
-            let new = self.reseat(&mut plan, &old, score, None);
+        }
+        for (id, new) in moved {
             self.slices.entry(id).and_modify(|slice| slice.owner = new);
         }
     }
@@ -359,48 +422,50 @@
     /// The paper's balancing: past a gap of 8 slices until it is under 2, fullest to emptiest.
     fn balance(&mut self, now: f64, f: &Figures, post: &mut Post) {
         let (counts, rooms, mut scores) = (self.counts(), self.rooms(f), Sums::new());
-        self.slices.values().for_each(|slice| add(&mut scores, &slice.owner, slice.score));
-        let full = |host: &HostId| counts[host] / self.unit(host);
+        self.slices.values().for_each(|slice| add(&mut scores, slice.owner, slice.score));
+        let full = |host: HostId| counts[&host] / self.unit(host);
         let mut open = self.open();
-        open.sort_by(|a, b| full(a).total_cmp(&full(b)));
+        open.sort_by(|a, b| full(*a).total_cmp(&full(*b)));
         let [to, .., from] = open[..] else { return };
         let gap = full(from) - full(to);
         if gap > 8.0 && !self.balancing {
-            post.log(format!("balancing starts: {} holds {gap:.1} slices more than {}", from.0, to.0));
+            post.log(format!("balancing starts, one holds {gap:.1} slices more than the other"), vec![from, to]);
         }
         let balancing = gap > 8.0 || (self.balancing && gap >= 2.0);
         // Reckoned per unit of weight, a move may overshoot: the receiver must not end up the fuller one.
-        let after = (counts[to] + 1.0) / self.unit(to) - (counts[from] - 1.0) / self.unit(from);
+        let after = (counts[&to] + 1.0) / self.unit(to) - (counts[&from] - 1.0) / self.unit(from);
         // Newly listed: since the start of this director, for as long as a host takes to be warm.
-        let listed = self.views[to].senior.0;
+        let listed = self.views[&to].senior.0;
         let new = listed > 0.0 && now - listed < f.ramp_time;
-        let hottest = !new && scores.get(from) > scores.get(to);
+        let hottest = !new && scores.get(&from) > scores.get(&to);
         let key = |(_, slice): &(&SliceId, &Slice)| if hottest { -slice.score } else { slice.score };
-        let held = self.slices.iter().filter(|(_, slice)| slice.owner.as_ref() == Some(from));
+        let held = self.slices.iter().filter(|(_, slice)| slice.owner == Some(from));
         let pick = held.min_by(|a, b| key(a).total_cmp(&key(b)));
-        let pick = pick.filter(|(_, slice)| balancing && after < gap && rooms[to] >= slice.score);
-        let (pick, to) = (pick.map(|(id, _)| *id), to.clone());
+        let pick = pick.filter(|(_, slice)| balancing && after < gap && rooms[&to] >= slice.score);
+        let pick = pick.map(|(id, _)| *id);
         self.balancing = balancing;
-        pick.into_iter().for_each(|id| _ = self.slices.get_mut(&id).map(|s| s.owner = Some(to.clone())));
+        pick.into_iter().for_each(|id| _ = self.slices.get_mut(&id).map(|s| s.owner = Some(to)));
     }
 
     fn suspects(&mut self, now: f64, post: &mut Post) {
-        let ready = self.views.values().filter(|v| v.ready);
-        let (ready, suspects) = (ready.clone().count(), ready.filter(|v| v.suspect).count());
+        let ready = || self.views.values().filter(|v| v.ready && v.proven);
+        let (many, doubtful) = (ready().count(), ready().filter(|v| v.suspect && !v.dead).count());
         // A director that starts in the middle of a loss finds the lost hosts in the store's tables.
-        self.most = if self.most == 0 { self.views.len() } else { self.most.max(ready) };
-        // Up to four in ten, a zone of three and a host: past that our own view is more likely to fail.
-        let few = suspects as f64 <= 0.4 * ready as f64;
+        self.most = if self.most == 0 { self.views.len() } else { self.most.max(many) };
+        // Of hosts that only our probes miss up to four in ten, a zone of three and a host: past that our own
+        // view is more likely to fail. Those that callers miss as well are out however many.
+        let few = doubtful as f64 <= 0.4 * many as f64;
         let again = std::mem::take(&mut self.again);
         for (host, view) in &self.views {
-            let (shut, since) = (!view.ready || few && view.suspect, self.withdrawn.get(host).copied());
+            let since = self.withdrawn.get(host).copied();
+            let shut = !view.ready || view.dead || few && view.suspect || since.is_some() && !view.proven;
             // Ten seconds after a host went no table names it any more.
             let missed = again && shut && since.is_some_and(|since| view.ready || now - since < 10.0);
             if shut != since.is_some() || missed {
-                post.note(To::Channel, Note::Tell(Order::Withdraw { host: host.clone(), out: shut }));
+                post.note(To::Channel, Note::Tell(Order::Withdraw { host: *host, out: shut }));
             }
             self.withdrawn.remove(host);
-            self.withdrawn.extend(shut.then(|| (host.clone(), since.unwrap_or(now))));
+            self.withdrawn.extend(shut.then(|| (*host, since.unwrap_or(now))));
         }
     }
 
@@ -413,26 +478,25 @@
         // An owner far over the fleet's mean and a standby nearly as full can't help each other.
         let full = |host: &HostId| self.full.get(host).copied().unwrap_or(0.0);
         let stuck = |owner: &HostId, h: &HostId| full(owner) > 1.6 * self.mean && full(h) > 0.7 * full(owner);
-        let ids: Vec<SliceId> = self.slices.keys().copied().collect();
-        for id in ids {
-            let slice = &self.slices[&id];
-            let Some(owner) = &slice.owner else { continue };
-            let fit = |h: &HostId| owner != h && self.is_open(h) && plan.1[h] >= 0.0 && !stuck(owner, h);
-            if slice.standby.as_ref().is_some_and(fit) {
-                continue;
+        let mut moved = Vec::new();
+        for (id, slice) in &self.slices {
+            let Some(owner) = slice.owner else { continue };
+            let fit = |h: HostId| owner != h && self.is_open(h) && plan.1[&h] >= 0.0 && !stuck(&owner, &h);
+            if !slice.standby.is_some_and(fit) {
+                moved.push((*id, self.reseat(&mut plan, slice.standby, slice.score, Some(owner))));
             }
-            let standby = self.reseat(&mut plan, &slice.standby, slice.score, Some(owner));
+        }
+        for (id, standby) in moved {
             self.slices.entry(id).and_modify(|slice| (slice.standby, slice.notch) = (standby, 0));
         }
     }
 
     /// By age, ease, and reported speed against the fleet's; else half of what response times say, in logs.
-    fn able(&self, host: &HostId) -> f64 {
-        let Some(view) = self.views.get(host) else { return 1.0 };
-        let speeds = || self.views.values().filter(|v| v.ready).filter_map(|v| v.speed);
+    fn able(&self, host: HostId) -> f64 {
+        let Some(view) = self.views.get(&host) else { return 1.0 };
         let against = match view.speed {
             _ if view.ramp < 1.0 => 1.0,
-            Some(speed) => speed * speeds().count() as f64 / speeds().sum::<f64>(),
+            Some(speed) => speed / self.speed,
             None if view.answered >= 1.0 => (self.rt / view.rt).sqrt(),
             None => 1.0,
         };
@@ -447,7 +511,7 @@
         for slice in self.slices.values() {
             let lines = self.desired(slice);
             let part = slice.score / average / lines.values().sum::<f64>();
-            lines.into_iter().for_each(|(host, weight)| add(&mut loads, &Some(host), weight * part));
+            lines.into_iter().for_each(|(host, weight)| add(&mut loads, Some(host), weight * part));
         }
         loads
     }
@@ -455,13 +519,13 @@
     /// Shares the slices of a host that carries more, for what it can, than the fleet and the standby.
     fn share(&mut self) {
         self.full = self.loads();
-        let able: Sums = self.full.keys().map(|host| (host.clone(), self.able(host))).collect();
-        self.full.iter_mut().for_each(|(host, load)| *load /= able[host]);
+        let able: Vec<f64> = self.full.keys().map(|host| self.able(*host)).collect();
+        self.full.values_mut().zip(able).for_each(|(load, able)| *load /= able);
         self.mean = self.full.values().sum::<f64>() / self.full.len().max(1) as f64;
         let (loads, mean) = (&self.full, self.mean);
         for slice in self.slices.values_mut() {
-            let load = |h: &Seat| h.as_ref().and_then(|h| loads.get(h)).copied().unwrap_or(0.0);
-            let (own, other) = (load(&slice.owner), load(&slice.standby));
+            let load = |h: Seat| h.and_then(|h| loads.get(&h)).copied().unwrap_or(0.0);
+            let (own, other) = (load(slice.owner), load(slice.standby));
             // A quarter more than its standby and the fleet: past the noise of the counts.
             if own > 1.25 * other && own > 1.25 * mean {
                 slice.notch = (slice.notch + 1).min(Self::NOTCHES.len() - 1);
@@ -473,14 +537,14 @@
 
     /// The lines that a slice's table should have.
     fn desired(&self, slice: &Slice) -> Sums {
-        let Some(owner) = &slice.owner else { return Sums::new() };
-        let mut lines = Sums::from([(owner.clone(), 1.0)]);
-        if let Some(standby) = &slice.standby {
+        let Some(owner) = slice.owner else { return Sums::new() };
+        let mut lines = Sums::from([(owner, 1.0)]);
+        if let Some(standby) = slice.standby {
             let part = Self::NOTCHES[slice.notch] * self.able(standby) / self.able(owner);
             // A young owner takes no more than its age allows; the standby, if older, the rest.
-            let ramp = |host: &HostId| self.views.get(host).map_or(1.0, |v| v.ramp);
+            let ramp = |host: HostId| self.views.get(&host).map_or(1.0, |v| v.ramp);
             let rest = if ramp(standby) > ramp(owner) { 1.0 / ramp(owner) - 1.0 } else { 0.0 };
-            lines.insert(standby.clone(), part.max(rest).clamp(0.02, 50.0));
+            lines.insert(standby, part.max(rest).clamp(0.02, 50.0));
         }
         lines
     }
@@ -493,10 +557,7 @@
             if slice.lines.len() == desired.len() && desired.iter().all(alike) {
                 continue;
             }
-            let ready = |host: &HostId| self.views.get(host).is_some_and(|v| v.ready);
-            let leaves = slice.lines.keys().any(|host| !desired.contains_key(host) && !ready(host));
-            let urgent = slice.lines.is_empty() || leaves;
-            post.note(To::Channel, Note::Lines { slice: *id, lines: desired.clone(), urgent });
+            post.note(To::Channel, Note::Lines { slice: *id, lines: desired.clone() });
             slice.lines = desired;
         }
         self.slices = slices;
@@ -544,8 +605,9 @@
             return;
         }
         let admitted: f64 = demand.iter().zip(&self.levels).map(|(calls, level)| calls * level).sum();
-        // Medians past 0.43 of the tightest SLO time: 0.4 cut too soon, 0.5 too late. Or two in ten dropped.
-        let pressure = (times.median() / (0.43 * f.tightest_slo)).max(times.dropped_share() / 0.2);
+        // Medians past 0.43 of the tightest SLO time: 0.4 cut too soon, 0.5 too late. What is dropped while
+        // answers are quick is no overload: hosts that fail a route, or connections that can't be made.
+        let pressure = times.median() / (0.43 * f.tightest_slo);
         if pressure > 1.0 && (self.target.is_none() || now - self.cut_at > 2.9 * pace(f)) {
             // Less than was answered, for the jam must drain. Three spans show what a cut does.
             self.target = Some((0.85 * times.answered() / span).clamp(0.7 * admitted, 0.9 * admitted));
@@ -568,7 +630,8 @@
             // A twentieth is worth a line to each proxy; full admission is always told.
             if (level - old).abs() > 0.05 || (level == 1.0) != (old == 1.0) || (again && level < 1.0) {
                 let (rt, dropped) = (times.median(), times.dropped_share());
-                post.log(format!("route {route} let in at {level:.2}: rt {rt:.2} s, {dropped:.2} dropped"));
+                let text = format!("route {route} let in at {level:.2}: rt {rt:.2} s, {dropped:.2} dropped");
+                post.log(text, vec![]);
                 self.levels[route] = level;
                 let (routes, retry) = (vec![RouteId(route as u16)], Retry::Never);
                 let order = Order::Admit { scope: Scope::Everywhere, routes, level, retry };
@@ -578,16 +641,24 @@
     }
 }
 
+/// Something to be told to all proxies: how urgent, how long it has waited, how many lines it takes.
+enum Item {
+    Level(Order),
+    Shut(HostId, bool),
+    Lines(SliceId, Sums),
+}
+
 /// Gathers what is to be told to proxies and sends it as its budgets of lines and messages allow.
 #[derive(Default)]
 struct Channel {
     proxies: BTreeSet<ProxyId>,
-    /// Tables as told so far, as they should be and since when, and the slices for which that is urgent.
+    /// Tables as told so far, and as they should be and since when.
     told: BTreeMap<SliceId, Sums>,
     wanted: BTreeMap<SliceId, (f64, Sums)>,
-    urgent: BTreeSet<SliceId>,
-    /// Withdrawals and levels to be told, all of them urgent.
-    others: Vec<Order>,
+    /// Hosts that are shut out as told; withdrawals and levels to be told.
+    out: BTreeSet<HostId>,
+    shuts: BTreeMap<HostId, bool>,
+    levels: Vec<Order>,
     /// Rounds of messages without a receipt: mark, time, what waited then; and the next mark.
     unanswered: VecDeque<(MarkId, f64, f64)>,
     mark: u16,
@@ -600,22 +671,15 @@
 impl Channel {
     fn work(&mut self, now: f64, f: &Figures, note: Note, post: &mut Post) {
         match note {
-            Note::Lines { slice, lines, urgent } => {
+            Note::Lines { slice, lines } => {
                 let since = self.wanted.get(&slice).map_or(now, |(since, _)| *since);
                 self.wanted.insert(slice, (since, lines));
-                self.urgent.extend(urgent.then_some(slice));
             }
             Note::In(Input::StoredLine { slice, host, weight }) => {
                 self.told.entry(slice).or_default().insert(host, weight);
             }
-            Note::Tell(order) => {
-                if let Order::Withdraw { host, out: true } = &order {
-                    // Where its removal waits, so does the line that stands in for it.
-                    let named = |id: &&SliceId| self.told.get(id).is_some_and(|told| told.contains_key(host));
-                    self.urgent.extend(self.wanted.keys().filter(named));
-                }
-                self.others.push(order);
-            }
+            Note::Tell(Order::Withdraw { host, out }) => _ = self.shuts.insert(host, out),
+            Note::Tell(order) => self.levels.push(order),
             Note::In(Input::Taken(id) | Input::Given(id)) => {
                 drop((self.wanted.remove(&id), self.told.remove(&id)))
             }
@@ -631,59 +695,103 @@
         }
     }
 
-    /// What differs for a slice, ranked: urgent ones first, then the longest waiting, lest any starve.
-    fn change(&self, (id, (since, wanted)): (&SliceId, &(f64, Sums))) -> Ranked {
+    /// All that waits by rank: withdrawals, slices without an open line, levels, slices that have lost one of
+    /// two, returns, other changes; last the lines of hosts that are shut out anyway, unless they return.
+    fn items(&self) -> Vec<((u8, f64), Item)> {
+        let shut = |host: &HostId| self.shuts.get(host).copied().unwrap_or(self.out.contains(host));
+        let mut items = Vec::new();
+        let mut returns: BTreeSet<HostId> = BTreeSet::new();
         let none = Sums::new();
-        let told = self.told.get(id).unwrap_or(&none);
-        let stale = told.keys().filter(|host| !wanted.contains_key(*host)).map(|host| (host.clone(), 0.0));
-        let new = wanted.iter().filter(|(host, weight)| !alike(told.get(*host), **weight));
-        let lines = new.map(|(host, weight)| (host.clone(), *weight)).chain(stale).collect();
-        ((!self.urgent.contains(id), *since, *id), lines)
+        for (id, (since, wanted)) in &self.wanted {
+            let told = self.told.get(id).unwrap_or(&none);
+            let new = wanted.iter().filter(|(host, weight)| !alike(told.get(*host), **weight));
+            let gone = told.keys().filter(|host| !wanted.contains_key(*host));
+            let (late, stale): (Vec<&HostId>, Vec<&HostId>) = gone.partition(|host| shut(host));
+            let back = |host: &&HostId| self.out.contains(*host) && !shut(host);
+            returns.extend(stale.iter().copied().filter(back).copied());
+            let lines: Sums = new.map(|(h, w)| (*h, *w)).chain(stale.iter().map(|h| (**h, 0.0))).collect();
+            let lost = told.keys().filter(|host| shut(host)).count();
+            let rank = if lost == told.len() { 1 } else if lost > 0 || stale.iter().any(|h| back(h)) { 3 } else { 5 };
+            if !lines.is_empty() {
+                items.push(((rank, *since), Item::Lines(*id, lines)));
+            }
+            if !late.is_empty() {
+                items.push(((6, *since), Item::Lines(*id, late.into_iter().map(|h| (*h, 0.0)).collect())));
+            }
+        }
+        // A host comes back when no table names it that should not: a young one could not bear it.
+        let due = self.shuts.iter().filter(|(host, out)| **out || !returns.contains(host));
+        items.extend(due.map(|(host, out)| ((if *out { 0 } else { 4 }, 0.0), Item::Shut(*host, *out))));
+        items.extend(self.levels.iter().map(|order| ((2, 0.0), Item::Level(order.clone()))));
+        items.sort_by(|a, b| a.0.partial_cmp(&b.0).unwrap_or(Ordering::Equal));
+        items
     }
 
-    /// Sends what waits: at once if urgent, else in steps, and never past half of what the rules allow.
+    /// Sends what waits: at once if urgent, else in steps, and never past a part of what the rules allow.
     fn flush(&mut self, now: f64, f: &Figures, post: &mut Post) {
         self.waiting = (self.waiting - (now - self.reckoned_at) * f.lines_per_s).max(0.0);
         self.reckoned_at = now;
         self.sent.retain(|at| now - at <= f.messages_span);
         // No receipt when queue and way should be over: the channel is slow, all that was written waits.
         self.unanswered.retain(|(_, at, _)| now - at < 10.0);
-        if self.unanswered.front().is_some_and(|(_, at, _)| now - at > f.transit_most + 1.5) {
+        let overdue = |waiting: f64| waiting / f.lines_per_s.max(1.0) + f.transit_most + 1.0;
+        if self.unanswered.front().is_some_and(|(_, at, waiting)| now - at > overdue(*waiting)) {
             self.waiting = self.unanswered.back().map_or(0.0, |(.., waiting)| *waiting);
         }
-        let mut changes: Vec<Ranked> = self.wanted.iter().map(|wanted| self.change(wanted)).collect();
-        let urgent = !self.others.is_empty() || changes.iter().any(|((routine, ..), _)| !routine);
+        self.wanted.retain(|id, (_, lines)| {
+            let told = self.told.get(id);
+            told.is_none_or(|told| told.len() != lines.len() || !lines.iter().all(|(h, w)| alike(told.get(h), *w)))
+        });
+        let items = self.items();
+        let Some(((first, _), _)) = items.first() else { return };
+        let urgent = *first < 3;
+        let proxies = self.proxies.len() as f64;
+        let fixed = proxies * (f.overhead + 1.0);
+        // Messages have a price in lines before they say anything: the dearer, the further apart.
+        let dear = fixed / f.lines_per_s.max(1.0);
         // Routine changes use half of the messages; urgent ones the rest too, but spaced, lest none be left.
         let half = self.sent.len() >= f.messages_most / 2;
-        let apart = if half { 2.0 * f.messages_span / f.messages_most as f64 } else { 0.0 };
-        let recent = self.sent.back().is_some_and(|last| now - last < if urgent { apart } else { 0.5 });
+        let apart = if half { 2.0 * f.messages_span / f.messages_most as f64 } else { 2.0 * dear };
+        let apart = if *first < 4 { apart } else { (4.0 * dear).max(0.5) };
+        let recent = self.sent.back().is_some_and(|last| now - last < apart);
         let spent = if urgent { self.sent.len() + 1 >= f.messages_most } else { half };
-        // Half of the backlog for urgent lines, a quarter for others: a channel may be slower than it says.
-        let proxies = self.proxies.len() as f64;
-        let fixed = proxies * (f.overhead + 1.0 + self.others.len() as f64);
-        let limit = f.backlog * if urgent { 0.5 } else { 0.25 };
-        // All that waits, or as much of it as is worth a message.
-        let all = fixed + proxies * changes.iter().map(|(_, lines)| lines.len() as f64).sum::<f64>();
-        let nothing = self.others.is_empty() && changes.iter().all(|(_, lines)| lines.is_empty());
-        if nothing || spent || recent || self.waiting + all.min(fixed + limit / 2.0) > limit {
+        // Parts of the backlog, as a channel may be slower than it says: the more a delay costs, the more.
+        let limit = |rank: u8| match rank {
+            0..=2 => 0.7 * f.backlog,
+            3..=4 => 0.5 * f.backlog,
+            _ => (0.25 * f.backlog).max((1.2 * fixed).min(0.4 * f.backlog)),
+        };
+        let cost = |item: &Item| proxies * if let Item::Lines(_, lines) = item { lines.len() as f64 } else { 1.0 };
+        // What waits, or as much of it as is worth a message.
+        let all = fixed + items.iter().map(|(_, item)| cost(item)).sum::<f64>();
+        let worth = if *first == 0 { fixed + proxies } else { all.min((fixed + limit(*first)) / 2.0) };
+        if spent || recent || self.waiting + worth > limit(*first) {
             return;
         }
         self.waiting += fixed;
-        changes.sort_by(|a, b| a.0.partial_cmp(&b.0).unwrap_or(Ordering::Equal));
-        for ((_, _, slice), lines) in changes {
-            let cost = proxies * lines.len() as f64;
-            if self.waiting + cost > limit {
+        for ((rank, _), item) in items {
+            if self.waiting + cost(&item) > limit(rank) {
                 break;
             }
-            self.waiting += cost;
-            self.urgent.remove(&slice);
-            let told = self.told.entry(slice).or_default();
-            told.extend(lines.clone());
-            told.retain(|_, weight| *weight > 0.0);
-            self.wanted.remove(&slice);
-            post.orders.extend(lines.into_iter().map(|(host, weight)| Order::Line { slice, host, weight }));
-        }
-        post.orders.append(&mut self.others);
+            self.waiting += cost(&item);
+            match item {
+                Item::Level(order) => {
+                    self.levels.remove(0);
+                    post.orders.push(order);
+                }
+                Item::Shut(host, out) => {
+                    self.shuts.remove(&host);
+                    if out { self.out.insert(host) } else { self.out.remove(&host) };
+                    post.orders.push(Order::Withdraw { host, out });
+                }
+                Item::Lines(slice, lines) => {
+                    let told = self.told.entry(slice).or_default();
+                    told.extend(lines.clone());
+                    told.retain(|_, weight| *weight > 0.0);
+                    post.orders.extend(lines.into_iter().map(|(host, weight)| Order::Line { slice, host, weight }));
+                }
+            }
+        }
         post.orders.push(Order::Mark { mark: MarkId(self.mark), all: false });
         self.unanswered.push_back((MarkId(self.mark), now, self.waiting));
         self.mark = self.mark.wrapping_add(1);
@@ -742,7 +850,7 @@
         self.settle(now, &mut post);
         // A microsecond of slack: a beat that rounding makes seem early would end the chain of wake-ups.
         if now + 1e-6 >= self.tick_at {
-            let hosts = self.hosts.keys().map(|host| To::Host(host.clone()));
+            let hosts = self.hosts.keys().map(|host| To::Host(*host));
             let parts = [To::Tables, To::Gate, To::Watch, To::Channel];
             hosts.chain(parts).for_each(|to| post.note(to, Note::Tick));
             self.settle(now, &mut post);
@@ -754,19 +862,22 @@
     }
 
     /// The host's inbox, and its actor made when it is first heard of.
-    fn host(&mut self, id: &HostId) -> To {
+    fn host(&mut self, id: HostId) -> To {
         // Probes start spread over their interval, so that they don't come in bursts.
         let phase = self.chance.share() * 0.5;
-        self.hosts.entry(id.clone()).or_insert_with(|| Host::new(id.clone(), phase));
-        To::Host(id.clone())
+        self.hosts.entry(id).or_insert_with(|| Host::new(id, phase, &self.figures));
+        To::Host(id)
     }
 
     fn take(&mut self, input: &Input, post: &mut Post) {
         match input {
             Input::Hosts { scope, version, entries } => self.list(*scope, *version, entries, post),
-            Input::StoredLine { host, .. } => _ = self.host(host),
+            Input::StoredLine { host, .. } => {
+                let to = self.host(*host);
+                post.note(to, Note::In(input.clone()));
+            }
             Input::Tries { host, .. } | Input::Probed { host, .. } => {
-                return post.note(To::Host(host.clone()), Note::In(input.clone()));
+                return post.note(To::Host(*host), Note::In(input.clone()));
             }
             _ => {}
         }
@@ -785,11 +896,12 @@
             self.listed += 1;
             let gone = entry.state == HostState::Gone;
             let note = if gone { Note::Unlisted } else { Note::Listed(entry.clone(), self.listed) };
-            post.note(self.host(&entry.host), note);
+            let to = self.host(entry.host);
+            post.note(to, note);
         }
         let named: BTreeSet<&HostId> = entries.iter().map(|entry| &entry.host).collect();
         for host in self.hosts.keys().filter(|host| scope != ListScope::Changes && !named.contains(host)) {
-            post.note(To::Host(host.clone()), Note::Unlisted);
+            post.note(To::Host(*host), Note::Unlisted);
         }
     }
 
--- a/src/notes.rs
+++ b/src/notes.rs
@@ -8,8 +8,8 @@
 /// Who holds something, if anybody.
 pub(crate) type Seat = Option<HostId>;
 
-pub(crate) fn add(sums: &mut Sums, host: &Seat, much: f64) {
-    host.iter().for_each(|host| *sums.entry(host.clone()).or_default() += much);
+pub(crate) fn add(sums: &mut Sums, host: Seat, much: f64) {
+    host.iter().for_each(|host| *sums.entry(*host).or_default() += much);
 }
 
 /// What a host is to the tables.
@@ -27,11 +27,16 @@
     pub ease: f64,
     /// Calls that it answers in a second of full work; none: not reported.
     pub speed: Option<f64>,
+    /// It has answered a call or a probe since it was listed, or stood in a table.
+    pub proven: bool,
     /// It seems dead or stuck, though listed.
     pub suspect: bool,
+    /// And callers' latest tries went unanswered as well.
+    pub dead: bool,
     pub rt: f64,
-    /// Lately answered tries.
+    /// Lately answered tries, and the share that was dropped.
     pub answered: f64,
+    pub dropped: f64,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -43,9 +48,10 @@
     Listed(Listing, u64),
     /// To a host: it is gone from the list.
     Unlisted,
-    /// To hosts: the fleet's median response time.
+    /// To hosts and the gate: the fleet's median response time and dropped share.
     Fleet {
         rt: f64,
+        dropped: f64,
     },
     /// To the tables.
     View(HostId, View),
@@ -59,7 +65,6 @@
     Lines {
         slice: SliceId,
         lines: Sums,
-        urgent: bool,
     },
     /// To the channel: a withdrawal or a level.
     Tell(Order),
@@ -87,8 +92,8 @@
         self.inboxes.entry(to).or_default().push_back(note);
     }
 
-    pub fn log(&mut self, text: String) {
-        self.orders.push(Order::Log(text));
+    pub fn log(&mut self, text: String, hosts: Vec<HostId>) {
+        self.orders.push(Order::Log { text, hosts });
     }
 
     /// Takes all notes of the first inbox that holds any, in the order of `To`.
