--- a/src/logic.rs
+++ b/src/logic.rs
@@ -92,16 +92,12 @@
                 self.probed(now, f, outcome, post);
             }
             // Once for each piece of evidence, as sums may be rarer than comparisons; without any it recovers.
-            Note::Fleet { rt, dropped } if self.fresh || now - self.heard_at > 4.0 => {
+            Note::Fleet { rt, .. } if self.fresh || now - self.heard_at > 4.0 => {
                 self.fresh = false;
-                // What strikes all condemns none: slow is past 1.6 times the median, failing past a seventh
-                // more than the best quarter drops. The power damps late sums.
+                // What slows all condemns none: slow is past 1.6 times the median. The power damps late sums.
                 let slow = self.times.mean() / (1.6 * rt).max(0.4 * f.tightest_slo);
-                let fails = (self.times.dropped_share() - dropped) / 0.15;
-                let factor = if slow.max(fails) > 1.0 { slow.max(fails).powf(-0.7) } else { 1.2 };
-                // A host that fails one route serves the others: it keeps three tenths.
-                let least = if slow > 1.0 { 0.05 } else { self.view.ease.min(0.3) };
-                self.view.ease = (self.view.ease * factor).clamp(least, 1.0);
+                let factor = if slow > 1.0 { slow.powf(-0.7) } else { 1.2 };
+                self.view.ease = (self.view.ease * factor).clamp(0.05, 1.0);
             }
             // Two seconds: long enough for a few reports, short enough to forget a trouble that is over.
             Note::Tick if now - self.halved > 2.0 => {
@@ -118,7 +114,6 @@
         self.view.ramp = (f.cold_from + (1.0 - f.cold_from) * age / f.ramp_time.max(1e-9)).clamp(0.05, 1.0);
         self.view.rt = self.times.mean();
         self.view.answered = self.times.answered();
-        self.view.dropped = self.times.dropped_share();
         post.note(To::Tables, Note::View(self.id, self.view.clone()));
     }
 
@@ -133,13 +128,14 @@
     }
 
     fn reported(&mut self, load: Load) {
-        // An idle host's figures tell nothing of its speed.
+        // Where calls wait all cores are busy. An idle host's figures tell nothing of its speed.
+        let busy = load.busy.or(load.waiting.map(|calls| if calls >= 1.0 { 1.0 } else { 0.5 }));
         let (done, spent) = match (load.answered_per_s, load.busy, load.service_time) {
             (Some(rate), Some(busy), _) if busy > 0.1 => (rate, busy),
             (_, _, Some(time)) if time > 0.0 => (1.0, time),
             _ => return,
         };
-        (self.done, self.spent) = (self.done + done, self.spent + spent);
+        (self.done, self.spent, self.view.busy) = (self.done + done, self.spent + spent, busy);
         self.view.speed = Some(self.done / self.spent);
     }
 
@@ -279,16 +275,16 @@
     }
 
     fn compare(&mut self, post: &mut Post) {
-        let heard: Vec<&View> = self.views.values().filter(|v| v.ready && v.answered >= 1.0).collect();
-        let nth = |part: f64, figure: fn(&View) -> f64| {
-            let mut figures: Vec<f64> = heard.iter().map(|v| figure(v)).collect();
+        let median = |figures: &mut Vec<f64>| {
             figures.sort_by(f64::total_cmp);
-            figures.get((figures.len() as f64 * part) as usize).copied().unwrap_or(0.0)
+            figures.get(figures.len() / 2).copied().unwrap_or(0.0)
         };
-        // A trouble that strikes three in five leaves the best quarter to compare with.
-        let (rt, dropped) = (nth(0.5, |v| v.rt), nth(0.25, |v| v.dropped));
+        let heard = || self.views.values().filter(|v| v.ready && v.answered >= 1.0);
+        let rt = median(&mut heard().map(|v| v.rt).collect());
+        let busy = median(&mut heard().filter_map(|v| v.busy).collect());
         self.rt = rt;
-        self.views.keys().for_each(|host| post.note(To::Host(*host), Note::Fleet { rt, dropped }));
+        let hosts = self.views.keys().map(|host| To::Host(*host));
+        hosts.chain([To::Gate]).for_each(|to| post.note(to, Note::Fleet { rt, busy }));
     }
 
     fn means(&mut self) {
@@ -573,6 +569,8 @@
     demand: Vec<f64>,
     times: Times,
     levels: Vec<f64>,
+    /// How busy the median host is, where that is reported.
+    busy: f64,
     /// Somebody has missed the levels.
     again: bool,
     weighed_at: f64,
@@ -588,6 +586,7 @@
                 self.demand.get_mut(route.0 as usize).into_iter().for_each(|sum| *sum += calls as f64);
             }
             Note::Tries { rt, tries, dropped } => self.times.add(rt, tries, dropped),
+            Note::Fleet { busy, .. } => self.busy = busy,
             Note::In(Input::Given(_) | Input::Joined { .. }) => self.again = true,
             Note::Tick if f.admits && now - self.weighed_at >= pace(f) => self.weigh(now, f, post),
             _ => {}
@@ -605,9 +604,11 @@
             return;
         }
         let admitted: f64 = demand.iter().zip(&self.levels).map(|(calls, level)| calls * level).sum();
-        // Medians past 0.43 of the tightest SLO time: 0.4 cut too soon, 0.5 too late. What is dropped while
-        // answers are quick is no overload: hosts that fail a route, or connections that can't be made.
-        let pressure = times.median() / (0.43 * f.tightest_slo);
+        // Medians past 0.43 of the tightest SLO time: 0.4 cut too soon, 0.5 too late. Or two in ten dropped, unless
+        // hosts are idle or quick meanwhile: then a route fails, or connections can't be made.
+        let rt = times.median() / f.tightest_slo;
+        let strain = if self.busy > 0.0 { self.busy / 0.8 } else { rt / 0.3 };
+        let pressure = (rt / 0.43).max(strain.min(times.dropped_share() / 0.2));
         if pressure > 1.0 && (self.target.is_none() || now - self.cut_at > 2.9 * pace(f)) {
             // Less than was answered, for the jam must drain. Three spans show what a cut does.
             self.target = Some((0.85 * times.answered() / span).clamp(0.7 * admitted, 0.9 * admitted));
--- a/src/notes.rs
+++ b/src/notes.rs
@@ -34,9 +34,10 @@
     /// And callers' latest tries went unanswered as well.
     pub dead: bool,
     pub rt: f64,
-    /// Lately answered tries, and the share that was dropped.
+    /// Lately answered tries.
     pub answered: f64,
-    pub dropped: f64,
+    /// Share of its cores that is busy, as last reported.
+    pub busy: Option<f64>,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -48,10 +49,10 @@
     Listed(Listing, u64),
     /// To a host: it is gone from the list.
     Unlisted,
-    /// To hosts and the gate: the fleet's median response time and dropped share.
+    /// To hosts and the gate: the fleet's median response time and busy cores.
     Fleet {
         rt: f64,
-        dropped: f64,
+        busy: f64,
     },
     /// To the tables.
     View(HostId, View),
