--- a/src/logic.rs
+++ b/src/logic.rs
@@ -31,9 +31,6 @@
     /// When it started, as listed or as guessed from its silence; none: long ago.
     born: Option<f64>,
     times: Times,
-    /// Sums have come since the fleet was last compared; when they last did, and when with answers.
-    fresh: bool,
-    heard_at: f64,
     answered_at: f64,
     /// Tries dropped since the last that was answered.
     unmet: f64,
@@ -79,7 +76,6 @@
                 self.reported(load);
                 let (tries, dropped) = (tries as f64, dropped.min(tries) as f64);
                 self.times.add(rt, tries, dropped);
-                (self.fresh, self.heard_at) = (true, now);
                 (self.answered_at, self.unmet) =
                     if tries > dropped { (now, 0.0) } else { (self.answered_at, self.unmet + dropped) };
                 // What a dead host drops is no sign that the fleet can't keep up.
@@ -91,9 +87,7 @@
                 self.reported(load);
                 self.probed(now, f, outcome, post);
             }
-            // Once for each piece of evidence, as sums may be rarer than comparisons; without any it recovers.
-            Note::Fleet { rt, .. } if self.fresh || now - self.heard_at > 4.0 => {
-                self.fresh = false;
+            Note::Fleet { rt, .. } => {
                 // What slows all condemns none: slow is past 1.6 times the median. The power damps late sums.
                 let slow = self.times.mean() / (1.6 * rt).max(0.4 * f.tightest_slo);
                 let factor = if slow > 1.0 { slow.powf(-0.7) } else { 1.2 };
@@ -147,8 +141,8 @@
             Outcome::Unreachable | Outcome::Broken => 2,
             outcome => (outcome == Outcome::TimedOut) as u32,
         };
-        let hit = (outcome == Outcome::Answered) as u32;
-        (self.misses, self.hits) = if miss > 0 { (self.misses + miss, 0) } else { (0, self.hits + hit) };
+        (self.misses, self.hits) = if miss > 0 { (self.misses + miss, 0) } else { (0, self.hits + 1) };
+        self.view.proven |= outcome == Outcome::Answered;
         // One refusal may be chance, and a probe that times out may queue behind calls that are answered.
         let mute = self.misses >= 3 && now - self.answered_at > pace(f);
         if !self.view.suspect && (mute || miss == 2 && self.misses >= 4) {
@@ -166,7 +160,6 @@
         self.view.dead = self.view.suspect && self.unmet >= 3.0;
         // Who falls again and again must answer for longer each time, up to where a fall is forgotten.
         let enough = if self.falls < 2 { 2 } else { 8 * self.falls.min(6) };
-        self.view.proven |= self.hits > 0;
         if self.view.suspect && self.hits >= enough {
             // It may have restarted before the list tells; it is eased in as a young one.
             (self.view.suspect, self.view.dead, self.unmet, self.born) = (false, false, 0.0, Some(now));
@@ -474,15 +467,14 @@
         // An owner far over the fleet's mean and a standby nearly as full can't help each other.
         let full = |host: &HostId| self.full.get(host).copied().unwrap_or(0.0);
         let stuck = |owner: &HostId, h: &HostId| full(owner) > 1.6 * self.mean && full(h) > 0.7 * full(owner);
-        let mut moved = Vec::new();
-        for (id, slice) in &self.slices {
+        for id in self.slices.keys().copied().collect::<Vec<_>>() {
+            let slice = &self.slices[&id];
             let Some(owner) = slice.owner else { continue };
             let fit = |h: HostId| owner != h && self.is_open(h) && plan.1[&h] >= 0.0 && !stuck(&owner, &h);
-            if !slice.standby.is_some_and(fit) {
-                moved.push((*id, self.reseat(&mut plan, slice.standby, slice.score, Some(owner))));
+            if slice.standby.is_some_and(fit) {
+                continue;
             }
-        }
-        for (id, standby) in moved {
+            let standby = self.reseat(&mut plan, slice.standby, slice.score, Some(owner));
             self.slices.entry(id).and_modify(|slice| (slice.standby, slice.notch) = (standby, 0));
         }
     }
@@ -745,7 +737,7 @@
         });
         let items = self.items();
         let Some(((first, _), _)) = items.first() else { return };
-        let urgent = *first < 3;
+        let urgent = *first < 4;
         let proxies = self.proxies.len() as f64;
         let fixed = proxies * (f.overhead + 1.0);
         // Messages have a price in lines before they say anything: the dearer, the further apart.
