--- a/src/logic.rs
+++ b/src/logic.rs
@@ -45,13 +45,15 @@
     /// How often it was lost lately, and when last.
     falls: u32,
     fell_at: f64,
+    /// It has answered a call or a probe.
+    met: bool,
     /// The list has dropped it, but it serves.
     unlisted: bool,
 }
 
 impl Host {
-    fn new(id: HostId, phase: f64, f: &Figures) -> Self {
-        let view = View { weight: 1.0, ramp: 1.0, ease: 1.0, proven: !f.may_probe, ..View::default() };
+    fn new(id: HostId, phase: f64, proven: bool) -> Self {
+        let view = View { weight: 1.0, ramp: 1.0, ease: 1.0, proven, ..View::default() };
         Host { id, view, probe_at: Some(phase), ..Host::default() }
     }
 
@@ -69,15 +71,15 @@
             }
             // Where gone is advice a list may be wrong: a host that answers stays until its probes fail.
             Note::Unlisted if f.gone_is_advice && self.serves() => self.unlisted = true,
-            Note::Unlisted => self.lose(now, f),
-            // A table that names it is as good as an answer: the store outlives directors.
-            Note::In(Input::StoredLine { .. }) => self.view.proven = true,
+            Note::Unlisted => self.lose(),
             Note::In(Input::Tries { tries, dropped, rt, load, .. }) => {
                 self.reported(load);
                 let (tries, dropped) = (tries as f64, dropped.min(tries) as f64);
                 self.times.add(rt, tries, dropped);
-                (self.answered_at, self.unmet) =
-                    if tries > dropped { (now, 0.0) } else { (self.answered_at, self.unmet + dropped) };
+                self.unmet += dropped;
+                if tries > dropped {
+                    (self.answered_at, self.unmet, self.met, self.view.proven) = (now, 0.0, true, true);
+                }
                 // What a dead host drops is no sign that the fleet can't keep up.
                 if self.view.ready && !self.view.suspect {
                     post.note(To::Gate, Note::Tries { rt, tries, dropped });
@@ -115,10 +117,9 @@
         self.view.ready && self.view.proven && !self.view.suspect && self.misses == 0
     }
 
-    fn lose(&mut self, now: f64, f: &Figures) {
-        let view = View { ready: false, suspect: false, dead: false, proven: !f.may_probe, ..self.view.clone() };
-        self.view = view;
-        (self.misses, self.hits, self.unlisted, self.fell_at) = (0, 0, false, now);
+    fn lose(&mut self) {
+        (self.view.ready, self.view.suspect, self.view.dead) = (false, false, false);
+        (self.misses, self.hits, self.unlisted) = (0, 0, false);
     }
 
     fn reported(&mut self, load: Load) {
@@ -142,7 +143,8 @@
             outcome => (outcome == Outcome::TimedOut) as u32,
         };
         (self.misses, self.hits) = if miss > 0 { (self.misses + miss, 0) } else { (0, self.hits + 1) };
-        self.view.proven |= outcome == Outcome::Answered;
+        self.met |= outcome == Outcome::Answered;
+        self.view.proven = self.met || self.view.proven && outcome == Outcome::Throttled;
         // One refusal may be chance, and a probe that times out may queue behind calls that are answered.
         let mute = self.misses >= 3 && now - self.answered_at > pace(f);
         if !self.view.suspect && (mute || miss == 2 && self.misses >= 4) {
@@ -151,7 +153,7 @@
             self.falls = if now - self.fell_at > 60.0 { 1 } else { self.falls + 1 };
             self.fell_at = now;
             if self.unlisted {
-                return self.lose(now, f);
+                return self.lose();
             }
             if self.view.proven {
                 post.log("suspected, probes unanswered".into(), vec![self.id]);
@@ -447,7 +449,7 @@
         let again = std::mem::take(&mut self.again);
         for (host, view) in &self.views {
             let since = self.withdrawn.get(host).copied();
-            let shut = !view.ready || view.dead || few && view.suspect || since.is_some() && !view.proven;
+            let shut = !view.ready || view.dead || few && view.suspect;
             // Ten seconds after a host went no table names it any more.
             let missed = again && shut && since.is_some_and(|since| view.ready || now - since < 10.0);
             if shut != since.is_some() || missed {
@@ -858,17 +860,16 @@
     fn host(&mut self, id: HostId) -> To {
         // Probes start spread over their interval, so that they don't come in bursts.
         let phase = self.chance.share() * 0.5;
-        self.hosts.entry(id).or_insert_with(|| Host::new(id, phase, &self.figures));
+        // What a director finds at its start is trusted until it fails; who comes later proves itself first.
+        let proven = !self.figures.may_probe || self.tick_at == f64::NEG_INFINITY;
+        self.hosts.entry(id).or_insert_with(|| Host::new(id, phase, proven));
         To::Host(id)
     }
 
     fn take(&mut self, input: &Input, post: &mut Post) {
         match input {
             Input::Hosts { scope, version, entries } => self.list(*scope, *version, entries, post),
-            Input::StoredLine { host, .. } => {
-                let to = self.host(*host);
-                post.note(to, Note::In(input.clone()));
-            }
+            Input::StoredLine { host, .. } => _ = self.host(*host),
             Input::Tries { host, .. } | Input::Probed { host, .. } => {
                 return post.note(To::Host(*host), Note::In(input.clone()));
             }
--- a/src/notes.rs
+++ b/src/notes.rs
@@ -27,7 +27,7 @@
     pub ease: f64,
     /// Calls that it answers in a second of full work; none: not reported.
     pub speed: Option<f64>,
-    /// It has answered a call or a probe since it was listed, or stood in a table.
+    /// It has answered a call or a probe, or was there from the start and has not failed one.
     pub proven: bool,
     /// It seems dead or stuck, though listed.
     pub suspect: bool,
