--- a/src/logic.rs
+++ b/src/logic.rs
@@ -397,7 +397,8 @@
         // Two seconds: past a passing fault, and before the list would tell.
         let lost = |owner: &HostId| self.withdrawn.get(owner).is_some_and(|since| now - since > 2.0);
         let stays = |o: &HostId| self.views.get(o).is_some_and(|v| v.ready) && !lost(o);
-        let mut moves: Vec<(f64, SliceId, Seat)> = self.slices.iter().map(|(id, s)| (s.score, *id, s.owner)).collect();
+        let mut moves: Vec<(f64, SliceId, Seat)> =
+            self.slices.iter().map(|(id, s)| (s.score, *id, s.owner)).collect();
         moves.sort_by(|a, b| b.0.total_cmp(&a.0));
         let mut moved = Vec::new();
         for (score, id, old) in moves {
@@ -420,7 +421,10 @@
         let [to, .., from] = open[..] else { return };
         let gap = full(from) - full(to);
         if gap > 8.0 && !self.balancing {
-            post.log(format!("balancing starts, one holds {gap:.1} slices more than the other"), vec![from, to]);
+            post.log(
+                format!("balancing starts, one holds {gap:.1} slices more than the other"),
+                vec![from, to],
+            );
         }
         let balancing = gap > 8.0 || (self.balancing && gap >= 2.0);
         // Reckoned per unit of weight, a move may overshoot: the receiver must not end up the fuller one.
@@ -497,7 +501,7 @@
     /// What each host's lines bring it, in slices of the average score.
     fn loads(&self) -> Sums {
         let average = self.slices.values().map(|s| s.score).sum::<f64>() / self.slices.len().max(1) as f64;
-        let mut loads: Sums = self.views.keys().map(|host| (host.clone(), 0.0)).collect();
+        let mut loads: Sums = self.views.keys().map(|host| (*host, 0.0)).collect();
         for slice in self.slices.values() {
             let lines = self.desired(slice);
             let part = slice.score / average / lines.values().sum::<f64>();
@@ -598,8 +602,8 @@
             return;
         }
         let admitted: f64 = demand.iter().zip(&self.levels).map(|(calls, level)| calls * level).sum();
-        // Medians past 0.43 of the tightest SLO time: 0.4 cut too soon, 0.5 too late. Or two in ten dropped, unless
-        // hosts are idle or quick meanwhile: then a route fails, or connections can't be made.
+        // Medians past 0.43 of the tightest SLO time: 0.4 cut too soon, 0.5 too late. Or two in ten dropped,
+        // unless hosts are idle or quick meanwhile: then a route fails, or connections can't be made.
         let rt = times.median() / f.tightest_slo;
         let strain = if self.busy > 0.0 { self.busy / 0.8 } else { rt / 0.3 };
         let pressure = (rt / 0.43).max(strain.min(times.dropped_share() / 0.2));
@@ -706,7 +710,13 @@
             returns.extend(stale.iter().copied().filter(back).copied());
             let lines: Sums = new.map(|(h, w)| (*h, *w)).chain(stale.iter().map(|h| (**h, 0.0))).collect();
             let lost = told.keys().filter(|host| shut(host)).count();
-            let rank = if lost == told.len() { 1 } else if lost > 0 || stale.iter().any(|h| back(h)) { 3 } else { 5 };
+            let rank = if lost == told.len() {
+                1
+            } else if lost > 0 || stale.iter().any(back) {
+                3
+            } else {
+                5
+            };
             if !lines.is_empty() {
                 items.push(((rank, *since), Item::Lines(*id, lines)));
             }
@@ -735,7 +745,9 @@
         }
         self.wanted.retain(|id, (_, lines)| {
             let told = self.told.get(id);
-            told.is_none_or(|told| told.len() != lines.len() || !lines.iter().all(|(h, w)| alike(told.get(h), *w)))
+            told.is_none_or(|told| {
+                told.len() != lines.len() || !lines.iter().all(|(h, w)| alike(told.get(h), *w))
+            })
         });
         let items = self.items();
         let Some(((first, _), _)) = items.first() else { return };
@@ -756,7 +768,8 @@
             3..=4 => 0.5 * f.backlog,
             _ => (0.25 * f.backlog).max((1.2 * fixed).min(0.4 * f.backlog)),
         };
-        let cost = |item: &Item| proxies * if let Item::Lines(_, lines) = item { lines.len() as f64 } else { 1.0 };
+        let cost =
+            |item: &Item| proxies * if let Item::Lines(_, lines) = item { lines.len() as f64 } else { 1.0 };
         // What waits, or as much of it as is worth a message.
         let all = fixed + items.iter().map(|(_, item)| cost(item)).sum::<f64>();
         let worth = if *first == 0 { fixed + proxies } else { all.min((fixed + limit(*first)) / 2.0) };
@@ -776,14 +789,22 @@
                 }
                 Item::Shut(host, out) => {
                     self.shuts.remove(&host);
-                    if out { self.out.insert(host) } else { self.out.remove(&host) };
+                    if out {
+                        self.out.insert(host)
+                    } else {
+                        self.out.remove(&host)
+                    };
                     post.orders.push(Order::Withdraw { host, out });
                 }
                 Item::Lines(slice, lines) => {
                     let told = self.told.entry(slice).or_default();
                     told.extend(lines.clone());
                     told.retain(|_, weight| *weight > 0.0);
-                    post.orders.extend(lines.into_iter().map(|(host, weight)| Order::Line { slice, host, weight }));
+                    post.orders.extend(lines.into_iter().map(|(host, weight)| Order::Line {
+                        slice,
+                        host,
+                        weight,
+                    }));
                 }
             }
         }
