--- a/src/logic_tests.rs
+++ b/src/logic_tests.rs
@@ -449,7 +449,7 @@
 #[test]
 fn the_channel_ranks_what_waits() {
     let mut channel = channel(0.0, 3);
-    channel.wanted.values_mut().for_each(|(_, lines)| drop(lines.remove(&id(7))));
+    channel.wanted.values_mut().for_each(|(_, lines)| _ = lines.remove(&id(7)));
     let told = [(0, vec![id(9)]), (1, vec![id(0), id(9)]), (2, vec![id(8)])];
     channel.told = told.map(|(n, on)| (SliceId(n), on.into_iter().map(|host| (host, 1.0)).collect())).into();
     channel.shuts = BTreeMap::from([(id(8), false), (id(9), true)]);
