--- a/src/figures.rs
+++ b/src/figures.rs
@@ -21,6 +21,8 @@
     pub admits: bool,
     pub overhead: f64,
     pub lines_per_s: f64,
+    /// How long the channel is busy with an empty message to every proxy.
+    pub round_time: f64,
     pub backlog: f64,
     pub messages_most: usize,
     pub messages_span: f64,
@@ -47,6 +49,7 @@
             admits: s.admission == Admission::Share,
             overhead: s.message_overhead,
             lines_per_s: s.lines_per_s,
+            round_time: s.proxies as f64 * (s.message_overhead + 1.0) / s.lines_per_s.max(1.0),
             backlog: s.backlog_lines,
             messages_most: if s.messages_most == 0 { usize::MAX } else { s.messages_most as usize },
             messages_span: s.messages_span,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -172,9 +172,11 @@
 
 type Plan = (Sums, Sums);
 
-/// A quarter up or down is worth a line; less is not.
-fn alike(old: Option<&f64>, weight: f64) -> bool {
-    old.is_some_and(|old| (0.8..=1.25).contains(&(old / weight)))
+/// A quarter up or down is worth a line; less is not. Where a round of messages takes the channel long, only
+/// more is: a third of a second doubles it.
+fn alike(f: &Figures, old: Option<&f64>, weight: f64) -> bool {
+    let most = 1.25 + 3.0 * f.round_time;
+    old.is_some_and(|old| (1.0 / most..=most).contains(&(old / weight)))
 }
 
 #[derive(Clone, Default)]
@@ -266,7 +268,7 @@
             self.balance(now, f, post);
         }
         self.standbys(f);
-        self.write(post);
+        self.write(f, post);
     }
 
     fn compare(&mut self, post: &mut Post) {
@@ -407,7 +409,10 @@
             }
         }
         for (id, new) in moved {
-            self.slices.entry(id).and_modify(|slice| slice.owner = new);
+            self.slices.entry(id).and_modify(|slice| {
+                slice.standby = slice.standby.filter(|standby| Some(*standby) != new);
+                slice.owner = new;
+            });
         }
     }
 
@@ -532,22 +537,24 @@
     /// The lines that a slice's table should have.
     fn desired(&self, slice: &Slice) -> Sums {
         let Some(owner) = slice.owner else { return Sums::new() };
-        let mut lines = Sums::from([(owner, 1.0)]);
+        // A line that stands keeps its weight, so that only its partner's need be told.
+        let base = slice.lines.get(&owner).copied().filter(|weight| *weight > 0.01).unwrap_or(1.0);
+        let mut lines = Sums::from([(owner, base)]);
         if let Some(standby) = slice.standby {
             let part = Self::NOTCHES[slice.notch] * self.able(standby) / self.able(owner);
             // A young owner takes no more than its age allows; the standby, if older, the rest.
             let ramp = |host: HostId| self.views.get(&host).map_or(1.0, |v| v.ramp);
             let rest = if ramp(standby) > ramp(owner) { 1.0 / ramp(owner) - 1.0 } else { 0.0 };
-            lines.insert(standby, part.max(rest).clamp(0.02, 50.0));
+            lines.insert(standby, base * part.max(rest).clamp(0.02, 50.0));
         }
         lines
     }
 
-    fn write(&mut self, post: &mut Post) {
+    fn write(&mut self, f: &Figures, post: &mut Post) {
         let mut slices = std::mem::take(&mut self.slices);
         for (id, slice) in &mut slices {
             let desired = self.desired(slice);
-            let alike = |(host, weight): (&HostId, &f64)| alike(slice.lines.get(host), *weight);
+            let alike = |(host, weight): (&HostId, &f64)| alike(f, slice.lines.get(host), *weight);
             if slice.lines.len() == desired.len() && desired.iter().all(alike) {
                 continue;
             }
@@ -694,34 +701,33 @@
         }
     }
 
-    /// All that waits by rank: withdrawals, slices without an open line, levels, slices that have lost one of
-    /// two, returns, other changes; last the lines of hosts that are shut out anyway, unless they return.
-    fn items(&self) -> Vec<((u8, f64), Item)> {
+    /// All that waits by rank: withdrawals, slices without an open line, levels, lines that a host's return
+    /// waits for, returns, slices whose heaviest line is shut, others; last the lines of hosts that are out.
+    fn items(&self, f: &Figures) -> Vec<((u8, f64), Item)> {
         let shut = |host: &HostId| self.shuts.get(host).copied().unwrap_or(self.out.contains(host));
         let mut items = Vec::new();
         let mut returns: BTreeSet<HostId> = BTreeSet::new();
         let none = Sums::new();
         for (id, (since, wanted)) in &self.wanted {
             let told = self.told.get(id).unwrap_or(&none);
-            let new = wanted.iter().filter(|(host, weight)| !alike(told.get(*host), **weight));
+            let new = wanted.iter().filter(|(host, weight)| !alike(f, told.get(*host), **weight));
             let gone = told.keys().filter(|host| !wanted.contains_key(*host));
             let (late, stale): (Vec<&HostId>, Vec<&HostId>) = gone.partition(|host| shut(host));
             let back = |host: &&HostId| self.out.contains(*host) && !shut(host);
             returns.extend(stale.iter().copied().filter(back).copied());
             let lines: Sums = new.map(|(h, w)| (*h, *w)).chain(stale.iter().map(|h| (**h, 0.0))).collect();
-            let lost = told.keys().filter(|host| shut(host)).count();
-            let rank = if lost == told.len() {
-                1
-            } else if lost > 0 || stale.iter().any(back) {
-                3
-            } else {
-                5
+            let heaviest = told.iter().max_by(|a, b| a.1.total_cmp(b.1)).map(|(host, _)| host);
+            let rank = match heaviest {
+                _ if told.keys().all(shut) => 1,
+                _ if stale.iter().any(back) => 3,
+                Some(host) if shut(host) => 5,
+                _ => 6,
             };
             if !lines.is_empty() {
                 items.push(((rank, *since), Item::Lines(*id, lines)));
             }
             if !late.is_empty() {
-                items.push(((6, *since), Item::Lines(*id, late.into_iter().map(|h| (*h, 0.0)).collect())));
+                items.push(((7, *since), Item::Lines(*id, late.into_iter().map(|h| (*h, 0.0)).collect())));
             }
         }
         // A host comes back when no table names it that should not: a young one could not bear it.
@@ -746,12 +752,12 @@
         self.wanted.retain(|id, (_, lines)| {
             let told = self.told.get(id);
             told.is_none_or(|told| {
-                told.len() != lines.len() || !lines.iter().all(|(h, w)| alike(told.get(h), *w))
+                told.len() != lines.len() || !lines.iter().all(|(h, w)| alike(f, told.get(h), *w))
             })
         });
-        let items = self.items();
+        let items = self.items(f);
         let Some(((first, _), _)) = items.first() else { return };
-        let urgent = *first < 4;
+        let urgent = *first < 6;
         let proxies = self.proxies.len() as f64;
         let fixed = proxies * (f.overhead + 1.0);
         // Messages have a price in lines before they say anything: the dearer, the further apart.
@@ -759,14 +765,13 @@
         // Routine changes use half of the messages; urgent ones the rest too, but spaced, lest none be left.
         let half = self.sent.len() >= f.messages_most / 2;
         let apart = if half { 2.0 * f.messages_span / f.messages_most as f64 } else { 2.0 * dear };
-        let apart = if *first < 4 { apart } else { (4.0 * dear).max(0.5) };
+        let apart = if urgent { apart } else { apart.max(0.5) };
         let recent = self.sent.back().is_some_and(|last| now - last < apart);
         let spent = if urgent { self.sent.len() + 1 >= f.messages_most } else { half };
         // Parts of the backlog, as a channel may be slower than it says: the more a delay costs, the more.
         let limit = |rank: u8| match rank {
             0..=2 => 0.7 * f.backlog,
-            3..=4 => 0.5 * f.backlog,
-            _ => (0.25 * f.backlog).max((1.2 * fixed).min(0.4 * f.backlog)),
+            _ => (fixed + 0.25 * f.backlog).min(0.6 * f.backlog),
         };
         let cost =
             |item: &Item| proxies * if let Item::Lines(_, lines) = item { lines.len() as f64 } else { 1.0 };
