--- a/src/logic.rs
+++ b/src/logic.rs
@@ -520,13 +520,14 @@
         self.full = self.loads();
         let able: Vec<f64> = self.full.keys().map(|host| self.able(*host)).collect();
         self.full.values_mut().zip(able).for_each(|(load, able)| *load /= able);
-        self.mean = self.full.values().sum::<f64>() / self.full.len().max(1) as f64;
+        let open = || self.full.iter().filter(|(host, _)| self.is_open(**host));
+        self.mean = open().map(|(_, load)| load).sum::<f64>() / open().count().max(1) as f64;
         let (loads, mean) = (&self.full, self.mean);
         for slice in self.slices.values_mut() {
             let load = |h: Seat| h.and_then(|h| loads.get(&h)).copied().unwrap_or(0.0);
             let (own, other) = (load(slice.owner), load(slice.standby));
-            // A quarter more than its standby and the fleet: past the noise of the counts.
-            if own > 1.25 * other && own > 1.25 * mean {
+            // A quarter more than its standby: past the noise of the counts.
+            if own > 1.25 * other && own > mean {
                 slice.notch = (slice.notch + 1).min(Self::NOTCHES.len() - 1);
             } else if own < other {
                 slice.notch = slice.notch.saturating_sub(1);
