--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,11 +1,12 @@
 //! coppersail, a table manager: it assigns hosts to proxies. `interface` holds the plain types that go in and come
-//! out, `logic` the decisions; `figures`, `notes` and `measure` are what
-//! `logic` works with.
+//! out, `logic` the decisions; `figures`, `notes`,
+//! `state` and `measure` are what `logic` works with.
 
 mod figures;
 pub mod interface;
 pub mod logic;
 mod measure;
 mod notes;
+mod state;
 
 pub use logic::Director;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -8,9 +8,10 @@
 use crate::figures::Figures;
 use crate::interface::*;
 use crate::measure::{Chance, Histogram};
-use crate::notes::{add, Note, Post, Seat, Sums, To, View};
+use crate::notes::{add, Item, Note, Plan, Post, Seat, Sums, To, View};
+use crate::state::{Channel, Gate, Host, Slice, Tables, Watch};
 use std::cmp::Ordering;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 
 #[cfg(test)]
 #[path = "logic_tests.rs"]
@@ -22,34 +23,7 @@
 }
 
 // From 30 ms by steps of 1.4 the bins reach 5 s, past any time that could still please a caller.
-type Times = Histogram<30, 140>;
-
-#[derive(Default)]
-struct Host {
-    id: HostId,
-    view: View,
-    /// When it started, as listed or as guessed from its silence; none: long ago.
-    born: Option<f64>,
-    times: Times,
-    answered_at: f64,
-    /// Tries dropped since the last that was answered.
-    unmet: f64,
-    /// What load reports say was done, and in how much work.
-    done: f64,
-    spent: f64,
-    halved: f64,
-    probe_at: Option<f64>,
-    /// Probes answered in a row, and missed in a row: one for a time-out, two where no process was met.
-    hits: u32,
-    misses: u32,
-    /// How often it was lost lately, and when last.
-    falls: u32,
-    fell_at: f64,
-    /// It has answered a call or a probe.
-    met: bool,
-    /// The list has dropped it, but it serves.
-    unlisted: bool,
-}
+pub(crate) type Times = Histogram<30, 140>;
 
 impl Host {
     fn new(id: HostId, phase: f64, proven: bool) -> Self {
@@ -70,15 +44,16 @@
                 self.view = View { ready, senior, weight: l.weight, zone: l.zone, ..self.view.clone() };
             }
             // Where gone is advice a list may be wrong: a host that answers stays until its probes fail.
-            Note::Unlisted if f.gone_is_advice && self.serves() => self.unlisted = true,
+            Note::Unlisted if f.gone_is_advice && self.view.ready && self.met && self.misses == 0 => {
+                self.unlisted = true;
+            }
             Note::Unlisted => self.lose(),
             Note::In(Input::Tries { tries, dropped, rt, load, .. }) => {
                 self.reported(load);
                 let (tries, dropped) = (tries as f64, dropped.min(tries) as f64);
                 self.times.add(rt, tries, dropped);
-                self.unmet += dropped;
                 if tries > dropped {
-                    (self.answered_at, self.unmet, self.met, self.view.proven) = (now, 0.0, true, true);
+                    (self.answered_at, self.met, self.view.proven) = (now, true, true);
                 }
                 // What a dead host drops is no sign that the fleet can't keep up.
                 if self.view.ready && !self.view.suspect {
@@ -113,12 +88,8 @@
         post.note(To::Tables, Note::View(self.id, self.view.clone()));
     }
 
-    fn serves(&self) -> bool {
-        self.view.ready && self.view.proven && !self.view.suspect && self.misses == 0
-    }
-
     fn lose(&mut self) {
-        (self.view.ready, self.view.suspect, self.view.dead) = (false, false, false);
+        (self.view.ready, self.view.suspect) = (false, false);
         (self.misses, self.hits, self.unlisted) = (0, 0, false);
     }
 
@@ -149,9 +120,6 @@
         let mute = self.misses >= 3 && now - self.answered_at > pace(f);
         if !self.view.suspect && (mute || miss == 2 && self.misses >= 4) {
             self.view.suspect = true;
-            // A minute without a loss, and the earlier ones are forgotten.
-            self.falls = if now - self.fell_at > 60.0 { 1 } else { self.falls + 1 };
-            self.fell_at = now;
             if self.unlisted {
                 return self.lose();
             }
@@ -159,19 +127,14 @@
                 post.log("suspected, probes unanswered".into(), vec![self.id]);
             }
         }
-        self.view.dead = self.view.suspect && self.unmet >= 3.0;
-        // Who falls again and again must answer for longer each time, up to where a fall is forgotten.
-        let enough = if self.falls < 2 { 2 } else { 8 * self.falls.min(6) };
-        if self.view.suspect && self.hits >= enough {
+        if self.view.suspect && self.hits >= 2 {
             // It may have restarted before the list tells; it is eased in as a young one.
-            (self.view.suspect, self.view.dead, self.unmet, self.born) = (false, false, 0.0, Some(now));
+            (self.view.suspect, self.born) = (false, Some(now));
             post.log("trusted again, probes answered".into(), vec![self.id]);
         }
     }
 }
 
-type Plan = (Sums, Sums);
-
 /// A quarter up or down is worth a line; less is not. Where a round of messages takes the channel long, only
 /// more is: a third of a second doubles it.
 fn alike(f: &Figures, old: Option<&f64>, weight: f64) -> bool {
@@ -179,42 +142,6 @@
     old.is_some_and(|old| (1.0 / most..=most).contains(&(old / weight)))
 }
 
-#[derive(Clone, Default)]
-struct Slice {
-    owner: Seat,
-    standby: Seat,
-    /// The table as ordered so far, or as found in the store.
-    lines: Sums,
-    /// Calls by route, halved from time to time.
-    demand: Vec<f64>,
-    score: f64,
-    /// Standby's weight against the owner's, as a place in `Tables::NOTCHES`.
-    notch: usize,
-}
-
-#[derive(Default)]
-struct Tables {
-    slices: BTreeMap<SliceId, Slice>,
-    views: BTreeMap<HostId, View>,
-    /// Hosts that are shut out, and since when; `again`: somebody has missed these orders.
-    withdrawn: Sums,
-    again: bool,
-    balancing: bool,
-    /// Most hosts that were ready at a time; by these a host's part is reckoned, however many fail.
-    most: usize,
-    /// The fleet's median response time; the mean weight, and the mean speed of the hosts that report one.
-    rt: f64,
-    weight: f64,
-    speed: f64,
-    /// What the hosts carry for what they can, when last reckoned.
-    full: Sums,
-    mean: f64,
-    given_at: f64,
-    halved: f64,
-    moved_at: f64,
-    compared_at: f64,
-}
-
 impl Tables {
     /// Weights of a standby line: from a trickle that keeps its connections open to more than the owner's.
     const NOTCHES: [f64; 6] = [0.1, 0.2, 0.4, 0.7, 1.2, 2.0];
@@ -258,7 +185,6 @@
         if now - self.given_at < 0.2 || !self.views.values().any(|v| v.ready) {
             return;
         }
-        self.means();
         self.suspects(now, post);
         self.lay(f, post);
         self.rescue(now, f);
@@ -284,15 +210,15 @@
         hosts.chain([To::Gate]).for_each(|to| post.note(to, Note::Fleet { rt, busy }));
     }
 
-    fn means(&mut self) {
-        let speeds = || self.views.values().filter(|v| v.ready).filter_map(|v| v.speed);
-        let weights = self.views.values().map(|v| v.weight).sum::<f64>();
-        self.speed = speeds().sum::<f64>() / speeds().count().max(1) as f64;
-        self.weight = weights / self.views.len().max(1) as f64;
-    }
-
     fn open(&self) -> Vec<HostId> {
-        self.views.keys().copied().filter(|host| self.is_open(*host)).collect()
+        let open: Vec<HostId> = self.views.keys().copied().filter(|host| self.is_open(*host)).collect();
+        let ready = || self.views.iter().filter(|(_, v)| v.ready).map(|(host, _)| *host).collect();
+        // With nobody left to trust any host on the list is better than none.
+        if open.is_empty() {
+            ready()
+        } else {
+            open
+        }
     }
     /// A stranger on the list, which has answered nobody yet, is none of ours to use.
     fn is_open(&self, host: HostId) -> bool {
@@ -397,23 +323,18 @@
     fn rescue(&mut self, now: f64, f: &Figures) {
         let mut plan = (self.counts(), self.rooms(f));
         // Two seconds: past a passing fault, and before the list would tell.
-        let lost = |owner: &HostId| self.withdrawn.get(owner).is_some_and(|since| now - since > 2.0);
-        let stays = |o: &HostId| self.views.get(o).is_some_and(|v| v.ready) && !lost(o);
-        let mut moves: Vec<(f64, SliceId, Seat)> =
-            self.slices.iter().map(|(id, s)| (s.score, *id, s.owner)).collect();
-        moves.sort_by(|a, b| b.0.total_cmp(&a.0));
-        let mut moved = Vec::new();
-        for (score, id, old) in moves {
-            if !old.is_some_and(|old| stays(&old) && plan.1[&old] >= 0.0) {
-                moved.push((id, self.reseat(&mut plan, old, score, None)));
+        let lost = |since: &f64| now - since > 2.0;
+        let ready = self.views.iter().filter(|(_, v)| v.ready).map(|(host, _)| *host);
+        let kept: BTreeSet<HostId> = ready.filter(|h| !self.withdrawn.get(h).is_some_and(lost)).collect();
+        let mut ranked: Vec<(f64, SliceId)> = self.slices.iter().map(|(id, s)| (s.score, *id)).collect();
+        ranked.sort_by(|a, b| b.0.total_cmp(&a.0));
+        for (score, id) in ranked {
+            let old = self.slices[&id].owner;
+            if !old.is_some_and(|old| kept.contains(&old) && plan.1[&old] >= 0.0) {
+                let new = self.reseat(&mut plan, old, score, None).or(old);
+                self.slices.entry(id).and_modify(|slice| slice.owner = new);
             }
         }
-        for (id, new) in moved {
-            self.slices.entry(id).and_modify(|slice| {
-                slice.standby = slice.standby.filter(|standby| Some(*standby) != new);
-                slice.owner = new;
-            });
-        }
     }
 
     /// The paper's balancing: past a gap of 8 slices until it is under 2, fullest to emptiest.
@@ -426,10 +347,7 @@
         let [to, .., from] = open[..] else { return };
         let gap = full(from) - full(to);
         if gap > 8.0 && !self.balancing {
-            post.log(
-                format!("balancing starts, one holds {gap:.1} slices more than the other"),
-                vec![from, to],
-            );
+            post.log(format!("balancing starts, a gap of {gap:.1} slices"), vec![from, to]);
         }
         let balancing = gap > 8.0 || (self.balancing && gap >= 2.0);
         // Reckoned per unit of weight, a move may overshoot: the receiver must not end up the fuller one.
@@ -448,17 +366,19 @@
     }
 
     fn suspects(&mut self, now: f64, post: &mut Post) {
+        let speeds = || self.views.values().filter(|v| v.ready).filter_map(|v| v.speed);
+        self.speed = speeds().sum::<f64>() / speeds().count().max(1) as f64;
+        self.weight = self.views.values().map(|v| v.weight).sum::<f64>() / self.views.len().max(1) as f64;
         let ready = || self.views.values().filter(|v| v.ready && v.proven);
-        let (many, doubtful) = (ready().count(), ready().filter(|v| v.suspect && !v.dead).count());
+        let (many, doubtful) = (ready().count(), ready().filter(|v| v.suspect).count());
         // A director that starts in the middle of a loss finds the lost hosts in the store's tables.
         self.most = if self.most == 0 { self.views.len() } else { self.most.max(many) };
-        // Of hosts that only our probes miss up to four in ten, a zone of three and a host: past that our own
-        // view is more likely to fail. Those that callers miss as well are out however many.
+        // Up to four in ten, a zone of three and a host: past that our own view is more likely to fail.
         let few = doubtful as f64 <= 0.4 * many as f64;
         let again = std::mem::take(&mut self.again);
         for (host, view) in &self.views {
             let since = self.withdrawn.get(host).copied();
-            let shut = !view.ready || view.dead || few && view.suspect;
+            let shut = !view.ready || few && view.suspect;
             // Ten seconds after a host went no table names it any more.
             let missed = again && shut && since.is_some_and(|since| view.ready || now - since < 10.0);
             if shut != since.is_some() || missed {
@@ -567,24 +487,6 @@
 }
 
 /// Lowers the level of the routes that earn least per call while the fleet as a whole can't keep up.
-#[derive(Default)]
-struct Gate {
-    /// Calls a second that are to be let in; none: all.
-    target: Option<f64>,
-    /// What came since the last weighing: calls by route, and how tries went.
-    demand: Vec<f64>,
-    times: Times,
-    levels: Vec<f64>,
-    /// How busy the median host is, where that is reported.
-    busy: f64,
-    /// Somebody has missed the levels.
-    again: bool,
-    weighed_at: f64,
-    cut_at: f64,
-    offered: f64,
-    limit: f64,
-}
-
 impl Gate {
     fn work(&mut self, now: f64, f: &Figures, note: Note, post: &mut Post) {
         match note {
@@ -648,33 +550,7 @@
     }
 }
 
-/// Something to be told to all proxies: how urgent, how long it has waited, how many lines it takes.
-enum Item {
-    Level(Order),
-    Shut(HostId, bool),
-    Lines(SliceId, Sums),
-}
-
 /// Gathers what is to be told to proxies and sends it as its budgets of lines and messages allow.
-#[derive(Default)]
-struct Channel {
-    proxies: BTreeSet<ProxyId>,
-    /// Tables as told so far, and as they should be and since when.
-    told: BTreeMap<SliceId, Sums>,
-    wanted: BTreeMap<SliceId, (f64, Sums)>,
-    /// Hosts that are shut out as told; withdrawals and levels to be told.
-    out: BTreeSet<HostId>,
-    shuts: BTreeMap<HostId, bool>,
-    levels: Vec<Order>,
-    /// Rounds of messages without a receipt: mark, time, what waited then; and the next mark.
-    unanswered: VecDeque<(MarkId, f64, f64)>,
-    mark: u16,
-    /// Lines that wait to be sent, as reckoned, and when the last rounds of messages were written.
-    waiting: f64,
-    reckoned_at: f64,
-    sent: VecDeque<f64>,
-}
-
 impl Channel {
     fn work(&mut self, now: f64, f: &Figures, note: Note, post: &mut Post) {
         match note {
@@ -704,41 +580,55 @@
 
     /// All that waits by rank: withdrawals, slices without an open line, levels, lines that a host's return
     /// waits for, returns, slices whose heaviest line is shut, others; last the lines of hosts that are out.
-    fn items(&self, f: &Figures) -> Vec<((u8, f64), Item)> {
+    fn items(&self, f: &Figures) -> Vec<Item> {
         let shut = |host: &HostId| self.shuts.get(host).copied().unwrap_or(self.out.contains(host));
-        let mut items = Vec::new();
-        let mut returns: BTreeSet<HostId> = BTreeSet::new();
-        let none = Sums::new();
+        let back = |host: &&HostId| self.out.contains(*host) && !shut(host);
+        let (mut items, mut awaited, none) = (Vec::new(), BTreeSet::<HostId>::new(), Sums::new());
         for (id, (since, wanted)) in &self.wanted {
+            let line = |host: &HostId, weight| Order::Line { slice: *id, host: *host, weight };
             let told = self.told.get(id).unwrap_or(&none);
             let new = wanted.iter().filter(|(host, weight)| !alike(f, told.get(*host), **weight));
             let gone = told.keys().filter(|host| !wanted.contains_key(*host));
             let (late, stale): (Vec<&HostId>, Vec<&HostId>) = gone.partition(|host| shut(host));
-            let back = |host: &&HostId| self.out.contains(*host) && !shut(host);
-            returns.extend(stale.iter().copied().filter(back).copied());
-            let lines: Sums = new.map(|(h, w)| (*h, *w)).chain(stale.iter().map(|h| (**h, 0.0))).collect();
-            let heaviest = told.iter().max_by(|a, b| a.1.total_cmp(b.1)).map(|(host, _)| host);
+            awaited.extend(stale.iter().copied().filter(back));
+            let heaviest = told.iter().max_by(|a, b| a.1.total_cmp(b.1));
             let rank = match heaviest {
                 _ if told.keys().all(shut) => 1,
                 _ if stale.iter().any(back) => 3,
-                Some(host) if shut(host) => 5,
+                Some((host, _)) if shut(host) => 5,
                 _ => 6,
             };
-            if !lines.is_empty() {
-                items.push(((rank, *since), Item::Lines(*id, lines)));
-            }
-            if !late.is_empty() {
-                items.push(((7, *since), Item::Lines(*id, late.into_iter().map(|h| (*h, 0.0)).collect())));
-            }
+            let stale = stale.into_iter().map(|host| line(host, 0.0));
+            items.push((rank, *since, new.map(|(host, weight)| line(host, *weight)).chain(stale).collect()));
+            items.push((7, *since, late.into_iter().map(|host| line(host, 0.0)).collect()));
         }
         // A host comes back when no table names it that should not: a young one could not bear it.
-        let due = self.shuts.iter().filter(|(host, out)| **out || !returns.contains(host));
-        items.extend(due.map(|(host, out)| ((if *out { 0 } else { 4 }, 0.0), Item::Shut(*host, *out))));
-        items.extend(self.levels.iter().map(|order| ((2, 0.0), Item::Level(order.clone()))));
-        items.sort_by(|a, b| a.0.partial_cmp(&b.0).unwrap_or(Ordering::Equal));
+        let due = self.shuts.iter().filter(|(host, out)| **out || !awaited.contains(host));
+        let withdraw = |(host, out): (&HostId, &bool)| Order::Withdraw { host: *host, out: *out };
+        items.extend(due.map(|shut| (if *shut.1 { 0 } else { 4 }, 0.0, vec![withdraw(shut)])));
+        items.extend(self.levels.iter().map(|order| (2, 0.0, vec![order.clone()])));
+        items.retain(|(_, _, orders)| !orders.is_empty());
+        items.sort_by(|a, b| (a.0, a.1).partial_cmp(&(b.0, b.1)).unwrap_or(Ordering::Equal));
         items
     }
 
+    /// What the proxies know once this is sent.
+    fn keep(&mut self, now: f64, order: &Order) {
+        match *order {
+            Order::Line { slice, host, weight } => {
+                self.told.entry(slice).or_default().insert(host, weight);
+                self.told.entry(slice).or_default().retain(|_, weight| *weight > 0.0);
+                self.wanted.entry(slice).and_modify(|(since, _)| *since = now);
+            }
+            Order::Withdraw { host, out } => {
+                self.shuts.remove(&host);
+                self.out.remove(&host);
+                self.out.extend(out.then_some(host));
+            }
+            _ => drop(self.levels.remove(0)),
+        }
+    }
+
     /// Sends what waits: at once if urgent, else in steps, and never past a part of what the rules allow.
     fn flush(&mut self, now: f64, f: &Figures, post: &mut Post) {
         self.waiting = (self.waiting - (now - self.reckoned_at) * f.lines_per_s).max(0.0);
@@ -750,14 +640,8 @@
         if self.unanswered.front().is_some_and(|(_, at, waiting)| now - at > overdue(*waiting)) {
             self.waiting = self.unanswered.back().map_or(0.0, |(.., waiting)| *waiting);
         }
-        self.wanted.retain(|id, (_, lines)| {
-            let told = self.told.get(id);
-            told.is_none_or(|told| {
-                told.len() != lines.len() || !lines.iter().all(|(h, w)| alike(f, told.get(h), *w))
-            })
-        });
         let items = self.items(f);
-        let Some(((first, _), _)) = items.first() else { return };
+        let Some((first, ..)) = items.first() else { return };
         let urgent = *first < 6;
         let proxies = self.proxies.len() as f64;
         let fixed = proxies * (f.overhead + 1.0);
@@ -774,45 +658,21 @@
             0..=2 => 0.7 * f.backlog,
             _ => (fixed + 0.25 * f.backlog).min(0.6 * f.backlog),
         };
-        let cost =
-            |item: &Item| proxies * if let Item::Lines(_, lines) = item { lines.len() as f64 } else { 1.0 };
         // What waits, or as much of it as is worth a message.
-        let all = fixed + items.iter().map(|(_, item)| cost(item)).sum::<f64>();
+        let all = fixed + proxies * items.iter().map(|(.., orders)| orders.len() as f64).sum::<f64>();
         let worth = if *first == 0 { fixed + proxies } else { all.min((fixed + limit(*first)) / 2.0) };
         if spent || recent || self.waiting + worth > limit(*first) {
             return;
         }
         self.waiting += fixed;
-        for ((rank, _), item) in items {
-            if self.waiting + cost(&item) > limit(rank) {
+        for (rank, _, orders) in items {
+            let cost = proxies * orders.len() as f64;
+            if self.waiting + cost > limit(rank) {
                 break;
             }
-            self.waiting += cost(&item);
-            match item {
-                Item::Level(order) => {
-                    self.levels.remove(0);
-                    post.orders.push(order);
-                }
-                Item::Shut(host, out) => {
-                    self.shuts.remove(&host);
-                    if out {
-                        self.out.insert(host)
-                    } else {
-                        self.out.remove(&host)
-                    };
-                    post.orders.push(Order::Withdraw { host, out });
-                }
-                Item::Lines(slice, lines) => {
-                    let told = self.told.entry(slice).or_default();
-                    told.extend(lines.clone());
-                    told.retain(|_, weight| *weight > 0.0);
-                    post.orders.extend(lines.into_iter().map(|(host, weight)| Order::Line {
-                        slice,
-                        host,
-                        weight,
-                    }));
-                }
-            }
+            self.waiting += cost;
+            orders.iter().for_each(|order| self.keep(now, order));
+            post.orders.extend(orders);
         }
         post.orders.push(Order::Mark { mark: MarkId(self.mark), all: false });
         self.unanswered.push_back((MarkId(self.mark), now, self.waiting));
@@ -821,12 +681,6 @@
     }
 }
 
-#[derive(Default)]
-struct Watch {
-    following: bool,
-    asked_at: Option<f64>,
-}
-
 impl Watch {
     fn work(&mut self, now: f64, f: &Figures, note: Note, post: &mut Post) {
         let Some(ask_within) = f.ask_within else { return };
--- a/src/logic_tests.rs
+++ b/src/logic_tests.rs
@@ -455,7 +455,9 @@
     channel.shuts = BTreeMap::from([(id(8), false), (id(9), true)]);
     channel.out = BTreeSet::from([id(8)]);
     let ranks: Vec<(u8, Option<SliceId>)> = (channel.items(&figures()).into_iter())
-        .map(|((rank, _), item)| (rank, if let Item::Lines(slice, _) = item { Some(slice) } else { None }))
+        .map(|(rank, _, orders)| {
+            (rank, if let Order::Line { slice, .. } = orders[0] { Some(slice) } else { None })
+        })
         .collect();
     let slice = |n| Some(SliceId(n));
     assert_eq!(ranks, [(0, None), (1, slice(0)), (3, slice(2)), (7, slice(0)), (7, slice(1))]);
@@ -557,7 +559,7 @@
 #[test_case(true, 1, false ; "not one that misses probes")]
 #[test_case(false, 0, false ; "elsewhere gone binds")]
 fn gone_may_be_advice(gone_is_advice: bool, misses: u32, stays: bool) {
-    let mut host = Host { misses, ..Host::new(id(0), 0.0, true) };
+    let mut host = Host { misses, met: true, ..Host::new(id(0), 0.0, true) };
     host.view.ready = true;
     let figures = Figures { gone_is_advice, ..figures() };
     host.work(1.0, &figures, Note::Unlisted, &mut Post::default());
@@ -566,29 +568,6 @@
     assert!(!host.view.ready || !host.unlisted, "and goes when its probes fail");
 }
 
-#[test_case(1, 2 ; "two answers after a first fall")]
-#[test_case(3, 24 ; "more after each further one")]
-fn who_falls_again_answers_for_longer(falls: u32, enough: usize) {
-    let mut host = probes(&[Outcome::Unreachable; 2], 0.0);
-    host.falls = falls;
-    let mut answer = || host.probed(11.0, &figures(), Outcome::Answered, &mut Post::default());
-    (1..enough).for_each(|_| answer());
-    assert!(host.view.suspect);
-    host.probed(11.0, &figures(), Outcome::Answered, &mut Post::default());
-    assert!(!host.view.suspect);
-}
-
-#[test]
-fn what_callers_miss_as_well_is_out_however_many() {
-    let mut tables = tables(&[1; 10]);
-    for n in 0..6 {
-        let view = tables.views.get_mut(&id(n)).unwrap();
-        (view.suspect, view.dead) = (true, true);
-    }
-    tables.suspects(1.0, &mut Post::default());
-    assert_eq!(tables.withdrawn.len(), 6);
-}
-
 #[test_case(0.2, 0.0, 0.5, None ; "quick answers: a route fails, or connecting does")]
 #[test_case(0.35, 0.0, 0.5, Some(76.5) ; "slower ones confirm that hosts are full")]
 #[test_case(0.35, 0.4, 0.5, None ; "cores that idle deny it")]
@@ -614,3 +593,12 @@
     let lines = tables.desired(&tables.slices[&SliceId(0)]);
     assert_eq!((lines[&id(0)], (lines[&id(1)] - 0.04).abs() < 1e-9), (0.4, true));
 }
+
+#[test]
+fn any_listed_host_is_better_than_none() {
+    let mut tables = tables(&[1, 0]);
+    tables.views.get_mut(&id(0)).unwrap().ready = false;
+    tables.views.get_mut(&id(1)).unwrap().proven = false;
+    tables.rescue(1.0, &figures());
+    assert_eq!(tables.slices[&SliceId(0)].owner, Some(id(1)));
+}
--- a/src/notes.rs
+++ b/src/notes.rs
@@ -12,6 +12,12 @@
     host.iter().for_each(|host| *sums.entry(*host).or_default() += much);
 }
 
+/// Slices counted at each host, and the room that each has left.
+pub(crate) type Plan = (Sums, Sums);
+
+/// What is told together: its rank, since when it waits, and its orders, a line to each proxy apiece.
+pub(crate) type Item = (u8, f64, Vec<Order>);
+
 /// What a host is to the tables.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub(crate) struct View {
@@ -31,8 +37,6 @@
     pub proven: bool,
     /// It seems dead or stuck, though listed.
     pub suspect: bool,
-    /// And callers' latest tries went unanswered as well.
-    pub dead: bool,
     pub rt: f64,
     /// Lately answered tries.
     pub answered: f64,
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,107 @@
+//! What each actor of the module remembers. No behaviour: what is made of it is in `logic`.
+
+use crate::interface::*;
+use crate::logic::Times;
+use crate::notes::{Seat, Sums, View};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+#[derive(Clone, Default)]
+pub(crate) struct Slice {
+    pub owner: Seat,
+    pub standby: Seat,
+    /// The table as ordered so far, or as found in the store.
+    pub lines: Sums,
+    /// Calls by route, halved from time to time.
+    pub demand: Vec<f64>,
+    pub score: f64,
+    /// Standby's weight against the owner's, as a place in `Tables::NOTCHES`.
+    pub notch: usize,
+}
+
+#[derive(Default)]
+pub(crate) struct Host {
+    pub id: HostId,
+    pub view: View,
+    /// When it started, as listed or as guessed from its silence; none: long ago.
+    pub born: Option<f64>,
+    pub times: Times,
+    pub answered_at: f64,
+    /// What load reports say was done, and in how much work.
+    pub done: f64,
+    pub spent: f64,
+    pub halved: f64,
+    pub probe_at: Option<f64>,
+    /// Probes answered in a row, and missed in a row: one for a time-out, two where no process was met.
+    pub hits: u32,
+    pub misses: u32,
+    /// It has answered a call or a probe.
+    pub met: bool,
+    /// The list has dropped it, but it serves.
+    pub unlisted: bool,
+}
+
+#[derive(Default)]
+pub(crate) struct Tables {
+    pub slices: BTreeMap<SliceId, Slice>,
+    pub views: BTreeMap<HostId, View>,
+    /// Hosts that are shut out, and since when; `again`: somebody has missed these orders.
+    pub withdrawn: Sums,
+    pub again: bool,
+    pub balancing: bool,
+    /// Most hosts that were ready at a time; by these a host's part is reckoned, however many fail.
+    pub most: usize,
+    /// The fleet's median response time; the mean weight, and the mean speed of the hosts that report one.
+    pub rt: f64,
+    pub weight: f64,
+    pub speed: f64,
+    /// What the hosts carry for what they can, when last reckoned.
+    pub full: Sums,
+    pub mean: f64,
+    pub given_at: f64,
+    pub halved: f64,
+    pub moved_at: f64,
+    pub compared_at: f64,
+}
+
+#[derive(Default)]
+pub(crate) struct Gate {
+    /// Calls a second that are to be let in; none: all.
+    pub target: Option<f64>,
+    /// What came since the last weighing: calls by route, and how tries went.
+    pub demand: Vec<f64>,
+    pub times: Times,
+    pub levels: Vec<f64>,
+    /// How busy the median host is, where that is reported.
+    pub busy: f64,
+    /// Somebody has missed the levels.
+    pub again: bool,
+    pub weighed_at: f64,
+    pub cut_at: f64,
+    pub offered: f64,
+    pub limit: f64,
+}
+
+#[derive(Default)]
+pub(crate) struct Channel {
+    pub proxies: BTreeSet<ProxyId>,
+    /// Tables as told so far, and as they should be and since when.
+    pub told: BTreeMap<SliceId, Sums>,
+    pub wanted: BTreeMap<SliceId, (f64, Sums)>,
+    /// Hosts that are shut out as told; withdrawals and levels to be told.
+    pub out: BTreeSet<HostId>,
+    pub shuts: BTreeMap<HostId, bool>,
+    pub levels: Vec<Order>,
+    /// Rounds of messages without a receipt: mark, time, what waited then; and the next mark.
+    pub unanswered: VecDeque<(MarkId, f64, f64)>,
+    pub mark: u16,
+    /// Lines that wait to be sent, as reckoned, and when the last rounds of messages were written.
+    pub waiting: f64,
+    pub reckoned_at: f64,
+    pub sent: VecDeque<f64>,
+}
+
+#[derive(Default)]
+pub(crate) struct Watch {
+    pub following: bool,
+    pub asked_at: Option<f64>,
+}
