A mass restart no longer pushes hosts over, and a slow channel is bounded by receipts

A host that restarts behind our back is now shut for a second and returns when the channel has removed the lines it can't bear; tables count it open only when the proxies were told.

--- a/src/figures.rs
+++ b/src/figures.rs
@@ -26,8 +26,6 @@
     pub backlog: f64,
     pub messages_most: usize,
     pub messages_span: f64,
-    /// Longest way of a message.
-    pub transit_most: f64,
     /// Where the list must be asked for: the silence after which it counts as told.
     pub ask_within: Option<f64>,
 }
@@ -53,7 +51,6 @@
             backlog: s.backlog_lines,
             messages_most: if s.messages_most == 0 { usize::MAX } else { s.messages_most as usize },
             messages_span: s.messages_span,
-            transit_most: s.transit_most,
             ask_within: (!s.list_is_pushed).then_some(s.ask_within),
         }
     }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -39,6 +39,7 @@
                 if l.born > self.born {
                     // A new process: what was measured of the old one is void.
                     (self.born, self.times, self.view.ease) = (l.born, Times::default(), 1.0);
+                    self.view.restarted = self.met.then_some(now);
                 }
                 self.unlisted = false;
                 self.view = View { ready, senior, weight: l.weight, zone: l.zone, ..self.view.clone() };
@@ -89,8 +90,7 @@
     }
 
     fn lose(&mut self) {
-        (self.view.ready, self.view.suspect) = (false, false);
-        (self.misses, self.hits, self.unlisted) = (0, 0, false);
+        (self.view.ready, self.view.suspect, self.misses, self.unlisted) = (false, false, 0, false);
     }
 
     fn reported(&mut self, load: Load) {
@@ -119,7 +119,7 @@
         // One refusal may be chance, and a probe that times out may queue behind calls that are answered.
         let mute = self.misses >= 3 && now - self.answered_at > pace(f);
         if !self.view.suspect && (mute || miss == 2 && self.misses >= 4) {
-            self.view.suspect = true;
+            (self.view.suspect, self.suspected_at) = (true, now);
             if self.unlisted {
                 return self.lose();
             }
@@ -128,8 +128,12 @@
             }
         }
         if self.view.suspect && self.hits >= 2 {
-            // It may have restarted before the list tells; it is eased in as a young one.
-            (self.view.suspect, self.born) = (false, Some(now));
+            self.view.suspect = false;
+            // It may have restarted before the list tells; it is eased in as a young one. Unless callers had
+            // answers all the while: then it was our own path that failed.
+            if self.answered_at <= self.suspected_at + pace(f) {
+                (self.born, self.view.restarted) = (Some(now), Some(now));
+            }
             post.log("trusted again, probes answered".into(), vec![self.id]);
         }
     }
@@ -149,6 +153,7 @@
     fn work(&mut self, now: f64, f: &Figures, note: Note, post: &mut Post) {
         match note {
             Note::View(host, view) => drop(self.views.insert(host, view)),
+            Note::Back(host) => _ = self.withdrawn.remove(&host),
             Note::In(Input::Given(id)) => {
                 let demand = vec![0.0; f.importance.len()];
                 self.slices.insert(id, Slice { demand, ..Slice::default() });
@@ -211,14 +216,7 @@
     }
 
     fn open(&self) -> Vec<HostId> {
-        let open: Vec<HostId> = self.views.keys().copied().filter(|host| self.is_open(*host)).collect();
-        let ready = || self.views.iter().filter(|(_, v)| v.ready).map(|(host, _)| *host).collect();
-        // With nobody left to trust any host on the list is better than none.
-        if open.is_empty() {
-            ready()
-        } else {
-            open
-        }
+        self.views.keys().copied().filter(|host| self.is_open(*host)).collect()
     }
     /// A stranger on the list, which has answered nobody yet, is none of ours to use.
     fn is_open(&self, host: HostId) -> bool {
@@ -378,13 +376,16 @@
         let again = std::mem::take(&mut self.again);
         for (host, view) in &self.views {
             let since = self.withdrawn.get(host).copied();
-            let shut = !view.ready || few && view.suspect;
+            // Young behind our back, with a full table: out for a second, and the channel lets it back when its
+            // lines are fewer. Those of a mass restart take longer than it takes to push hosts over.
+            let young = view.restarted.is_some_and(|at| now - at < 1.0);
+            let shut = !view.ready || young || few && view.suspect;
             // Ten seconds after a host went no table names it any more.
             let missed = again && shut && since.is_some_and(|since| view.ready || now - since < 10.0);
             if shut != since.is_some() || missed {
                 post.note(To::Channel, Note::Tell(Order::Withdraw { host: *host, out: shut }));
             }
-            self.withdrawn.remove(host);
+            // It is back when the proxies have been told.
             self.withdrawn.extend(shut.then(|| (*host, since.unwrap_or(now))));
         }
     }
@@ -457,7 +458,8 @@
 
     /// The lines that a slice's table should have.
     fn desired(&self, slice: &Slice) -> Sums {
-        let Some(owner) = slice.owner else { return Sums::new() };
+        // With nobody open to own it, what stands is better than nothing.
+        let Some(owner) = slice.owner else { return slice.lines.clone() };
         // A line that stands keeps its weight, so that only its partner's need be told.
         let base = slice.lines.get(&owner).copied().filter(|weight| *weight > 0.01).unwrap_or(1.0);
         let mut lines = Sums::from([(owner, base)]);
@@ -561,17 +563,21 @@
             Note::In(Input::StoredLine { slice, host, weight }) => {
                 self.told.entry(slice).or_default().insert(host, weight);
             }
+            // A host that is to be shut is shut before it may return: only then are its lines looked at.
+            Note::Tell(Order::Withdraw { host, out: false }) if self.shuts.get(&host) == Some(&true) => {}
             Note::Tell(Order::Withdraw { host, out }) => _ = self.shuts.insert(host, out),
             Note::Tell(order) => self.levels.push(order),
             Note::In(Input::Taken(id) | Input::Given(id)) => {
-                drop((self.wanted.remove(&id), self.told.remove(&id)))
+                _ = (self.wanted.remove(&id), self.told.remove(&id))
             }
             Note::In(Input::Joined { proxy, .. }) => _ = self.proxies.insert(proxy),
             Note::In(Input::Left(proxy)) => drop(self.proxies.remove(&proxy)),
             Note::In(Input::Applied { mark, .. }) => {
-                let until =
-                    self.unanswered.iter().position(|(sent, ..)| *sent == mark).map_or(0, |at| at + 1);
-                self.unanswered.drain(..until);
+                let many = self.unanswered.iter().position(|(sent, ..)| *sent == mark).unwrap_or(0);
+                self.unanswered.drain(..many);
+                // Each receipt stands for one proxy's part; rounds before this one have left altogether.
+                let first = self.unanswered.front_mut().filter(|(sent, ..)| *sent == mark);
+                first.into_iter().for_each(|(.., lines, part)| *lines = (*lines - *part).max(0.0));
             }
             Note::Tick => self.flush(now, f, post),
             _ => {}
@@ -593,7 +599,7 @@
             awaited.extend(stale.iter().copied().filter(back));
             let heaviest = told.iter().max_by(|a, b| a.1.total_cmp(b.1));
             let rank = match heaviest {
-                _ if told.keys().all(shut) => 1,
+                _ if told.keys().all(|host| shut(host) || self.out.contains(host)) => 1,
                 _ if stale.iter().any(back) => 3,
                 Some((host, _)) if shut(host) => 5,
                 _ => 6,
@@ -613,7 +619,7 @@
     }
 
     /// What the proxies know once this is sent.
-    fn keep(&mut self, now: f64, order: &Order) {
+    fn keep(&mut self, now: f64, order: &Order, post: &mut Post) {
         match *order {
             Order::Line { slice, host, weight } => {
                 self.told.entry(slice).or_default().insert(host, weight);
@@ -624,6 +630,9 @@
                 self.shuts.remove(&host);
                 self.out.remove(&host);
                 self.out.extend(out.then_some(host));
+                if !out {
+                    post.note(To::Tables, Note::Back(host));
+                }
             }
             _ => drop(self.levels.remove(0)),
         }
@@ -634,12 +643,9 @@
         self.waiting = (self.waiting - (now - self.reckoned_at) * f.lines_per_s).max(0.0);
         self.reckoned_at = now;
         self.sent.retain(|at| now - at <= f.messages_span);
-        // No receipt when queue and way should be over: the channel is slow, all that was written waits.
-        self.unanswered.retain(|(_, at, _)| now - at < 10.0);
-        let overdue = |waiting: f64| waiting / f.lines_per_s.max(1.0) + f.transit_most + 1.0;
-        if self.unanswered.front().is_some_and(|(_, at, waiting)| now - at > overdue(*waiting)) {
-            self.waiting = self.unanswered.back().map_or(0.0, |(.., waiting)| *waiting);
-        }
+        // Whatever pace it has, what was written and not received never exceeds nine tenths of the backlog.
+        self.unanswered.retain(|(_, at, ..)| now - at < 10.0);
+        let out: f64 = self.unanswered.iter().map(|(.., lines, _)| lines).sum();
         let items = self.items(f);
         let Some((first, ..)) = items.first() else { return };
         let urgent = *first < 6;
@@ -650,32 +656,31 @@
         // Routine changes use half of the messages; urgent ones the rest too, but spaced, lest none be left.
         let half = self.sent.len() >= f.messages_most / 2;
         let apart = if half { 2.0 * f.messages_span / f.messages_most as f64 } else { 2.0 * dear };
-        let apart = if urgent { apart } else { apart.max(0.5) };
+        let apart = apart.max(if urgent { 0.0 } else { 0.5 });
         let recent = self.sent.back().is_some_and(|last| now - last < apart);
         let spent = if urgent { self.sent.len() + 1 >= f.messages_most } else { half };
         // Parts of the backlog, as a channel may be slower than it says: the more a delay costs, the more.
-        let limit = |rank: u8| match rank {
-            0..=2 => 0.7 * f.backlog,
-            _ => (fixed + 0.25 * f.backlog).min(0.6 * f.backlog),
-        };
+        let routine = (fixed + 0.25 * f.backlog).min(0.6 * f.backlog);
+        let limit = |rank: u8| if rank < 6 { 0.7 * f.backlog } else { routine };
         // What waits, or as much of it as is worth a message.
         let all = fixed + proxies * items.iter().map(|(.., orders)| orders.len() as f64).sum::<f64>();
         let worth = if *first == 0 { fixed + proxies } else { all.min((fixed + limit(*first)) / 2.0) };
-        if spent || recent || self.waiting + worth > limit(*first) {
+        if spent || recent || self.waiting + worth > limit(*first) || out + worth > 0.9 * f.backlog {
             return;
         }
-        self.waiting += fixed;
+        let mut lines = fixed;
         for (rank, _, orders) in items {
             let cost = proxies * orders.len() as f64;
-            if self.waiting + cost > limit(rank) {
+            if self.waiting + lines + cost > limit(rank) || out + lines + cost > 0.9 * f.backlog {
                 break;
             }
-            self.waiting += cost;
-            orders.iter().for_each(|order| self.keep(now, order));
+            lines += cost;
+            orders.iter().for_each(|order| self.keep(now, order, post));
             post.orders.extend(orders);
         }
         post.orders.push(Order::Mark { mark: MarkId(self.mark), all: false });
-        self.unanswered.push_back((MarkId(self.mark), now, self.waiting));
+        self.waiting += lines;
+        self.unanswered.push_back((MarkId(self.mark), now, lines, lines / proxies));
         self.mark = self.mark.wrapping_add(1);
         self.sent.push_back(now);
     }
--- a/src/notes.rs
+++ b/src/notes.rs
@@ -35,6 +35,8 @@
     pub speed: Option<f64>,
     /// It has answered a call or a probe, or was there from the start and has not failed one.
     pub proven: bool,
+    /// When it was noticed to have restarted while tables named it.
+    pub restarted: Option<f64>,
     /// It seems dead or stuck, though listed.
     pub suspect: bool,
     pub rt: f64,
@@ -60,6 +62,8 @@
     },
     /// To the tables.
     View(HostId, View),
+    /// To the tables: the proxies have been told to use the host again.
+    Back(HostId),
     /// To the gate: how tries at a sound host went.
     Tries {
         rt: f64,
--- a/src/state.rs
+++ b/src/state.rs
@@ -34,6 +34,7 @@
     /// Probes answered in a row, and missed in a row: one for a time-out, two where no process was met.
     pub hits: u32,
     pub misses: u32,
+    pub suspected_at: f64,
     /// It has answered a call or a probe.
     pub met: bool,
     /// The list has dropped it, but it serves.
@@ -91,8 +92,8 @@
     pub out: BTreeSet<HostId>,
     pub shuts: BTreeMap<HostId, bool>,
     pub levels: Vec<Order>,
-    /// Rounds of messages without a receipt: mark, time, what waited then; and the next mark.
-    pub unanswered: VecDeque<(MarkId, f64, f64)>,
+    /// Rounds of messages not yet received: mark, time, lines, each proxy's; and the next mark.
+    pub unanswered: VecDeque<(MarkId, f64, f64, f64)>,
     pub mark: u16,
     /// Lines that wait to be sent, as reckoned, and when the last rounds of messages were written.
     pub waiting: f64,
