--- a/src/logic.rs
+++ b/src/logic.rs
@@ -49,6 +49,7 @@
                 self.unlisted = true;
             }
             Note::Unlisted => self.lose(),
+            Note::Out => self.out = true,
             Note::In(Input::Tries { tries, dropped, rt, load, .. }) => {
                 self.reported(load);
                 let (tries, dropped) = (tries as f64, dropped.min(tries) as f64);
@@ -119,7 +120,7 @@
         // One refusal may be chance, and a probe that times out may queue behind calls that are answered.
         let mute = self.misses >= 3 && now - self.answered_at > pace(f);
         if !self.view.suspect && (mute || miss == 2 && self.misses >= 4) {
-            (self.view.suspect, self.suspected_at) = (true, now);
+            self.view.suspect = true;
             if self.unlisted {
                 return self.lose();
             }
@@ -129,9 +130,9 @@
         }
         if self.view.suspect && self.hits >= 2 {
             self.view.suspect = false;
-            // It may have restarted before the list tells; it is eased in as a young one. Unless callers had
-            // answers all the while: then it was our own path that failed.
-            if self.answered_at <= self.suspected_at + pace(f) {
+            // Of one that was out for it we take it that it restarted, before the list tells. Where so many were
+            // missed that none was out, our own path failed, and the list must tell.
+            if std::mem::take(&mut self.out) {
                 (self.born, self.view.restarted) = (Some(now), Some(now));
             }
             post.log("trusted again, probes answered".into(), vec![self.id]);
@@ -376,8 +377,7 @@
         let again = std::mem::take(&mut self.again);
         for (host, view) in &self.views {
             let since = self.withdrawn.get(host).copied();
-            // Young behind our back, with a full table: out for a second, and the channel lets it back when its
-            // lines are fewer. Those of a mass restart take longer than it takes to push hosts over.
+            // Young behind our back, in full tables: out for a second, till the channel has made its lines fewer.
             let young = view.restarted.is_some_and(|at| now - at < 1.0);
             let shut = !view.ready || young || few && view.suspect;
             // Ten seconds after a host went no table names it any more.
@@ -385,6 +385,9 @@
             if shut != since.is_some() || missed {
                 post.note(To::Channel, Note::Tell(Order::Withdraw { host: *host, out: shut }));
             }
+            if shut && view.suspect && since.is_none() {
+                post.note(To::Host(*host), Note::Out);
+            }
             // It is back when the proxies have been told.
             self.withdrawn.extend(shut.then(|| (*host, since.unwrap_or(now))));
         }
--- a/src/logic_tests.rs
+++ b/src/logic_tests.rs
@@ -336,7 +336,9 @@
 #[test]
 fn a_host_trusted_again_is_young() {
     let (fine, dead) = (Outcome::Answered, Outcome::Unreachable);
-    let host = probes(&[dead, dead, fine, fine], 0.0);
+    let mut host = probes(&[dead, dead], 0.0);
+    host.out = true;
+    (0..2).for_each(|_| host.probed(10.0, &figures(), fine, &mut Post::default()));
     assert_eq!((host.view.suspect, host.born), (false, Some(10.0)));
 }
 
@@ -599,11 +601,16 @@
     assert_eq!(tables.withdrawn.len(), out);
 }
 
-#[test_case(0.0, true ; "silent for callers as well")]
-#[test_case(12.5, false ; "callers had answers all the while")]
-fn only_our_own_path_may_have_failed(answered_at: f64, young: bool) {
-    let mut host = probes(&[Outcome::Unreachable; 2], 0.0);
-    host.answered_at = answered_at;
+#[test_case(4, true ; "few were out, and are taken to have restarted")]
+#[test_case(5, false ; "past four in ten our own path failed")]
+fn only_who_was_out_is_young_when_trusted_again(suspects: usize, young: bool) {
+    let mut tables = tables(&[1; 10]);
+    (0..suspects).for_each(|n| tables.views.get_mut(&id(n)).unwrap().suspect = true);
+    let (mut host, mut post) = (probes(&[Outcome::Unreachable; 2], 0.0), Post::default());
+    tables.suspects(11.0, &mut post);
+    let told = std::iter::from_fn(|| post.collect()).filter(|(to, _)| *to == To::Host(id(0)));
+    let notes: Vec<Note> = told.flat_map(|(_, notes)| notes).collect();
+    notes.into_iter().for_each(|note| host.work(11.0, &figures(), note, &mut Post::default()));
     (0..2).for_each(|_| host.probed(13.0, &figures(), Outcome::Answered, &mut Post::default()));
     assert_eq!((host.view.suspect, host.born.is_some()), (false, young));
 }
--- a/src/notes.rs
+++ b/src/notes.rs
@@ -55,6 +55,8 @@
     Listed(Listing, u64),
     /// To a host: it is gone from the list.
     Unlisted,
+    /// To a host: it is shut out as a suspect.
+    Out,
     /// To hosts and the gate: the fleet's median response time and busy cores.
     Fleet {
         rt: f64,
--- a/src/state.rs
+++ b/src/state.rs
@@ -34,7 +34,8 @@
     /// Probes answered in a row, and missed in a row: one for a time-out, two where no process was met.
     pub hits: u32,
     pub misses: u32,
-    pub suspected_at: f64,
+    /// It was shut out as a suspect.
+    pub out: bool,
     /// It has answered a call or a probe.
     pub met: bool,
     /// The list has dropped it, but it serves.
