--- a/src/figures.rs
+++ b/src/figures.rs
@@ -20,6 +20,8 @@
     /// Levels are shares of the calls.
     pub admits: bool,
     pub overhead: f64,
+    /// Proxies use slices' tables, not tables of their own.
+    pub slices: bool,
     pub lines_per_s: f64,
     /// How long the channel is busy with an empty message to every proxy.
     pub round_time: f64,
@@ -46,6 +48,7 @@
             slo_times,
             admits: s.admission == Admission::Share,
             overhead: s.message_overhead,
+            slices: s.slices > 0,
             lines_per_s: s.lines_per_s,
             round_time: s.proxies as f64 * (s.message_overhead + 1.0) / s.lines_per_s.max(1.0),
             backlog: s.backlog_lines,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -654,11 +654,11 @@
         let urgent = *first < 6;
         let proxies = self.proxies.len() as f64;
         let fixed = proxies * (f.overhead + 1.0);
-        // Messages have a price in lines before they say anything: the dearer, the further apart.
-        let dear = fixed / f.lines_per_s.max(1.0);
+        // Without slices to its name a director concerns no proxy, and no receipt would come.
+        let idle = f.slices && self.told.is_empty() && self.wanted.is_empty();
         // Routine changes use half of the messages; urgent ones the rest too, but spaced, lest none be left.
         let half = self.sent.len() >= f.messages_most / 2;
-        let apart = if half { 2.0 * f.messages_span / f.messages_most as f64 } else { 2.0 * dear };
+        let apart = if half { 2.0 * f.messages_span / f.messages_most as f64 } else { 2.0 * f.round_time };
         let apart = apart.max(if urgent { 0.0 } else { 0.5 });
         let recent = self.sent.back().is_some_and(|last| now - last < apart);
         let spent = if urgent { self.sent.len() + 1 >= f.messages_most } else { half };
@@ -668,7 +668,7 @@
         // What waits, or as much of it as is worth a message.
         let all = fixed + proxies * items.iter().map(|(.., orders)| orders.len() as f64).sum::<f64>();
         let worth = if *first == 0 { fixed + proxies } else { all.min((fixed + limit(*first)) / 2.0) };
-        if spent || recent || self.waiting + worth > limit(*first) || out + worth > 0.9 * f.backlog {
+        if idle || spent || recent || self.waiting + worth > limit(*first) || out + worth > 0.9 * f.backlog {
             return;
         }
         let mut lines = fixed;
--- a/src/logic_tests.rs
+++ b/src/logic_tests.rs
@@ -468,6 +468,7 @@
 #[test]
 fn many_withdrawals_go_in_parts() {
     let (mut channel, mut post) = (channel(0.0, 0), Post::default());
+    channel.told.insert(SliceId(0), Sums::from([(id(7), 1.0)]));
     channel.shuts.extend((0..90).map(|n| (id(n), true)));
     channel.flush(0.0, &figures(), &mut post);
     assert_eq!((post.orders.len(), channel.shuts.len()), (60, 31), "a mark, and what seven tenths hold");
@@ -656,3 +657,14 @@
     (channel.out, channel.shuts) = (BTreeSet::from([id(7)]), BTreeMap::from([(id(7), false)]));
     assert_eq!(channel.items(&figures())[0].0, 1);
 }
+
+#[test]
+fn a_director_without_slices_tells_nobody() {
+    let (mut channel, mut post) = (channel(0.0, 0), Post::default());
+    channel.shuts.insert(id(7), true);
+    channel.flush(0.0, &figures(), &mut post);
+    assert!(post.orders.is_empty(), "no proxy would send a receipt");
+    want(&mut channel, 0..1);
+    channel.flush(0.1, &figures(), &mut post);
+    assert!(matches!(post.orders[0], Order::Withdraw { out: true, .. }), "it goes when slices are given");
+}
