--- a/src/logic.rs
+++ b/src/logic.rs
@@ -124,9 +124,7 @@
             if self.unlisted {
                 return self.lose();
             }
-            if self.view.proven {
-                post.log("suspected, probes unanswered".into(), vec![self.id]);
-            }
+            post.log("suspected, probes unanswered".into(), vec![self.id]);
         }
         if self.view.suspect && self.hits >= 2 {
             self.view.suspect = false;
@@ -209,9 +207,8 @@
             figures.get(figures.len() / 2).copied().unwrap_or(0.0)
         };
         let heard = || self.views.values().filter(|v| v.ready && v.answered >= 1.0);
-        let rt = median(&mut heard().map(|v| v.rt).collect());
-        let busy = median(&mut heard().filter_map(|v| v.busy).collect());
-        self.rt = rt;
+        self.rt = median(&mut heard().map(|v| v.rt).collect());
+        let (rt, busy) = (self.rt, median(&mut heard().filter_map(|v| v.busy).collect()));
         let hosts = self.views.keys().map(|host| To::Host(*host));
         hosts.chain([To::Gate]).for_each(|to| post.note(to, Note::Fleet { rt, busy }));
     }
@@ -322,9 +319,9 @@
     fn rescue(&mut self, now: f64, f: &Figures) {
         let mut plan = (self.counts(), self.rooms(f));
         // Two seconds: past a passing fault, and before the list would tell.
-        let lost = |since: &f64| now - since > 2.0;
         let ready = self.views.iter().filter(|(_, v)| v.ready).map(|(host, _)| *host);
-        let kept: BTreeSet<HostId> = ready.filter(|h| !self.withdrawn.get(h).is_some_and(lost)).collect();
+        let stays = |host: &HostId| self.withdrawn.get(host).is_none_or(|since| now - since <= 2.0);
+        let kept: BTreeSet<HostId> = ready.filter(stays).collect();
         let mut ranked: Vec<(f64, SliceId)> = self.slices.iter().map(|(id, s)| (s.score, *id)).collect();
         ranked.sort_by(|a, b| b.0.total_cmp(&a.0));
         for (score, id) in ranked {
@@ -574,11 +571,14 @@
                 _ = (self.wanted.remove(&id), self.told.remove(&id))
             }
             Note::In(Input::Joined { proxy, .. }) => _ = self.proxies.insert(proxy),
-            Note::In(Input::Left(proxy)) => drop(self.proxies.remove(&proxy)),
+            Note::In(Input::Left(proxy)) => {
+                self.proxies.remove(&proxy);
+                self.unanswered.iter_mut().for_each(|(.., lines, part)| *lines = (*lines - *part).max(0.0));
+            }
             Note::In(Input::Applied { mark, .. }) => {
                 let many = self.unanswered.iter().position(|(sent, ..)| *sent == mark).unwrap_or(0);
                 self.unanswered.drain(..many);
-                // Each receipt stands for one proxy's part; rounds before this one have left altogether.
+                // A receipt stands for its proxy's part, as does one that left; earlier rounds are over.
                 let first = self.unanswered.front_mut().filter(|(sent, ..)| *sent == mark);
                 first.into_iter().for_each(|(.., lines, part)| *lines = (*lines - *part).max(0.0));
             }
--- a/src/logic_tests.rs
+++ b/src/logic_tests.rs
@@ -649,6 +649,8 @@
         channel.unanswered[0].2
     };
     assert_eq!((receipt(0), receipt(1)), (630.0, 560.0), "each proxy's part");
+    channel.work(3.0, &figures(), Note::In(Input::Left(ProxyId(2))), &mut Post::default());
+    assert_eq!(channel.unanswered[0].2, 490.0, "nor does it wait for one that left");
 }
 
 #[test]
