--- a/crates/wirehost/src/names.rs
+++ b/crates/wirehost/src/names.rs
@@ -351,6 +351,14 @@
         assert_eq!(clock.nanoseconds(clock.seconds(origin - origin.min(ahead))), origin - origin.min(ahead));
     }
 
+    #[test]
+    fn addresses_come_back_as_given() {
+        let mut names = Names::new(&Boot::default(), Clock::starting(0));
+        let (first, second) = (names.host("10.0.0.1:80"), names.host("10.0.0.2:80"));
+        assert_eq!(names.host("10.0.0.1:80"), first, "once numbered, always the same");
+        assert_eq!(names.address(second), "10.0.0.2:80");
+    }
+
     #[test]
     fn absent_settings_allow_least() {
         let settings = settings(&Boot { classes: vec![Class::default()], ..Boot::default() });
