--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,6 +1,6 @@
 //! All decisions of coppersail. One `Director` per instance: `Director::new(settings, seed)` once, then
 //! `handle(now, inputs) -> orders` for every batch that holds something for it; it asks for its own wake-ups.
-//! The types that go in and out are in `src/interface.rs`, the reasons in `docs/design.md`.
+//! Types that go in and out: `src/interface.rs`; what actors remember: `src/state.rs`; why: `docs/design.md`.
 //!
 //! Inside, each host is a small actor; so are the tables, the gate, the list watch and the channel. They talk
 //! only by notes put into inboxes, which `Director::settle` empties.
@@ -44,7 +44,7 @@
                 self.unlisted = false;
                 self.view = View { ready, senior, weight: l.weight, zone: l.zone, ..self.view.clone() };
             }
-            // Where gone is advice a list may be wrong: a host that answers stays until its probes fail.
+            // Where gone is advice a list may be wrong: a host that answers stays until it is suspected.
             Note::Unlisted if f.gone_is_advice && self.view.ready && self.met && !self.view.suspect => {
                 self.unlisted = true;
             }
@@ -128,7 +128,7 @@
         }
         if self.view.suspect && self.hits >= 2 {
             self.view.suspect = false;
-            // Of one that was out for it we take it that it restarted, before the list tells. Where so many were
+            // One that was out for it is taken to have restarted, before the list tells. Where so many were
             // missed that none was out, our own path failed, and the list must tell.
             if std::mem::take(&mut self.out) {
                 (self.born, self.view.restarted) = (Some(now), Some(now));
@@ -374,7 +374,7 @@
         let again = std::mem::take(&mut self.again);
         for (host, view) in &self.views {
             let since = self.withdrawn.get(host).copied();
-            // Young behind our back, in full tables: out for a second, till the channel has made its lines fewer.
+            // Young behind our back, in full tables: out for a second, till its lines are fewer.
             let young = view.restarted.is_some_and(|at| now - at < 1.0);
             let shut = !view.ready || young || few && view.suspect;
             // Ten seconds after a host went no table names it any more.
@@ -625,8 +625,8 @@
     fn keep(&mut self, now: f64, order: &Order, post: &mut Post) {
         match *order {
             Order::Line { slice, host, weight } => {
-                self.told.entry(slice).or_default().insert(host, weight);
-                self.told.entry(slice).or_default().retain(|_, weight| *weight > 0.0);
+                let told = self.told.entry(slice).or_default();
+                _ = if weight > 0.0 { told.insert(host, weight) } else { told.remove(&host) };
                 self.wanted.entry(slice).and_modify(|(since, _)| *since = now);
             }
             Order::Withdraw { host, out } => {
