--- a/crates/wire/src/boot.rs
+++ b/crates/settings/src/boot.rs
@@ -1,6 +1,6 @@
-//! The start-up settings: path=value pairs that fill the rest of a `CONFIGURE` line.
+//! The start-up settings as pairs of path and value, as they are named outside.
 
-use crate::field::{words, Bad, Field, Parts, Value};
+use crate::{words, Bad, Value};
 use std::collections::BTreeMap;
 use std::fmt::Write;
 
@@ -50,8 +50,8 @@
     }
 }
 
-/// Pairs by path, while a section is read.
-type Paths<'a> = BTreeMap<&'a str, &'a str>;
+/// Values by path, while they are read.
+pub type Paths<'a> = BTreeMap<&'a str, &'a str>;
 
 fn take<T: Value>(paths: &Paths<'_>, path: &str) -> Result<Option<T>, Bad> {
     let bad = || Bad { field: path.to_string(), expected: T::EXPECTED };
@@ -125,26 +125,28 @@
     pub tariffs: Tariffs,
 }
 
-impl Field for Box<Boot> {
-    fn read(parts: &Parts<'_>, _name: &str) -> Result<Self, Bad> {
-        let paths: Paths<'_> = parts.pairs().collect();
-        let count: u64 = take(&paths, "classes.count")?.unwrap_or(0);
+impl Boot {
+    /// Reads the settings from their paths; unknown ones are passed over.
+    pub fn read(paths: &Paths<'_>) -> Result<Self, Bad> {
+        let count: u64 = take(paths, "classes.count")?.unwrap_or(0);
         if count > 32 {
             return Err(Bad { field: "classes.count".to_string(), expected: "32 at most" });
         }
-        Ok(Box::new(Boot {
-            top: Top::read(&paths, "")?,
+        Ok(Boot {
+            top: Top::read(paths, "")?,
             classes: (0..count)
-                .map(|k| Class::read(&paths, &format!("classes.{k}.")))
+                .map(|k| Class::read(paths, &format!("classes.{k}.")))
                 .collect::<Result<_, _>>()?,
-            goal: Goal::read(&paths, "goal.")?,
-            guarantees: Guarantees::read(&paths, "guarantees.")?,
-            limits: Limits::read(&paths, "limits.")?,
-            specifics: Specifics::read(&paths, "specifics.")?,
-            tariffs: Tariffs::read(&paths, "tariffs.")?,
-        }))
+            goal: Goal::read(paths, "goal.")?,
+            guarantees: Guarantees::read(paths, "guarantees.")?,
+            limits: Limits::read(paths, "limits.")?,
+            specifics: Specifics::read(paths, "specifics.")?,
+            tariffs: Tariffs::read(paths, "tariffs.")?,
+        })
     }
-    fn write(&self, _name: &str, out: &mut String) {
+
+    /// Writes path=value pairs, a space before each.
+    pub fn write(&self, out: &mut String) {
         self.top.write("", out);
         let _ = write!(out, " classes.count={}", self.classes.len());
         for (k, class) in self.classes.iter().enumerate() {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,15 +1,13 @@
 //! Codec for the bench's wire: lines of text, batches of events in, replies of orders out. It knows the wire's
 //! names and nothing of what they are used for.
 
-pub mod boot;
 mod field;
 mod stream;
 
-pub use boot::Boot;
 pub use field::{Fault, Octets, Outcome, Receiver, Resend, Scope, Status, Telemetry, Text};
 pub use stream::{Batch, Reader};
 
-use field::{Bad, Field, Parts};
+use coppersail_settings::{Bad, Boot, Field, Parts};
 
 /// Declares messages: an enum with one variant each, read from a line and written to one.
 macro_rules! messages {
--- a/crates/wire/src/stream.rs
+++ b/crates/wire/src/stream.rs
@@ -1,7 +1,8 @@
 //! Cuts the input into batches.
 
-use crate::field::{Fault, Field, Parts};
+use crate::field::Fault;
 use crate::Event;
+use coppersail_settings::{Field, Parts};
 use std::io::{self, BufRead};
 
 /// One batch: its clock, its sound events (a list's entries follow their `Members`) and what was wrong.
--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -1,9 +1,10 @@
 //! Hosts the instances: deals a batch's events out to them and gathers their orders. Each instance is kept as if
 //! it ran alone.
 
-use crate::names::{scope_of, settings, Clock, Names};
+use crate::names::{scope_of, Names};
 use coppersail::interface::{Input, Listing};
 use coppersail::Director;
+use coppersail_settings::{settings, Clock};
 use coppersail_wire::{Batch, Event, Fault, Order, Text};
 use std::collections::BTreeMap;
 use std::panic::{catch_unwind, AssertUnwindSafe};
