--- /dev/null
+++ b/crates/director/src/counters.rs
@@ -0,0 +1,62 @@
+//! What was taken in, sent and answered since the start.
+
+macro_rules! counters {
+    ($($(#[$doc:meta])* $name:ident),+ $(,)?) => {
+        #[derive(Clone, Debug, Default, PartialEq)]
+        pub struct Counters { $($(#[$doc])* pub $name: u64),+ }
+
+        impl Counters {
+            /// One line, in the order in which they stand here.
+            pub fn line(&self) -> String {
+                let figures: Vec<String> = vec![$(format!("{}={}", stringify!($name), self.$name)),+];
+                format!("counters {}", figures.join(" "))
+            }
+        }
+    };
+}
+
+counters! {
+    connections_taken,
+    connections_ended,
+    /// Ended by us, to make room or for silence.
+    strangers_dropped,
+    lines_in,
+    lines_bad,
+    alive_answers,
+    zones_named,
+    sums_of_tries,
+    sums_of_calls,
+    load_figures_odd,
+    lists,
+    lists_bad,
+    entries_unsound,
+    watches_opened,
+    watches_lost,
+    news_lines,
+    news_bad,
+    news_opened,
+    news_lost,
+    proxies_joined,
+    proxies_left,
+    slices_given,
+    slices_taken,
+    receipts,
+    decisions,
+    calls_sent,
+    calls_answered,
+    calls_throttled,
+    calls_repeated,
+    calls_invalid,
+    calls_merged,
+    orders_given,
+    orders_taken,
+    orders_refused,
+    orders_unknown,
+    probes_sent,
+    probes_answered,
+    probes_throttled,
+    probes_failed,
+    probes_timed_out,
+    probes_unreachable,
+    probes_broken,
+}
--- /dev/null
+++ b/crates/director/src/framing.rs
@@ -0,0 +1,73 @@
+//! Cuts what comes on a connection into lines.
+
+/// A line without its end, or one that was longer than allowed and is passed over.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Framed {
+    Line(Vec<u8>),
+    TooLong,
+}
+
+pub struct Framer {
+    most: usize,
+    buffer: Vec<u8>,
+    /// The rest of a line that is too long.
+    passing: bool,
+}
+
+impl Framer {
+    pub fn new(most: usize) -> Self {
+        Framer { most, buffer: Vec::new(), passing: false }
+    }
+
+    /// The lines that `bytes` complete; a CR before the LF belongs to the end.
+    pub fn take(&mut self, mut bytes: &[u8]) -> Vec<Framed> {
+        let mut lines = Vec::new();
+        while let Some(end) = bytes.iter().position(|byte| *byte == b'\n') {
+            let (head, rest) = (&bytes[..end], &bytes[end + 1..]);
+            bytes = rest;
+            let passing = std::mem::take(&mut self.passing);
+            let mut line = std::mem::take(&mut self.buffer);
+            if passing {
+                continue;
+            }
+            if line.len() + head.len() > self.most {
+                lines.push(Framed::TooLong);
+                continue;
+            }
+            line.extend_from_slice(head);
+            if line.last() == Some(&b'\r') {
+                line.pop();
+            }
+            lines.push(Framed::Line(line));
+        }
+        if !self.passing && self.buffer.len() + bytes.len() > self.most {
+            // The end will come some time; until then nothing of it is kept.
+            (self.passing, self.buffer) = (true, Vec::new());
+            lines.push(Framed::TooLong);
+        } else if !self.passing {
+            self.buffer.extend_from_slice(bytes);
+        }
+        lines
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use test_case::test_case;
+
+    fn line(text: &str) -> Framed {
+        Framed::Line(text.as_bytes().to_vec())
+    }
+
+    #[test_case(&["ab\ncd", "\n"], vec![line("ab"), line("cd")] ; "pieces")]
+    #[test_case(&["ab\r\n\r\n"], vec![line("ab"), line("")] ; "a CR before the end")]
+    #[test_case(&["abcdefg\nab\n"], vec![Framed::TooLong, line("ab")] ; "too long at once")]
+    #[test_case(&["abcdef", "gh", "ij\nab\n"], vec![Framed::TooLong, line("ab")] ; "too long in pieces, told once")]
+    #[test_case(&["abcd"], vec![] ; "no end yet")]
+    fn lines(pieces: &[&str], expected: Vec<Framed>) {
+        let mut framer = Framer::new(5);
+        let lines: Vec<Framed> = pieces.iter().flat_map(|piece| framer.take(piece.as_bytes())).collect();
+        assert_eq!(lines, expected);
+    }
+}
--- /dev/null
+++ b/crates/director/src/main.rs
@@ -0,0 +1,120 @@
+//! `coppersail-director`: the decisions on real sockets. This loop hands every event to the reducer and carries out
+//! the effects that it asks for; it is the only place where time is read.
+
+mod counters;
+mod discovery;
+mod framing;
+mod http;
+mod listener;
+mod logger;
+mod probes;
+mod reducer;
+mod relay;
+mod timers;
+
+use coppersail_protocol::config::Config;
+use reducer::{Effect, Event, Reducer};
+use std::process::ExitCode;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::mpsc::channel;
+
+/// Events under way to the reducer; when they are as many, readers wait and so do their peers.
+const EVENTS_MOST: usize = 64;
+
+struct Io {
+    listener: listener::Listener,
+    relay: relay::Relay,
+    discovery: discovery::Discovery,
+    probes: probes::Probes,
+    alarm: timers::Alarm,
+}
+
+impl Io {
+    /// Carries out one effect; false: the end.
+    fn carry_out(&mut self, effect: Effect) -> bool {
+        match effect {
+            Effect::Say(conn, bytes) => self.listener.say(conn, bytes),
+            Effect::Drop(conn) => self.listener.drop_connection(conn),
+            Effect::Dial(link) => self.relay.dial(link),
+            Effect::Send(link, bytes) => self.relay.send(link, bytes),
+            Effect::HangUp(link) => self.relay.hang_up(link),
+            Effect::Watch(link, path) => self.discovery.watch(link, path),
+            Effect::Probe { host, address, path } => self.probes.start(host, address, path),
+            Effect::Wake(at) => self.alarm.set(at),
+            Effect::Log(level, text) => log::log!(level, "{text}"),
+            Effect::Exit => return false,
+        }
+        true
+    }
+}
+
+fn configured() -> Result<(Config, Reducer), String> {
+    let path = std::env::var("EDGE_CONFIG").map_err(|_| "EDGE_CONFIG is not set".to_string())?;
+    let bytes = std::fs::read(&path).map_err(|wrong| format!("EDGE_CONFIG: {wrong}"))?;
+    let config = Config::parse(&bytes).map_err(|fault| format!("configuration: {fault}"))?;
+    let wall = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |wall| wall.as_nanos() as u64);
+    let reducer = Reducer::new(&config, wall).map_err(|wrong| format!("configuration: {wrong}"))?;
+    Ok((config, reducer))
+}
+
+async fn serve(config: Config, mut reducer: Reducer, started: Instant) -> Result<(), String> {
+    let (sender, mut events) = channel(EVENTS_MOST);
+    let bound = listener::Listener::bind(config.listen, sender.clone()).await;
+    let mut io = Io {
+        listener: bound.map_err(|wrong| format!("configuration: field listen: {wrong}"))?,
+        relay: relay::Relay::new(config.relay, sender.clone()),
+        discovery: discovery::Discovery::new(config.discovery, sender.clone()),
+        probes: probes::Probes::new(sender),
+        alarm: timers::Alarm::new(started),
+    };
+    let handlers = (signal(SignalKind::user_defined1()), signal(SignalKind::terminate()));
+    let (Ok(mut print), Ok(mut stop)) = handlers else { return Err("signals cannot be taken".to_string()) };
+    log::info!("{} serves", config.name);
+    let mut batch = vec![Event::Time];
+    loop {
+        // One batch is one moment: what has come meanwhile is decided on together.
+        while let Ok(event) = events.try_recv() {
+            batch.push(event);
+        }
+        let now = io.alarm.now();
+        for event in batch.drain(..).chain([Event::Settle]) {
+            for effect in reducer.reduce(now, event) {
+                if !io.carry_out(effect) {
+                    return Ok(());
+                }
+            }
+        }
+        tokio::select! {
+            event = io.listener.accept() => batch.push(event),
+            Some(event) = events.recv() => batch.push(event),
+            _ = io.alarm.rung() => batch.push(Event::Time),
+            _ = print.recv() => batch.push(Event::Count),
+            _ = stop.recv() => batch.push(Event::Stop),
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    let started = Instant::now();
+    logger::start(started);
+    let (config, reducer) = match configured() {
+        Ok(ready) => ready,
+        Err(wrong) => {
+            eprintln!("coppersail-director: {wrong}");
+            return ExitCode::from(2);
+        }
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let served = match runtime {
+        Ok(runtime) => runtime.block_on(serve(config, reducer, started)),
+        Err(wrong) => Err(wrong.to_string()),
+    };
+    match served {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(wrong) => {
+            eprintln!("coppersail-director: {wrong}");
+            ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/crates/director/src/reducer/calls.rs
@@ -0,0 +1,266 @@
+//! The one ordered queue of calls to the relay. A call goes out when the one before it is settled: answered, or
+//! repeated until it is, as every order sets a state and twice is the same as once but for the lines it costs.
+
+use super::{Effect, LinkId};
+use crate::counters::Counters;
+use coppersail::interface::{HostId, RouteId, SliceId};
+use coppersail_protocol::relay::{self, Answer};
+use log::Level;
+use std::collections::{BTreeSet, VecDeque};
+
+/// The relay answers within 50 ms or never; twice that, as the director's own machine may be slow.
+const ANSWER_MOST: f64 = 0.1;
+/// The relay closes idle connections after some seconds; one this long idle is not trusted with a call.
+const IDLE_MOST: f64 = 1.0;
+/// Between tries to reach a relay that can't be reached, or that turns calls away.
+const PAUSE: f64 = 0.1;
+/// Calls that wait; beyond it they become one, of which each state is named once.
+const WAITING_MOST: usize = 16;
+
+/// What an order sets: of two with the same aim the later one stands.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Aim {
+    Line(SliceId, HostId),
+    Clear(SliceId),
+    Withdraw(HostId),
+    Admit(Option<SliceId>, Vec<RouteId>),
+    Mark,
+}
+
+/// An order as it stands in a call.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Told {
+    pub aim: Aim,
+    /// Of a line.
+    pub weight: f64,
+    pub text: String,
+}
+
+/// The channel's figures, by which repeats are counted against the short queue.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Pace {
+    pub lines_per_s: f64,
+    pub backlog: f64,
+    pub overhead: f64,
+}
+
+#[derive(Debug, PartialEq)]
+enum Link {
+    Down,
+    Dialled(LinkId),
+    /// Since when it is idle.
+    Up(LinkId, f64),
+}
+
+pub struct Calls {
+    pace: Pace,
+    waiting: VecDeque<Vec<Told>>,
+    link: Link,
+    /// The first call is out, and its answer due by then.
+    due: Option<f64>,
+    /// Nothing goes out before.
+    hold: f64,
+    /// Lines in the channel as reckoned, and when.
+    lines: f64,
+    reckoned_at: f64,
+    /// So many proxies get each order.
+    pub proxies: usize,
+}
+
+impl Calls {
+    pub fn new(pace: Pace) -> Self {
+        Calls {
+            pace,
+            waiting: VecDeque::new(),
+            link: Link::Down,
+            due: None,
+            hold: 0.0,
+            lines: 0.0,
+            reckoned_at: 0.0,
+            proxies: 0,
+        }
+    }
+
+    /// Orders given together go out as one call, or as several if it would be too long.
+    pub fn give(&mut self, orders: Vec<Told>, counters: &mut Counters) {
+        counters.orders_given += orders.len() as u64;
+        let mut bytes = 0;
+        let mut call = Vec::new();
+        for order in orders {
+            if bytes + order.text.len() + 1 > relay::MOST {
+                self.waiting.push_back(std::mem::take(&mut call));
+                bytes = 0;
+            }
+            bytes += order.text.len() + 1;
+            call.push(order);
+        }
+        if !call.is_empty() {
+            self.waiting.push_back(call);
+        }
+    }
+
+    /// While the relay is away, later orders take the place of earlier ones with the same aim.
+    fn merge(&mut self, counters: &mut Counters) {
+        let first = if self.due.is_some() { self.waiting.pop_front() } else { None };
+        let (mut seen, mut kept) = (BTreeSet::new(), Vec::new());
+        for order in self.waiting.drain(..).rev().flat_map(|call| call.into_iter().rev()) {
+            if seen.insert(order.aim.clone()) {
+                kept.push(order);
+            }
+        }
+        kept.reverse();
+        self.waiting.extend(first);
+        // These were counted when they were given.
+        self.give(kept, &mut Counters::default());
+        counters.calls_merged += 1;
+    }
+
+    /// Whether an order is under way that would set a line of this slice.
+    pub fn concerns(&self, slice: SliceId) -> bool {
+        let sets = |told: &Told| matches!(told.aim, Aim::Line(of, _) | Aim::Clear(of) if of == slice);
+        self.due.is_some() && self.waiting.front().is_some_and(|call| call.iter().any(sets))
+    }
+
+    /// Sends the next call if one may go.
+    pub fn pump(
+        &mut self,
+        now: f64,
+        next: &mut impl FnMut() -> LinkId,
+        counters: &mut Counters,
+        effects: &mut Vec<Effect>,
+    ) {
+        if self.due.is_some_and(|due| now >= due) {
+            self.unsettled(now, "no answer in time", counters, effects);
+        }
+        if self.waiting.len() > WAITING_MOST && now >= self.hold {
+            self.merge(counters);
+        }
+        let Some(call) = self.waiting.front() else { return };
+        if self.due.is_some() || now < self.hold {
+            return;
+        }
+        let cost = self.proxies as f64 * (self.pace.overhead + call.len() as f64);
+        let passed = (now - self.reckoned_at) * self.pace.lines_per_s;
+        (self.lines, self.reckoned_at) = ((self.lines - passed).max(0.0), now);
+        // A repeat finds its first copy in the channel, perhaps: both together keep to the backlog.
+        let over = self.lines + cost - self.pace.backlog;
+        if over > 0.0 && self.lines > 0.0 {
+            self.hold = now + (over.min(self.lines) / self.pace.lines_per_s.max(1.0)).clamp(1e-3, 1.0);
+            return;
+        }
+        match self.link {
+            Link::Dialled(_) => {}
+            Link::Up(link, since) if now - since < IDLE_MOST => {
+                self.lines += cost;
+                self.due = Some(now + ANSWER_MOST);
+                counters.calls_sent += 1;
+                effects.push(Effect::Send(link, relay::call(call.iter().map(|told| told.text.as_str()))));
+            }
+            Link::Up(..) | Link::Down => {
+                self.hang_up(effects);
+                let link = next();
+                self.link = Link::Dialled(link);
+                effects.push(Effect::Dial(link));
+            }
+        }
+    }
+
+    fn hang_up(&mut self, effects: &mut Vec<Effect>) {
+        if let Link::Up(link, _) | Link::Dialled(link) = std::mem::replace(&mut self.link, Link::Down) {
+            effects.push(Effect::HangUp(link));
+        }
+    }
+
+    pub fn owns(&self, id: LinkId) -> bool {
+        matches!(self.link, Link::Dialled(link) | Link::Up(link, _) if link == id)
+    }
+
+    pub fn up(&mut self, now: f64, id: LinkId) {
+        self.link = Link::Up(id, now);
+    }
+
+    pub fn down(&mut self, now: f64, why: &str, counters: &mut Counters, effects: &mut Vec<Effect>) {
+        if self.due.is_some() {
+            return self.unsettled(now, why, counters, effects);
+        }
+        // An idle connection may end; a dial that failed is tried again in a while.
+        if matches!(self.link, Link::Dialled(_)) {
+            self.hold = now + PAUSE;
+        }
+        self.hang_up(effects);
+    }
+
+    /// The first call was carried out, or was not: nobody can tell. It goes out again before anything else, on
+    /// a new connection, as a late answer on the old one would be taken for the next call's.
+    fn unsettled(&mut self, now: f64, why: &str, counters: &mut Counters, effects: &mut Vec<Effect>) {
+        counters.calls_repeated += 1;
+        effects.push(Effect::Log(Level::Warn, format!("relay: call repeated, {why}")));
+        (self.due, self.hold) = (None, now);
+        self.hang_up(effects);
+    }
+
+    /// What an answer says of the call that is out; the orders that are in force by it.
+    pub fn answer(
+        &mut self,
+        now: f64,
+        line: &[u8],
+        counters: &mut Counters,
+        effects: &mut Vec<Effect>,
+    ) -> Vec<Told> {
+        let Link::Up(link, _) = self.link else { return Vec::new() };
+        let Some(call) = self.waiting.front_mut().filter(|_| self.due.is_some()) else {
+            // An answer that nothing was asked for: the next one could not be told from it.
+            effects.push(Effect::Log(Level::Warn, "relay: an answer out of turn".to_string()));
+            self.hang_up(effects);
+            return Vec::new();
+        };
+        match Answer::parse(line) {
+            Answer::Taken(many) if many <= call.len() => {
+                counters.calls_answered += 1;
+                counters.orders_taken += many as u64;
+                let mut taken = std::mem::take(call);
+                let mut rest = taken.split_off(many);
+                if !rest.is_empty() {
+                    // The relay stops at an order that it cannot use; what follows it is sound.
+                    counters.orders_refused += 1;
+                    let refused = rest.remove(0).text;
+                    effects.push(Effect::Log(Level::Warn, format!("relay: order refused: {refused}")));
+                }
+                if rest.is_empty() {
+                    self.waiting.pop_front();
+                } else {
+                    *call = rest;
+                }
+                (self.due, self.link) = (None, Link::Up(link, now));
+                taken
+            }
+            Answer::Throttling => {
+                counters.calls_throttled += 1;
+                (self.due, self.hold, self.link) = (None, now + PAUSE, Link::Up(link, now));
+                Vec::new()
+            }
+            Answer::Invalid => {
+                // It would be turned away for ever, and all others behind it.
+                counters.calls_invalid += 1;
+                effects.push(Effect::Log(Level::Error, "relay: call dropped, not valid".to_string()));
+                self.waiting.pop_front();
+                (self.due, self.link) = (None, Link::Up(link, now));
+                Vec::new()
+            }
+            Answer::Taken(_) | Answer::Unreadable => {
+                self.unsettled(now, "its answer cannot be read", counters, effects);
+                Vec::new()
+            }
+        }
+    }
+
+    /// When `pump` may have something to do by itself.
+    pub fn next(&self) -> f64 {
+        match (self.due, &self.link) {
+            (Some(due), _) => due,
+            (None, Link::Dialled(_)) => f64::INFINITY,
+            _ if self.waiting.is_empty() => f64::INFINITY,
+            _ => self.hold,
+        }
+    }
+}
--- /dev/null
+++ b/crates/director/src/reducer/list.rs
@@ -0,0 +1,190 @@
+//! The list of hosts as discovery tells it: one watch, dialled again when it ends or falls silent.
+
+use super::{Effect, LinkId};
+use crate::counters::Counters;
+use crate::framing::Framed;
+use coppersail::interface::{CellId, HostId, HostState, Input, ListScope, Listing};
+use coppersail_protocol::discovery::{self, Server, State};
+use coppersail_protocol::Fault;
+use coppersail_settings::{Clock, Names};
+use log::Level;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// An empty line comes each 2 s while nothing changes; so long without one, the watch is given up.
+const SILENT_MOST: f64 = 2.6;
+/// The agent answers a watch at once; a new one that says nothing has met a silent agent.
+const FIRST_MOST: f64 = 1.0;
+/// Between watches that fail.
+const PAUSE: f64 = 0.25;
+
+struct Watch {
+    link: LinkId,
+    /// Given up if nothing comes by then.
+    until: f64,
+}
+
+pub struct List {
+    clock: Clock,
+    watch: Option<Watch>,
+    open_at: f64,
+    version: Option<u64>,
+    /// Each host as last listed, and where it is.
+    hosts: BTreeMap<HostId, (Listing, SocketAddr)>,
+    /// The next watch asks for the whole list.
+    whole: bool,
+}
+
+/// To a director that must ask for its list: asking failed.
+pub fn failed() -> Input {
+    Input::Hosts { scope: ListScope::Failed, version: 0, entries: Vec::new() }
+}
+
+impl List {
+    pub fn new(clock: Clock) -> Self {
+        List { clock, watch: None, open_at: 0.0, version: None, hosts: BTreeMap::new(), whole: false }
+    }
+
+    pub fn owns(&self, id: LinkId) -> bool {
+        self.watch.as_ref().is_some_and(|watch| watch.link == id)
+    }
+
+    pub fn address(&self, host: HostId) -> Option<SocketAddr> {
+        self.hosts.get(&host).map(|(_, address)| *address)
+    }
+
+    pub fn ask_whole(&mut self, now: f64) {
+        (self.watch, self.open_at, self.whole) = (None, now, true);
+    }
+
+    /// The list that the configuration remembers, maybe old.
+    pub fn remembered(
+        &mut self,
+        known: &[u8],
+        names: &mut Names,
+        counters: &mut Counters,
+    ) -> Result<Input, Fault> {
+        let list = discovery::List::parse(known)?;
+        let entries = self.entries(&list, names, counters, &mut Vec::new());
+        self.version = Some(list.version);
+        Ok(Input::Hosts { scope: ListScope::Remembered, version: list.version, entries })
+    }
+
+    pub fn pump(
+        &mut self,
+        now: f64,
+        next: &mut impl FnMut() -> LinkId,
+        counters: &mut Counters,
+        effects: &mut Vec<Effect>,
+    ) {
+        if self.watch.as_ref().is_some_and(|watch| now >= watch.until) {
+            self.down(now, "silent", counters, effects);
+            self.open_at = now;
+        }
+        if self.watch.is_none() && now >= self.open_at {
+            let link = next();
+            self.watch = Some(Watch { link, until: now + FIRST_MOST });
+            counters.watches_opened += 1;
+            let since = if self.whole { None } else { self.version };
+            effects.push(Effect::Watch(link, discovery::watch(since)));
+        }
+    }
+
+    pub fn down(&mut self, now: f64, why: &str, counters: &mut Counters, effects: &mut Vec<Effect>) {
+        counters.watches_lost += 1;
+        effects.push(Effect::Log(Level::Warn, format!("discovery: watch lost, {why}")));
+        (self.watch, self.open_at) = (None, now + PAUSE);
+    }
+
+    /// One line of the watch; an empty one is a sign of life.
+    pub fn line(
+        &mut self,
+        now: f64,
+        line: Framed,
+        names: &mut Names,
+        counters: &mut Counters,
+        effects: &mut Vec<Effect>,
+    ) -> Option<Input> {
+        let watch = self.watch.as_mut()?;
+        watch.until = now + SILENT_MOST;
+        let line = match line {
+            Framed::Line(line) if line.is_empty() => return None,
+            Framed::Line(line) => line,
+            Framed::TooLong => Vec::new(),
+        };
+        let list = match discovery::List::parse(&line) {
+            Ok(list) => list,
+            Err(fault) => {
+                // What it would have told comes again on a watch from the version held.
+                counters.lists_bad += 1;
+                self.down(now, &fault.0, counters, effects);
+                return None;
+            }
+        };
+        if self.version.is_some_and(|held| list.version < held) {
+            counters.lists_bad += 1;
+            let text = format!("discovery: list passed over, version {} is older than held", list.version);
+            effects.push(Effect::Log(Level::Warn, text));
+            return None;
+        }
+        counters.lists += 1;
+        self.whole = false;
+        self.version = Some(list.version);
+        let entries = self.entries(&list, names, counters, effects);
+        let scope = if list.full { ListScope::Whole } else { ListScope::Changes };
+        Some(Input::Hosts { scope, version: list.version, entries })
+    }
+
+    /// The sound entries. In a whole list a host whose entry is unsound stays as it was, lest it seem gone.
+    fn entries(
+        &mut self,
+        list: &discovery::List<'_>,
+        names: &mut Names,
+        counters: &mut Counters,
+        effects: &mut Vec<Effect>,
+    ) -> Vec<Listing> {
+        let mut entries = Vec::new();
+        for server in &list.servers {
+            let read = match server {
+                Ok(server) => self.listing(server, names).map_err(|fault| (Some(server.id.as_ref()), fault)),
+                Err(unsound) => Err((unsound.id.as_deref(), unsound.fault.clone())),
+            };
+            match read {
+                Ok(listing) => entries.push(listing),
+                Err((id, fault)) => {
+                    counters.entries_unsound += 1;
+                    effects.push(Effect::Log(Level::Warn, format!("discovery: entry passed over, {fault}")));
+                    let held = id.and_then(|id| names.known_host(id)).and_then(|host| self.hosts.get(&host));
+                    entries.extend(held.filter(|_| list.full).map(|(listing, _)| listing.clone()));
+                }
+            }
+        }
+        entries
+    }
+
+    fn listing(&mut self, server: &Server<'_>, names: &mut Names) -> Result<Listing, Fault> {
+        let fault = |field: &str, expected: String| Fault(format!("field {field}: expected {expected}"));
+        let zone = names.zone(&server.zone).map_err(|expected| fault("zone", expected))?;
+        let kind = names.kind(&server.kind).map_err(|expected| fault("kind", expected))?;
+        let started_ns = server.started_ms.saturating_mul(1_000_000);
+        let listing = Listing {
+            host: names.host(&server.id),
+            state: match server.state {
+                State::Ready => HostState::Ready,
+                State::Draining => HostState::Draining,
+                State::Gone => HostState::Gone,
+            },
+            born: (started_ns > 0).then(|| self.clock.seconds(started_ns)),
+            weight: server.weight,
+            zone,
+            cell: CellId(server.cell),
+            kind,
+        };
+        self.hosts.insert(listing.host, (listing.clone(), server.address));
+        Ok(listing)
+    }
+
+    pub fn next(&self) -> f64 {
+        self.watch.as_ref().map_or(self.open_at, |watch| watch.until)
+    }
+}
--- /dev/null
+++ b/crates/director/src/reducer/mod.rs
@@ -0,0 +1,475 @@
+//! All state of the director, and all changes to it: `(now, event) -> effects`. It reads no clock and does no I/O;
+//! the effects ask for that. What has come in by `Event::Settle` is one batch: the decisions see it together, and
+//! their orders go out as one call.
+
+mod calls;
+mod list;
+mod news;
+
+use crate::counters::Counters;
+use crate::framing::Framed;
+use calls::{Aim, Calls, Pace, Told};
+use coppersail::interface as api;
+use coppersail::Director;
+use coppersail_protocol::collector::{Line, ALIVE};
+use coppersail_protocol::config::Config;
+use coppersail_protocol::load::Report;
+use coppersail_protocol::relay::{Again, News as NewsLine, Order};
+use coppersail_protocol::Fault;
+use coppersail_settings::{load, settings, Boot, Clock, Names};
+use list::List;
+use log::Level;
+use news::{Item, News};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// A connection that was taken, numbered by the listener.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ConnId(pub u64);
+
+/// A connection that was dialled, numbered by the reducer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct LinkId(pub u64);
+
+/// How a probe ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProbeEnd {
+    Status(u16),
+    TimedOut,
+    Unreachable,
+    Broken,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    Accepted(ConnId),
+    Lines(ConnId, Vec<Framed>),
+    Ended(ConnId),
+    RelayUp(LinkId),
+    RelayLines(LinkId, Vec<Framed>),
+    RelayDown(LinkId, String),
+    WatchLines(LinkId, Vec<Framed>),
+    WatchDown(LinkId, String),
+    Probed {
+        host: api::HostId,
+        end: ProbeEnd,
+        took: f64,
+        body: Vec<u8>,
+    },
+    /// The moment asked for has come.
+    Time,
+    /// The batch is complete.
+    Settle,
+    /// The counters are asked for.
+    Count,
+    Stop,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    Say(ConnId, &'static [u8]),
+    Drop(ConnId),
+    Dial(LinkId),
+    Send(LinkId, Vec<u8>),
+    HangUp(LinkId),
+    /// Opens a watch in place of the one before.
+    Watch(LinkId, String),
+    Probe {
+        host: api::HostId,
+        address: SocketAddr,
+        path: &'static str,
+    },
+    Wake(f64),
+    Log(Level, String),
+    Exit,
+}
+
+/// Connections taken at a time. Zones have a collector each; the rest is room for those that say nothing.
+const CONNECTIONS_MOST: usize = 48;
+/// Who has not said a sound line by then is a stranger.
+const STRANGER_MOST: f64 = 10.0;
+
+struct Taken {
+    since: f64,
+    heard: f64,
+    /// It has said something that we understand.
+    sound: bool,
+}
+
+pub struct Reducer {
+    director: Director,
+    names: Names,
+    may_follow: bool,
+    probe_path: &'static str,
+    taken: BTreeMap<ConnId, Taken>,
+    calls: Calls,
+    news: News,
+    list: List,
+    links: u64,
+    /// What has come in since the decisions were last asked.
+    inputs: Vec<api::Input>,
+    wakes: Vec<(f64, api::WakeId)>,
+    started: bool,
+    counters: Counters,
+    effects: Vec<Effect>,
+}
+
+impl Reducer {
+    /// `wall_ns`: what the wall clock shows at the zero of all further times.
+    pub fn new(config: &Config, wall_ns: u64) -> Result<Self, String> {
+        let paths = config.settings.iter().map(|(path, value)| (path.as_str(), value.as_str())).collect();
+        let boot = Boot::read(&paths)
+            .map_err(|bad| format!("field settings.{}: expected {}", bad.field, bad.expected))?;
+        let told = settings(&boot);
+        let reports = boot.top.report_columns.as_ref().is_some_and(|columns| !columns.0.is_empty());
+        let pace = Pace {
+            lines_per_s: told.lines_per_s,
+            backlog: told.backlog_lines,
+            overhead: told.message_overhead + 1.0,
+        };
+        let may_follow = !told.list_is_pushed;
+        let mut reducer = Reducer {
+            director: Director::new(told, config.seed),
+            names: Names::new(&boot),
+            may_follow,
+            probe_path: if reports { "/status/load" } else { "/health" },
+            taken: BTreeMap::new(),
+            calls: Calls::new(pace),
+            news: News::default(),
+            list: List::new(Clock::starting(wall_ns)),
+            links: 0,
+            inputs: Vec::new(),
+            wakes: Vec::new(),
+            started: false,
+            counters: Counters::default(),
+            effects: Vec::new(),
+        };
+        if let Some(known) = &config.known {
+            let remembered = reducer.list.remembered(known, &mut reducer.names, &mut reducer.counters);
+            reducer.inputs.push(remembered.map_err(|fault| format!("field known: {fault}"))?);
+        }
+        Ok(reducer)
+    }
+
+    pub fn reduce(&mut self, now: f64, event: Event) -> Vec<Effect> {
+        match event {
+            Event::Accepted(conn) => self.accepted(now, conn),
+            Event::Lines(conn, lines) => lines.into_iter().for_each(|line| self.line(now, conn, line)),
+            Event::Ended(conn) => {
+                self.counters.connections_ended += self.taken.contains_key(&conn) as u64;
+                self.drop_connection(conn);
+            }
+            Event::RelayUp(link) if self.calls.owns(link) => self.calls.up(now, link),
+            Event::RelayUp(link) if self.news.owns(link) => {
+                self.news.up(now, link, &mut self.counters, &mut self.effects);
+            }
+            Event::RelayUp(link) => self.effects.push(Effect::HangUp(link)),
+            Event::RelayLines(link, lines) => {
+                lines.into_iter().for_each(|line| self.relay_line(now, link, line));
+            }
+            Event::RelayDown(link, why) if self.calls.owns(link) => {
+                self.calls.down(now, &why, &mut self.counters, &mut self.effects);
+            }
+            Event::RelayDown(link, why) => {
+                let (counters, effects) = (&mut self.counters, &mut self.effects);
+                self.news.down(now, link, &why, counters, effects, &mut self.inputs);
+            }
+            Event::WatchLines(link, lines) if self.list.owns(link) => {
+                for line in lines {
+                    let (counters, effects) = (&mut self.counters, &mut self.effects);
+                    self.inputs.extend(self.list.line(now, line, &mut self.names, counters, effects));
+                }
+            }
+            Event::WatchDown(link, why) if self.list.owns(link) => {
+                self.list.down(now, &why, &mut self.counters, &mut self.effects);
+                if self.may_follow {
+                    self.inputs.push(list::failed());
+                }
+            }
+            Event::WatchLines(..) | Event::WatchDown(..) => {}
+            Event::Probed { host, end, took, body } => self.probed(host, end, took, &body),
+            Event::Time => {}
+            Event::Settle => self.settle(now),
+            Event::Count => self.count(),
+            Event::Stop => {
+                self.count();
+                self.effects.push(Effect::Exit);
+            }
+        }
+        std::mem::take(&mut self.effects)
+    }
+
+    fn count(&mut self) {
+        self.effects.push(Effect::Log(Level::Info, self.counters.line()));
+    }
+
+    fn warn(&mut self, text: String) {
+        self.effects.push(Effect::Log(Level::Warn, text));
+    }
+
+    fn accepted(&mut self, now: f64, conn: ConnId) {
+        self.counters.connections_taken += 1;
+        self.taken.insert(conn, Taken { since: now, heard: now, sound: false });
+        if self.taken.len() > CONNECTIONS_MOST {
+            // Strangers first, then who has been silent longest: a collector that vanished never ends its own.
+            let rank = |(conn, taken): (&ConnId, &Taken)| (taken.sound, taken.heard, *conn);
+            let last = self.taken.iter().min_by(|a, b| {
+                let (a, b) = (rank(*a), rank(*b));
+                a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2))
+            });
+            if let Some(conn) = last.map(|(conn, _)| *conn) {
+                self.counters.strangers_dropped += 1;
+                self.drop_connection(conn);
+            }
+        }
+    }
+
+    /// The one place where a taken connection is given back.
+    fn drop_connection(&mut self, conn: ConnId) {
+        if self.taken.remove(&conn).is_some() {
+            self.effects.push(Effect::Drop(conn));
+        }
+    }
+
+    fn line(&mut self, now: f64, conn: ConnId, line: Framed) {
+        let Some(taken) = self.taken.get_mut(&conn) else { return };
+        taken.heard = now;
+        self.counters.lines_in += 1;
+        let used = match &line {
+            Framed::Line(line) => self.understood(conn, line),
+            Framed::TooLong => Err(Fault("a line of over 1 MiB".to_string())),
+        };
+        match used {
+            Ok(()) => _ = self.taken.get_mut(&conn).map(|taken| taken.sound = true),
+            Err(fault) => {
+                self.counters.lines_bad += 1;
+                self.warn(format!("collector: line passed over, {fault}"));
+            }
+        }
+    }
+
+    fn understood(&mut self, conn: ConnId, line: &[u8]) -> Result<(), Fault> {
+        match Line::parse(line)? {
+            Line::Probe => {
+                self.counters.alive_answers += 1;
+                self.effects.push(Effect::Say(conn, ALIVE));
+            }
+            Line::Zone(zone) => {
+                self.names.zone(&zone).map_err(|expected| Fault(format!("field az: expected {expected}")))?;
+                self.counters.zones_named += 1;
+            }
+            Line::Tries { zone, host, tries, dropped, rt, span, report } => {
+                let zone = self
+                    .names
+                    .zone(&zone)
+                    .map_err(|expected| Fault(format!("field az: expected {expected}")))?;
+                let host = self.names.known_host(&host);
+                let host = host.ok_or_else(|| Fault("field host: not one that was listed".to_string()))?;
+                self.counters.sums_of_tries += 1;
+                let load = self.load(&report);
+                self.inputs.push(api::Input::Tries { host, zone, span, tries, dropped, rt, load });
+            }
+            Line::Demand { slice, route, calls, dropped, span } => {
+                let route = self.names.route(&route);
+                let route = route.map_err(|expected| Fault(format!("field kind: expected {expected}")))?;
+                self.counters.sums_of_calls += 1;
+                let slice = api::SliceId(slice);
+                self.inputs.push(api::Input::Demand { slice, route, calls, dropped, span });
+            }
+        }
+        Ok(())
+    }
+
+    fn load(&mut self, report: &Report) -> api::Load {
+        self.counters.load_figures_odd += report.odd;
+        load(|name| report.get(name))
+    }
+
+    fn relay_line(&mut self, now: f64, link: LinkId, line: Framed) {
+        if self.calls.owns(link) {
+            // A line that is too long is no answer that can be read.
+            let line = if let Framed::Line(line) = line { line } else { Vec::new() };
+            for told in self.calls.answer(now, &line, &mut self.counters, &mut self.effects) {
+                match told.aim {
+                    Aim::Line(slice, host) => self.news.wrote(slice, host, told.weight),
+                    Aim::Clear(slice) => self.news.cleared(slice),
+                    _ => {}
+                }
+            }
+        } else if self.news.owns(link) {
+            self.counters.news_lines += 1;
+            let item = match &line {
+                Framed::Line(line) => self.item(line),
+                Framed::TooLong => Err(Fault("a line without an end".to_string())),
+            };
+            match item {
+                Ok(item) => {
+                    let concerned = |slice| self.calls.concerns(slice);
+                    self.news.take(now, link, item, &concerned, &mut self.inputs);
+                }
+                Err(fault) => {
+                    // What it would have told is in what stands, which a new connection is told.
+                    self.counters.news_bad += 1;
+                    let (counters, effects) = (&mut self.counters, &mut self.effects);
+                    self.news.down(now, link, &fault.0, counters, effects, &mut self.inputs);
+                }
+            }
+        }
+    }
+
+    fn item(&mut self, line: &[u8]) -> Result<Item, Fault> {
+        Ok(match NewsLine::parse(line)? {
+            NewsLine::Start => Item::Start,
+            NewsLine::Life => Item::Life,
+            NewsLine::Joined { proxy, zone, calls_per_s, fresh } => {
+                let zone =
+                    self.names.zone(zone).map_err(|expected| Fault(format!("field az: {expected}")))?;
+                Item::Joined { proxy: api::ProxyId(proxy), zone, calls_per_s, fresh }
+            }
+            NewsLine::Left { proxy } => Item::Left(api::ProxyId(proxy)),
+            NewsLine::Applied { proxy, mark, took } => {
+                let proxy = api::ProxyId(proxy);
+                Item::Applied(api::Input::Applied { proxy, mark: api::MarkId(mark), took }, proxy)
+            }
+            NewsLine::Given { slice } => Item::Given(api::SliceId(slice)),
+            NewsLine::Taken { slice } => Item::Taken(api::SliceId(slice)),
+            NewsLine::StoredLine { slice, host, weight } => {
+                Item::Line { slice: api::SliceId(slice), host: self.names.host(host), weight }
+            }
+        })
+    }
+
+    fn probed(&mut self, host: api::HostId, end: ProbeEnd, took: f64, body: &[u8]) {
+        let (outcome, count) = match end {
+            ProbeEnd::Status(200) => (api::Outcome::Answered, &mut self.counters.probes_answered),
+            ProbeEnd::Status(503) => (api::Outcome::Throttled, &mut self.counters.probes_throttled),
+            ProbeEnd::Status(_) => (api::Outcome::Error, &mut self.counters.probes_failed),
+            ProbeEnd::TimedOut => (api::Outcome::TimedOut, &mut self.counters.probes_timed_out),
+            ProbeEnd::Unreachable => (api::Outcome::Unreachable, &mut self.counters.probes_unreachable),
+            ProbeEnd::Broken => (api::Outcome::Broken, &mut self.counters.probes_broken),
+        };
+        *count += 1;
+        let report = Report::text(if outcome == api::Outcome::Answered { body } else { b"" });
+        let load = self.load(&report);
+        self.inputs.push(api::Input::Probed { host, outcome, took, load });
+    }
+
+    /// The batch is complete: the decisions are asked, and what has become due is done.
+    fn settle(&mut self, now: f64) {
+        let strangers = |(_, taken): &(&ConnId, &Taken)| !taken.sound && now - taken.since > STRANGER_MOST;
+        for conn in self.taken.iter().filter(strangers).map(|(conn, _)| *conn).collect::<Vec<_>>() {
+            self.counters.strangers_dropped += 1;
+            self.drop_connection(conn);
+        }
+        let mut next = || {
+            self.links += 1;
+            LinkId(self.links)
+        };
+        self.list.pump(now, &mut next, &mut self.counters, &mut self.effects);
+        self.news.pump(now, &mut next, &mut self.counters, &mut self.effects, &mut self.inputs);
+        let wakes = std::mem::take(&mut self.wakes);
+        for (at, wake) in wakes {
+            if at <= now {
+                self.inputs.push(api::Input::Wake(wake));
+            } else {
+                self.wakes.push((at, wake));
+            }
+        }
+        if !self.inputs.is_empty() || !std::mem::replace(&mut self.started, true) {
+            let inputs = std::mem::take(&mut self.inputs);
+            self.counters_of(&inputs);
+            let orders = self.director.handle(now, &inputs);
+            self.counters.decisions += 1;
+            self.carry_out(now, orders);
+        }
+        self.calls.proxies = self.news.known.proxies.len();
+        let mut next = || {
+            self.links += 1;
+            LinkId(self.links)
+        };
+        self.calls.pump(now, &mut next, &mut self.counters, &mut self.effects);
+        let wake = self.wakes.iter().map(|(at, _)| *at).fold(f64::INFINITY, f64::min);
+        let wake = wake.min(self.calls.next()).min(self.news.next()).min(self.list.next());
+        self.effects.push(Effect::Wake(wake));
+    }
+
+    fn counters_of(&mut self, inputs: &[api::Input]) {
+        for input in inputs {
+            match input {
+                api::Input::Joined { .. } => self.counters.proxies_joined += 1,
+                api::Input::Left(_) => self.counters.proxies_left += 1,
+                api::Input::Given(_) => self.counters.slices_given += 1,
+                api::Input::Taken(_) => self.counters.slices_taken += 1,
+                api::Input::Applied { .. } => self.counters.receipts += 1,
+                _ => {}
+            }
+        }
+    }
+
+    fn carry_out(&mut self, now: f64, orders: Vec<api::Order>) {
+        let mut call = Vec::new();
+        for order in orders {
+            match order {
+                api::Order::WakeAt { wake, at } => self.wakes.push((at, wake)),
+                api::Order::Log { text, hosts } => {
+                    let text = self.names.said(&text, &hosts);
+                    self.effects.push(Effect::Log(Level::Info, format!("decided: {text}")));
+                }
+                api::Order::Probe(host) => self.probe(host),
+                api::Order::Follow(_) => {}
+                api::Order::FetchList => self.list.ask_whole(now),
+                api::Order::Bind { .. } | api::Order::Tell { .. } => self.counters.orders_unknown += 1,
+                order => call.extend(self.told(order)),
+            }
+        }
+        self.calls.give(call, &mut self.counters);
+    }
+
+    fn probe(&mut self, host: api::HostId) {
+        match self.list.address(host) {
+            Some(address) => {
+                self.counters.probes_sent += 1;
+                self.effects.push(Effect::Probe { host, address, path: self.probe_path });
+            }
+            // Nobody has told where it is, so it cannot be reached.
+            None => self.probed(host, ProbeEnd::Unreachable, 0.0, b""),
+        }
+    }
+
+    /// The order as it stands in a call.
+    fn told(&self, order: api::Order) -> Option<Told> {
+        let name = |host| self.names.host_name(host);
+        let (aim, order, weight) = match &order {
+            api::Order::Line { slice, host, weight } => {
+                let line = Order::Line { slice: slice.0, host: name(*host), weight: *weight };
+                (Aim::Line(*slice, *host), line, *weight)
+            }
+            api::Order::Clear(slice) => (Aim::Clear(*slice), Order::Clear { slice: slice.0 }, 0.0),
+            api::Order::Withdraw { host, out: true } => {
+                (Aim::Withdraw(*host), Order::Out { host: name(*host) }, 0.0)
+            }
+            api::Order::Withdraw { host, out: false } => {
+                (Aim::Withdraw(*host), Order::In { host: name(*host) }, 0.0)
+            }
+            api::Order::Admit { scope, routes, level, retry } => {
+                let slice = match scope {
+                    api::Scope::Slice(slice) => Some(*slice),
+                    api::Scope::Everywhere => None,
+                };
+                let again = match retry {
+                    api::Retry::Never => Again::Never,
+                    api::Retry::IfNeverRan => Again::IfNeverRan,
+                    api::Retry::Once => Again::Once,
+                    api::Retry::Twice => Again::Twice,
+                };
+                let named = routes.iter().map(|route| self.names.route_name(*route)).collect();
+                let order =
+                    Order::Admit { slice: slice.map(|slice| slice.0), routes: named, level: *level, again };
+                (Aim::Admit(slice, routes.clone()), order, 0.0)
+            }
+            api::Order::Mark { mark, all } => (Aim::Mark, Order::Mark { mark: mark.0, all: *all }, 0.0),
+            _ => return None,
+        };
+        Some(Told { aim, weight, text: order.text() })
+    }
+}
--- /dev/null
+++ b/crates/director/src/reducer/news.rs
@@ -0,0 +1,264 @@
+//! News of the relay, on two connections: one leads, the other stands by with the same knowledge, so that a break
+//! of the first costs nothing. What is passed on goes to the decisions as inputs.
+
+use super::{Effect, LinkId};
+use crate::counters::Counters;
+use coppersail::interface::{HostId, Input, ProxyId, SliceId, ZoneId};
+use coppersail_protocol::relay::FOLLOW;
+use log::Level;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A sign of life comes each second; so much later the connection is given up.
+const SILENT_MOST: f64 = 1.7;
+/// Between dials that fail.
+const PAUSE: f64 = 0.2;
+/// One that leads and one that stands by; the relay takes 32 of us.
+const FEEDS_MOST: usize = 2;
+/// Two connections tell the same event within this time.
+const APART: f64 = 0.5;
+
+/// A line of news, with its names resolved.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Item {
+    Start,
+    Life,
+    Joined { proxy: ProxyId, zone: ZoneId, calls_per_s: f64, fresh: bool },
+    Left(ProxyId),
+    Applied(Input, ProxyId),
+    Given(SliceId),
+    Taken(SliceId),
+    Line { slice: SliceId, host: HostId, weight: f64 },
+}
+
+type Lines = BTreeMap<HostId, f64>;
+
+/// What stands, as told: the last news of each and its time.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Standing {
+    pub proxies: BTreeMap<ProxyId, (f64, Input)>,
+    pub slices: BTreeMap<SliceId, (f64, Lines)>,
+}
+
+struct Feed {
+    link: LinkId,
+    up: bool,
+    heard: f64,
+    /// The first sign of life has come, so what stood at the start is told in full.
+    whole: bool,
+    standing: Standing,
+    /// Slices held before, told again at the start: compared when all is told.
+    again: BTreeSet<SliceId>,
+}
+
+#[derive(Default)]
+pub struct News {
+    feeds: Vec<Feed>,
+    /// What the decisions have been told; lines as far as the relay has taken them.
+    pub known: Standing,
+    dial_at: f64,
+}
+
+impl News {
+    pub fn owns(&self, id: LinkId) -> bool {
+        self.feeds.iter().any(|feed| feed.link == id)
+    }
+
+    pub fn pump(
+        &mut self,
+        now: f64,
+        next: &mut impl FnMut() -> LinkId,
+        counters: &mut Counters,
+        effects: &mut Vec<Effect>,
+        inputs: &mut Vec<Input>,
+    ) {
+        let silent = |feed: &&Feed| now - feed.heard > SILENT_MOST;
+        let lost: Vec<LinkId> = self.feeds.iter().filter(silent).map(|feed| feed.link).collect();
+        for link in lost {
+            self.down(now, link, "silent", counters, effects, inputs);
+        }
+        // The second one once the first has told all, lest both be asked for the same at a time.
+        let settled = self.feeds.iter().all(|feed| feed.whole);
+        if self.feeds.len() < FEEDS_MOST && settled && now >= self.dial_at {
+            let link = next();
+            let (standing, again) = (Standing::default(), BTreeSet::new());
+            self.feeds.push(Feed { link, up: false, heard: now, whole: false, standing, again });
+            effects.push(Effect::Dial(link));
+        }
+    }
+
+    pub fn up(&mut self, now: f64, id: LinkId, counters: &mut Counters, effects: &mut Vec<Effect>) {
+        counters.news_opened += 1;
+        effects.push(Effect::Send(id, FOLLOW.to_vec()));
+        self.feeds
+            .iter_mut()
+            .filter(|feed| feed.link == id)
+            .for_each(|feed| (feed.up, feed.heard) = (true, now));
+    }
+
+    pub fn down(
+        &mut self,
+        now: f64,
+        id: LinkId,
+        why: &str,
+        counters: &mut Counters,
+        effects: &mut Vec<Effect>,
+        inputs: &mut Vec<Input>,
+    ) {
+        let Some(at) = self.feeds.iter().position(|feed| feed.link == id) else { return };
+        let feed = self.feeds.remove(at);
+        effects.push(Effect::HangUp(id));
+        if feed.up {
+            counters.news_lost += 1;
+            effects.push(Effect::Log(Level::Warn, format!("relay: news lost, {why}")));
+        } else {
+            self.dial_at = now + PAUSE;
+        }
+        if at == 0 {
+            self.lead(now, inputs);
+        }
+    }
+
+    /// The next connection leads: what only it has been told is made up for.
+    fn lead(&mut self, now: f64, inputs: &mut Vec<Input>) {
+        let Some(feed) = self.feeds.first_mut() else { return };
+        let standing = feed.standing.clone();
+        for (proxy, (at, input)) in &standing.proxies {
+            if self.known.proxies.get(proxy).is_none_or(|(known, _)| *at > known + APART) {
+                self.known.proxies.insert(*proxy, (now, input.clone()));
+                inputs.push(input.clone());
+            }
+        }
+        for (slice, (at, _)) in &standing.slices {
+            if self.known.slices.get(slice).is_none_or(|(known, _)| *at > known + APART) {
+                feed.again.insert(*slice);
+            }
+        }
+        if feed.whole {
+            self.reconcile(now, &|_| false, inputs);
+        }
+    }
+
+    /// All that stands is told: what is not among it is gone, and what was changed elsewhere is given anew.
+    fn reconcile(&mut self, now: f64, concerned: &dyn Fn(SliceId) -> bool, inputs: &mut Vec<Input>) {
+        let Some(feed) = self.feeds.first_mut() else { return };
+        let (standing, known) = (&feed.standing, &mut self.known);
+        for proxy in known.proxies.keys().filter(|proxy| !standing.proxies.contains_key(proxy)) {
+            inputs.push(Input::Left(*proxy));
+        }
+        known.proxies.retain(|proxy, _| standing.proxies.contains_key(proxy));
+        for slice in known.slices.keys().filter(|slice| !standing.slices.contains_key(slice)) {
+            inputs.push(Input::Taken(*slice));
+        }
+        known.slices.retain(|slice, _| standing.slices.contains_key(slice));
+        for slice in std::mem::take(&mut feed.again) {
+            let Some((_, lines)) = standing.slices.get(&slice) else { continue };
+            let held = known.slices.get(&slice).map(|(_, lines)| lines);
+            if held.is_some_and(|held| concerned(slice) || alike(held, lines)) {
+                continue;
+            }
+            inputs.push(Input::Given(slice));
+            inputs.extend(lines.iter().map(|(host, weight)| stored(slice, *host, *weight)));
+            known.slices.insert(slice, (now, lines.clone()));
+        }
+    }
+
+    /// Takes one line of news; `concerned` tells of slices whose lines are under way, `known` of none.
+    pub fn take(
+        &mut self,
+        now: f64,
+        id: LinkId,
+        item: Item,
+        concerned: &dyn Fn(SliceId) -> bool,
+        inputs: &mut Vec<Input>,
+    ) {
+        let Some(at) = self.feeds.iter().position(|feed| feed.link == id) else { return };
+        let (feed, known, leads) = (&mut self.feeds[at], &mut self.known, at == 0);
+        feed.heard = now;
+        match item {
+            Item::Start => {}
+            Item::Life => {
+                if !std::mem::replace(&mut feed.whole, true) && leads {
+                    self.reconcile(now, concerned, inputs);
+                }
+            }
+            Item::Joined { proxy, zone, calls_per_s, fresh } => {
+                let input = Input::Joined { proxy, zone, calls_per_s, fresh };
+                feed.standing.proxies.insert(proxy, (now, input.clone()));
+                if leads {
+                    known.proxies.insert(proxy, (now, input.clone()));
+                    inputs.push(input);
+                }
+            }
+            Item::Left(proxy) => {
+                feed.standing.proxies.remove(&proxy);
+                if leads && known.proxies.remove(&proxy).is_some() {
+                    inputs.push(Input::Left(proxy));
+                }
+            }
+            Item::Applied(input, proxy) => {
+                if leads && known.proxies.contains_key(&proxy) {
+                    inputs.push(input);
+                }
+            }
+            Item::Given(slice) => {
+                feed.standing.slices.insert(slice, (now, Lines::new()));
+                if leads && !feed.whole && known.slices.contains_key(&slice) {
+                    feed.again.insert(slice);
+                } else if leads {
+                    known.slices.insert(slice, (now, Lines::new()));
+                    inputs.push(Input::Given(slice));
+                }
+            }
+            Item::Taken(slice) => {
+                feed.standing.slices.remove(&slice);
+                feed.again.remove(&slice);
+                if leads && known.slices.remove(&slice).is_some() {
+                    inputs.push(Input::Taken(slice));
+                }
+            }
+            Item::Line { slice, host, weight } => {
+                if let Some((_, lines)) = feed.standing.slices.get_mut(&slice) {
+                    lines.insert(host, weight);
+                }
+                if leads && !feed.again.contains(&slice) {
+                    if let Some((_, lines)) = known.slices.get_mut(&slice) {
+                        // A line that is known already would count twice.
+                        if lines.insert(host, weight).is_none() {
+                            inputs.push(stored(slice, host, weight));
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    /// The relay has taken this line.
+    pub fn wrote(&mut self, slice: SliceId, host: HostId, weight: f64) {
+        if let Some((_, lines)) = self.known.slices.get_mut(&slice) {
+            _ = if weight > 0.0 { lines.insert(host, weight) } else { lines.remove(&host) };
+        }
+    }
+
+    pub fn cleared(&mut self, slice: SliceId) {
+        self.known.slices.entry(slice).and_modify(|(_, lines)| lines.clear());
+    }
+
+    pub fn next(&self) -> f64 {
+        let silent = self.feeds.iter().map(|feed| feed.heard + SILENT_MOST + 1e-3);
+        let dial = if self.feeds.len() < FEEDS_MOST { self.dial_at } else { f64::INFINITY };
+        let settled = self.feeds.iter().all(|feed| feed.whole);
+        silent.fold(if settled { dial } else { f64::INFINITY }, f64::min)
+    }
+}
+
+fn stored(slice: SliceId, host: HostId, weight: f64) -> Input {
+    Input::StoredLine { slice, host, weight }
+}
+
+/// The store may round what it was given.
+fn alike(held: &Lines, told: &Lines) -> bool {
+    let near = |host, weight: &f64| {
+        told.get(host).is_some_and(|told| (told - weight).abs() <= 1e-3 * weight.abs() + 1e-9)
+    };
+    held.len() == told.len() && held.iter().all(|(host, weight)| near(host, weight))
+}
--- /dev/null
+++ b/crates/protocol/src/collector.rs
@@ -0,0 +1,140 @@
+//! What comes to the director's own address: a JSON object a line.
+
+use crate::load::Report;
+use crate::{sound, Fault};
+use serde::Deserialize;
+use std::borrow::Cow;
+
+/// Most bytes in a message.
+pub const MOST: usize = 1 << 20;
+
+/// The answer to `Line::Probe`.
+pub const ALIVE: &[u8] = b"{\"msg\":\"alive\"}\n";
+
+#[derive(Debug, PartialEq)]
+pub enum Line<'a> {
+    Probe,
+    /// The sender is the collector of a zone.
+    Zone(Cow<'a, str>),
+    Tries {
+        zone: Cow<'a, str>,
+        host: Cow<'a, str>,
+        tries: u64,
+        dropped: u64,
+        /// Seconds; 0 where none was answered.
+        rt: f64,
+        span: f64,
+        report: Report,
+    },
+    Demand {
+        slice: u16,
+        route: Cow<'a, str>,
+        calls: u64,
+        dropped: u64,
+        span: f64,
+    },
+}
+
+/// A name goes on as the bytes that came, wherever nothing in it is escaped.
+#[derive(Deserialize)]
+#[serde(transparent)]
+struct Name<'a>(#[serde(borrow)] Cow<'a, str>);
+
+#[derive(Deserialize)]
+struct Raw<'a> {
+    #[serde(borrow)]
+    msg: Cow<'a, str>,
+    #[serde(borrow)]
+    az: Option<Name<'a>>,
+    #[serde(borrow)]
+    host: Option<Name<'a>>,
+    #[serde(borrow)]
+    kind: Option<Name<'a>>,
+    partition: Option<u16>,
+    n: Option<u64>,
+    bad: Option<u64>,
+    avg: Option<f64>,
+    window: Option<f64>,
+    report: Option<serde_json::Value>,
+}
+
+fn need<T>(value: Option<T>, field: &str) -> Result<T, Fault> {
+    value.ok_or_else(|| Fault::missing(field))
+}
+
+impl<'a> Raw<'a> {
+    /// Calls, those dropped, and the span in seconds.
+    fn counts(&self) -> Result<(u64, u64, f64), Fault> {
+        let (all, dropped) = (need(self.n, "n")?, need(self.bad, "bad")?);
+        if dropped > all {
+            return Err(Fault::odd("bad", "no more than n"));
+        }
+        Ok((all, dropped, sound(need(self.window, "window")?, "window")? / 1e3))
+    }
+}
+
+impl<'a> Line<'a> {
+    pub fn parse(line: &'a [u8]) -> Result<Self, Fault> {
+        let raw: Raw<'a> = serde_json::from_slice(line)?;
+        Ok(match raw.msg.as_ref() {
+            "probe" => Line::Probe,
+            "agent" => Line::Zone(need(raw.az, "az")?.0),
+            "outcomes" => {
+                let (tries, dropped, span) = raw.counts()?;
+                Line::Tries {
+                    tries,
+                    dropped,
+                    span,
+                    rt: sound(raw.avg.unwrap_or(0.0), "avg")? / 1e3,
+                    zone: need(raw.az, "az")?.0,
+                    host: need(raw.host, "host")?.0,
+                    report: raw.report.as_ref().map(Report::json).unwrap_or_default(),
+                }
+            }
+            "hot" => {
+                let (calls, dropped, span) = raw.counts()?;
+                let slice = need(raw.partition, "partition")?;
+                Line::Demand { slice, calls, dropped, span, route: need(raw.kind, "kind")?.0 }
+            }
+            _ => return Err(Fault::odd("msg", "agent, outcomes, hot or probe")),
+        })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use test_case::test_case;
+
+    #[test]
+    fn sums_are_read() {
+        let line = br#"{"avg":41.5,"az":"a","bad":3,"host":"s-5","msg":"outcomes","n":212,"new":[1],"report":{"q":7},"window":1000.0}"#;
+        let Ok(Line::Tries { tries: 212, dropped: 3, rt, span, host, report, .. }) = Line::parse(line) else {
+            panic!("{:?}", Line::parse(line));
+        };
+        assert_eq!((rt, span, report.get("q")), (0.0415, 1.0, Some(7.0)));
+        assert!(matches!(host, Cow::Borrowed("s-5")), "a name stays the bytes that came");
+    }
+
+    #[test]
+    fn demand_and_zones_are_read() {
+        let line = br#"{"msg":"hot","partition":88,"kind":"lookup","n":40,"bad":1,"window":500.0}"#;
+        let demand = Line::Demand { slice: 88, route: "lookup".into(), calls: 40, dropped: 1, span: 0.5 };
+        assert_eq!(Line::parse(line), Ok(demand));
+        assert_eq!(Line::parse(br#"{"msg":"agent","az":"a"}"#), Ok(Line::Zone("a".into())));
+    }
+
+    #[test_case(b"{", "EOF" ; "cut off")]
+    #[test_case(b"\xff\xff", "expected value" ; "no text")]
+    #[test_case(br#"[]"#, "invalid length" ; "no object")]
+    #[test_case(br#"{"msg":"news"}"#, "field msg" ; "an unknown kind")]
+    #[test_case(br#"{"msg":"agent"}"#, "field az: missing" ; "a missing field")]
+    #[test_case(br#"{"msg":"hot","partition":-1,"kind":"a","n":1,"bad":0,"window":1}"#, "u16" ; "a negative slice")]
+    #[test_case(br#"{"msg":"hot","partition":1,"kind":"a","n":"4","bad":0,"window":1}"#, "u64" ; "a word for a number")]
+    #[test_case(br#"{"msg":"hot","partition":1,"kind":"a","n":1,"bad":2,"window":1}"#, "field bad" ; "more dropped than called")]
+    #[test_case(br#"{"msg":"outcomes","az":"a","host":"h","n":1,"bad":0,"avg":-4,"window":1}"#, "field avg" ; "a negative time")]
+    fn faults(line: &[u8], expected: &str) {
+        let fault = Line::parse(line).unwrap_err().0;
+        assert!(fault.contains(expected), "{fault}");
+    }
+}
--- /dev/null
+++ b/crates/protocol/src/config.rs
@@ -0,0 +1,123 @@
+//! The configuration: one JSON object.
+
+use crate::Fault;
+use serde_json::Value;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Config {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub relay: SocketAddr,
+    pub seed: u64,
+    /// The list as last had, in discovery's form.
+    pub known: Option<Vec<u8>>,
+    /// The settings by their paths.
+    pub settings: BTreeMap<String, String>,
+}
+
+/// Stands before and between the values of a plain list, as no name holds it.
+const UNIT: char = '\u{1f}';
+
+fn text<'a>(config: &'a Value, path: &str) -> Result<&'a str, Fault> {
+    let value = path.split('.').try_fold(config, |value, name| value.get(name));
+    value.ok_or_else(|| Fault::missing(path))?.as_str().ok_or_else(|| Fault::odd(path, "a text"))
+}
+
+fn address(config: &Value, path: &str) -> Result<SocketAddr, Fault> {
+    text(config, path)?.parse().map_err(|_| Fault::odd(path, "an address and a port, such as 127.0.0.1:8000"))
+}
+
+fn plain(value: &Value) -> Option<String> {
+    match value {
+        Value::String(text) => Some(text.clone()),
+        Value::Number(number) => Some(number.to_string()),
+        Value::Bool(flag) => Some(flag.to_string()),
+        _ => None,
+    }
+}
+
+/// Nested objects become paths; a list of objects gives its length under `.count`.
+fn flatten(path: &str, value: &Value, paths: &mut BTreeMap<String, String>) {
+    match value {
+        Value::Object(fields) => {
+            for (name, value) in fields {
+                let dot = if path.is_empty() { "" } else { "." };
+                flatten(&format!("{path}{dot}{name}"), value, paths);
+            }
+        }
+        Value::Array(items) if items.iter().any(Value::is_object) => {
+            paths.insert(format!("{path}.count"), items.len().to_string());
+            items.iter().enumerate().for_each(|(k, item)| flatten(&format!("{path}.{k}"), item, paths));
+        }
+        Value::Array(items) => {
+            let items = items.iter().filter_map(plain).map(|item| format!("{UNIT}{item}"));
+            paths.insert(path.to_string(), items.collect());
+        }
+        value => _ = plain(value).map(|value| paths.insert(path.to_string(), value)),
+    }
+}
+
+impl Config {
+    pub fn parse(bytes: &[u8]) -> Result<Self, Fault> {
+        let config: Value = serde_json::from_slice(bytes)?;
+        let settings = config.get("settings").ok_or_else(|| Fault::missing("settings"))?;
+        if !settings.is_object() {
+            return Err(Fault::odd("settings", "an object"));
+        }
+        let mut paths = BTreeMap::new();
+        flatten("", settings, &mut paths);
+        let seed = u64::from_str_radix(text(&config, "seed")?, 16);
+        Ok(Config {
+            name: text(&config, "name")?.to_string(),
+            listen: address(&config, "listen")?,
+            discovery: address(&config, "discovery")?,
+            relay: address(&config, "relay.address")?,
+            seed: seed.map_err(|_| Fault::odd("seed", "16 hex digits"))?,
+            known: config
+                .get("known")
+                .filter(|known| !known.is_null())
+                .map(|known| known.to_string().into_bytes()),
+            settings: paths,
+        })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use test_case::test_case;
+
+    const CONFIG: &str = r#"{"name":"n3","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"8c1f30d27a5be964",
+        "relay":{"address":"127.0.0.1:3"},"known":{"version":41,"full":true,"servers":[]},
+        "settings":{"me":3,"zones":["a","b, c"],"limits":{"may-probe":true},"classes":[{"worth":3.0}],"new":null}}"#;
+
+    #[test]
+    fn settings_become_paths() {
+        let config = Config::parse(CONFIG.as_bytes()).unwrap();
+        let settings: Vec<(&str, &str)> =
+            config.settings.iter().map(|(path, value)| (path.as_str(), value.as_str())).collect();
+        let expected = [
+            ("classes.0.worth", "3.0"),
+            ("classes.count", "1"),
+            ("limits.may-probe", "true"),
+            ("me", "3"),
+            ("zones", "\u{1f}a\u{1f}b, c"),
+        ];
+        assert_eq!(settings, expected);
+        assert_eq!((config.seed, config.relay.port()), (0x8c1f30d27a5be964, 3));
+    }
+
+    #[test_case("{", "}", "EOF" ; "cut off")]
+    #[test_case(r#""relay""#, r#""relais""#, "relay.address: missing" ; "no relay")]
+    #[test_case("127.0.0.1:1", "host:1", "listen: expected" ; "a name for an address")]
+    #[test_case("8c1f", "zz", "seed: expected" ; "a seed that is no number")]
+    #[test_case(r#""settings":{"#, r#""settings":7,"x":{"#, "settings: expected an object" ; "settings that are a number")]
+    fn faults_name_the_field(sound: &str, unsound: &str, expected: &str) {
+        let text = if sound == "{" { "{".to_string() } else { CONFIG.replace(sound, unsound) };
+        let fault = Config::parse(text.as_bytes()).unwrap_err().0;
+        assert!(fault.contains(expected), "{fault}");
+    }
+}
--- a/crates/settings/src/boot.rs
+++ b/crates/settings/src/boot.rs
@@ -33,14 +33,16 @@
     }
 }
 
-/// A list of plain values, joined by commas.
+/// A list of plain values: joined by commas, or, where names may hold commas, with a unit separator before each.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct List<T>(pub Vec<T>);
 
 impl<T: Value> Value for List<T> {
     const EXPECTED: &'static str = "values joined by commas";
     fn parse(text: &str) -> Option<Self> {
-        text.split(',').filter(|item| !item.is_empty()).map(T::parse).collect::<Option<_>>().map(List)
+        let unit = '\u{1f}';
+        let between = if text.starts_with(unit) { unit } else { ',' };
+        text.split(between).filter(|item| !item.is_empty()).map(T::parse).collect::<Option<_>>().map(List)
     }
     fn print(&self, out: &mut String) {
         for (at, item) in self.0.iter().enumerate() {
