Integration tests: the binary among stand-ins of relay, discovery and hosts

Found by them: counters asked for in quick turn were cut with the flood of log lines (logger.rs, the budget counted all levels); now only warnings are cut.

--- a/crates/director/src/logger.rs
+++ b/crates/director/src/logger.rs
@@ -1,11 +1,12 @@
-//! The log on standard error: seconds since the start, level, text. A flood of lines is cut to what can be read.
+//! The log on standard error: seconds since the start, level, text. A flood of warnings, such as bad input can cause,
+//! is cut to what can be read; what is decided or asked for is always written.
 
 use log::{Level, LevelFilter, Log, Metadata, Record};
 use std::io::Write;
 use std::sync::Mutex;
 use std::time::Instant;
 
-/// Lines in a second; more are counted and left out. Nobody reads more, and whoever takes them may block.
+/// Warnings in a second; more are counted and left out. Nobody reads more, and whoever takes them may block.
 const MOST: u32 = 200;
 
 struct Budget {
@@ -20,7 +21,7 @@
 }
 
 impl Budget {
-    /// Whether a line may be written in this second, and how many were left out before it.
+    /// Whether a warning may be written in this second, and how many were left out before it.
     fn take(&mut self, second: u64) -> Option<u32> {
         let mut before = 0;
         if second != self.second {
@@ -47,11 +48,13 @@
         }
         let at = self.started.elapsed();
         let Ok(mut budget) = self.budget.lock() else { return };
-        let Some(left_out) = budget.take(at.as_secs()) else { return };
+        let warning = record.level() < Level::Info;
+        let left_out = if warning { budget.take(at.as_secs()) } else { Some(0) };
+        let Some(left_out) = left_out else { return };
         let mut error = std::io::stderr().lock();
         // Whoever took the log may be gone; the director goes on without it.
         if left_out > 0 {
-            let _ = writeln!(error, "{:.3} WARN {left_out} lines left out", at.as_secs_f64());
+            let _ = writeln!(error, "{:.3} WARN {left_out} warnings left out", at.as_secs_f64());
         }
         let text = record.args().to_string().replace(['\n', '\r'], " ");
         let _ = writeln!(error, "{:.3} {} {text}", at.as_secs_f64(), record.level());
--- a/crates/director/src/reducer/mod.rs
+++ b/crates/director/src/reducer/mod.rs
@@ -5,6 +5,8 @@
 mod calls;
 mod list;
 mod news;
+#[cfg(test)]
+mod tests;
 
 use crate::counters::Counters;
 use crate::framing::Framed;
--- /dev/null
+++ b/crates/director/src/reducer/tests.rs
@@ -0,0 +1,215 @@
+//! Each part's state is built directly and one function is called.
+
+use super::calls::{Aim, Calls, Pace, Told};
+use super::news::{Item, News};
+use super::*;
+use coppersail::interface::{HostId, Input, ProxyId, SliceId, ZoneId};
+use test_case::test_case;
+
+const PACE: Pace = Pace { lines_per_s: 1000.0, backlog: 100.0, overhead: 9.0 };
+
+fn line(slice: u16, host: u32, weight: f64) -> Told {
+    let aim = Aim::Line(SliceId(slice), HostId(host));
+    Told { aim, weight, text: format!("SET,{slice},h{host},{weight}") }
+}
+
+fn ids() -> impl FnMut() -> LinkId {
+    let mut last = 0;
+    move || {
+        last += 1;
+        LinkId(last)
+    }
+}
+
+/// A queue with one connection up and these calls given.
+fn calls(given: &[&[Told]]) -> (Calls, Counters, Vec<Effect>) {
+    let (mut calls, mut counters, mut effects) = (Calls::new(PACE), Counters::default(), Vec::new());
+    given.iter().for_each(|call| calls.give(call.to_vec(), &mut counters));
+    calls.pump(0.0, &mut ids(), &mut counters, &mut effects);
+    calls.up(0.0, LinkId(1));
+    effects.clear();
+    calls.pump(0.0, &mut ids(), &mut counters, &mut effects);
+    (calls, counters, effects)
+}
+
+fn sent(effects: &[Effect]) -> Vec<String> {
+    let text = |effect: &Effect| match effect {
+        Effect::Send(_, bytes) => Some(String::from_utf8_lossy(bytes).trim_end().to_string()),
+        _ => None,
+    };
+    effects.iter().filter_map(text).collect()
+}
+
+#[test]
+fn one_call_is_out_at_a_time() {
+    let (mut calls, mut counters, mut effects) = calls(&[&[line(1, 1, 1.0)], &[line(2, 2, 0.5)]]);
+    assert_eq!(sent(&effects), ["txn SET,1,h1,1"]);
+    calls.pump(0.01, &mut ids(), &mut counters, &mut effects);
+    assert_eq!(sent(&effects).len(), 1, "the first is not answered yet");
+    let taken = calls.answer(0.02, b"OK 1", &mut counters, &mut effects);
+    assert_eq!(taken, [line(1, 1, 1.0)]);
+    calls.pump(0.02, &mut ids(), &mut counters, &mut effects);
+    assert_eq!(sent(&effects)[1..], ["txn SET,2,h2,0.5"]);
+}
+
+#[test_case(b"OK 2", 2, 0 ; "all taken")]
+#[test_case(b"OK 1", 1, 1 ; "the second refused")]
+#[test_case(b"OK 0", 0, 1 ; "the first refused")]
+#[test_case(b"OK 3", 0, 0 ; "more than there were cannot be read")]
+#[test_case(b"OK -1", 0, 0 ; "fewer than none cannot be read")]
+fn answers(answer: &[u8], taken: u64, refused: u64) {
+    let (mut calls, mut counters, mut effects) = calls(&[&[line(1, 1, 1.0), line(1, 2, 0.5)]]);
+    let told = calls.answer(0.01, answer, &mut counters, &mut effects);
+    assert_eq!((told.len() as u64, counters.orders_taken, counters.orders_refused), (taken, taken, refused));
+    assert_eq!(counters.calls_repeated, u64::from(taken + refused == 0));
+}
+
+#[test]
+fn a_long_call_is_split() {
+    let text = "x".repeat(25_000);
+    let long: Vec<Told> = (0..5).map(|k| Told { text: text.clone(), ..line(1, k, 1.0) }).collect();
+    let (_, counters, effects) = calls(&[&long]);
+    assert_eq!((sent(&effects)[0].len(), counters.calls_sent), (4 + 2 * 25_000 + 1, 1));
+}
+
+#[test]
+fn a_repeat_waits_until_the_backlog_holds_both_copies() {
+    let (mut calls, mut counters, mut effects) = (Calls::new(PACE), Counters::default(), Vec::new());
+    // Six proxies with nine lines of overhead and one of their own: 60 lines, twice is past the backlog of 100.
+    calls.proxies = 6;
+    calls.give(vec![line(1, 1, 1.0)], &mut counters);
+    let mut links = ids();
+    calls.pump(0.0, &mut links, &mut counters, &mut effects);
+    calls.up(0.0, LinkId(1));
+    calls.pump(0.0, &mut links, &mut counters, &mut effects);
+    calls.down(0.001, "broken", &mut counters, &mut effects);
+    calls.pump(0.001, &mut links, &mut counters, &mut effects);
+    calls.up(0.001, LinkId(2));
+    calls.pump(0.001, &mut links, &mut counters, &mut effects);
+    assert_eq!(sent(&effects).len(), 1, "60 + 60 - 1 lines would wait");
+    let at = calls.next();
+    assert!((0.015..0.025).contains(&at), "{at}");
+    calls.pump(at, &mut links, &mut counters, &mut effects);
+    calls.up(at, LinkId(2));
+    calls.pump(at, &mut links, &mut counters, &mut effects);
+    assert_eq!(sent(&effects).len(), 2);
+}
+
+#[test]
+fn what_waits_for_a_lost_relay_is_merged() {
+    let given: Vec<Vec<Told>> =
+        (0..40).map(|k| vec![line(1, 1, f64::from(k)), line(2, k % 2, 1.0)]).collect();
+    let given: Vec<&[Told]> = given.iter().map(Vec::as_slice).collect();
+    let (mut calls, mut counters, mut effects) = (Calls::new(PACE), Counters::default(), Vec::new());
+    let mut links = ids();
+    given.iter().for_each(|call| calls.give(call.to_vec(), &mut counters));
+    calls.pump(0.0, &mut links, &mut counters, &mut effects);
+    calls.up(0.0, LinkId(1));
+    calls.pump(0.0, &mut links, &mut counters, &mut effects);
+    assert_eq!(sent(&effects), ["txn SET,2,h0,1;SET,1,h1,39;SET,2,h1,1"], "the last of each, in their order");
+    assert_eq!(counters.calls_merged, 1);
+}
+
+fn joined(proxy: u16) -> Item {
+    Item::Joined { proxy: ProxyId(proxy), zone: ZoneId(0), calls_per_s: 1.0, fresh: false }
+}
+
+fn stored(slice: u16, host: u32, weight: f64) -> Item {
+    Item::Line { slice: SliceId(slice), host: HostId(host), weight }
+}
+
+/// News on `link` from its start to the first sign of life; the inputs made of them.
+fn told(news: &mut News, now: f64, link: u64, items: &[Item]) -> Vec<Input> {
+    let (mut effects, mut counters, mut inputs) = (Vec::new(), Counters::default(), Vec::new());
+    if !news.owns(LinkId(link)) {
+        news.pump(now, &mut || LinkId(link), &mut counters, &mut effects, &mut inputs);
+        news.up(now, LinkId(link), &mut counters, &mut effects);
+    }
+    for item in items {
+        news.take(now, LinkId(link), item.clone(), &|_| false, &mut inputs);
+    }
+    inputs
+}
+
+fn lost(news: &mut News, now: f64, link: u64) -> Vec<Input> {
+    let (mut effects, mut counters, mut inputs) = (Vec::new(), Counters::default(), Vec::new());
+    news.down(now, LinkId(link), "broken", &mut counters, &mut effects, &mut inputs);
+    inputs
+}
+
+const START: [Item; 2] = [Item::Given(SliceId(1)), Item::Given(SliceId(2))];
+
+#[test]
+fn a_new_connection_tells_what_went_and_what_changed_elsewhere() {
+    let mut news = News::default();
+    told(
+        &mut news,
+        0.0,
+        1,
+        &[
+            joined(1),
+            joined(2),
+            START[0].clone(),
+            stored(1, 1, 1.0),
+            START[1].clone(),
+            stored(2, 1, 1.0),
+            Item::Life,
+        ],
+    );
+    news.wrote(SliceId(1), HostId(2), 0.5);
+    lost(&mut news, 5.0, 1);
+    let again = [
+        joined(1),
+        START[0].clone(),
+        stored(1, 1, 1.0),
+        stored(1, 2, 0.5),
+        START[1].clone(),
+        stored(2, 7, 1.0),
+        Item::Life,
+    ];
+    let inputs = told(&mut news, 6.0, 2, &again);
+    let rest = [
+        Input::Left(ProxyId(2)),
+        Input::Given(SliceId(2)),
+        Input::StoredLine { slice: SliceId(2), host: HostId(7), weight: 1.0 },
+    ];
+    assert!(matches!(inputs[0], Input::Joined { proxy: ProxyId(1), .. }), "it may have missed something");
+    assert_eq!(inputs[1..], rest, "slice 1 stands as it was written");
+}
+
+#[test]
+fn the_second_connection_takes_over_without_a_gap() {
+    let mut news = News::default();
+    let start = [joined(1), START[0].clone(), stored(1, 1, 1.0), Item::Life];
+    assert_eq!(told(&mut news, 0.0, 1, &start).len(), 3);
+    assert_eq!(told(&mut news, 1.0, 2, &start), [], "what it tells is known");
+    // The first breaks before it tells what the second has told.
+    assert_eq!(told(&mut news, 2.0, 2, &[Item::Left(ProxyId(1)), joined(9), START[1].clone()]), []);
+    let inputs = lost(&mut news, 2.1, 1);
+    assert!(matches!(inputs[0], Input::Joined { proxy: ProxyId(9), .. }));
+    assert_eq!(inputs[1..], [Input::Left(ProxyId(1)), Input::Given(SliceId(2))]);
+    assert_eq!(told(&mut news, 2.2, 2, &[Item::Taken(SliceId(2))]), [Input::Taken(SliceId(2))]);
+}
+
+#[test]
+fn a_proxy_that_says_hello_again_has_joined_again() {
+    let mut news = News::default();
+    told(&mut news, 0.0, 1, &[joined(1), Item::Life]);
+    assert_eq!(told(&mut news, 1.0, 1, &[joined(1)]).len(), 1);
+}
+
+#[test]
+fn a_line_that_is_known_counts_once() {
+    let mut news = News::default();
+    told(&mut news, 0.0, 1, &[START[0].clone(), stored(1, 1, 1.0), Item::Life]);
+    assert_eq!(told(&mut news, 1.0, 1, &[stored(1, 1, 1.0)]), []);
+}
+
+#[test_case(Item::Left(ProxyId(5)) ; "a proxy that never joined")]
+#[test_case(Item::Taken(SliceId(5)) ; "a slice that was never given")]
+#[test_case(stored(5, 1, 1.0) ; "a line of no slice of ours")]
+fn news_of_strangers_change_nothing(item: Item) {
+    let mut news = News::default();
+    told(&mut news, 0.0, 1, &[joined(1), Item::Life]);
+    assert_eq!(told(&mut news, 1.0, 1, &[item]), []);
+}
--- /dev/null
+++ b/crates/director/tests/stand_ins/mod.rs
@@ -0,0 +1,503 @@
+//! Stand-ins for the director's surroundings, written from the public pages, and a director started among them.
+//! Everything listens on free loopback ports; waiting is for a condition, never for a time.
+
+use bytes::Bytes;
+use http_body_util::channel::{Channel, Sender as Body};
+use http_body_util::combinators::BoxBody;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::convert::Infallible;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+/// Far more than anything here takes; only a broken behaviour waits so long.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// A state that tests wait on.
+pub struct Watched<T>(Arc<(Mutex<T>, Condvar)>);
+
+impl<T> Clone for Watched<T> {
+    fn clone(&self) -> Self {
+        Watched(self.0.clone())
+    }
+}
+
+impl<T> Watched<T> {
+    pub fn new(state: T) -> Self {
+        Watched(Arc::new((Mutex::new(state), Condvar::new())))
+    }
+
+    pub fn change<R>(&self, change: impl FnOnce(&mut T) -> R) -> R {
+        let result = change(&mut self.lock());
+        self.0 .1.notify_all();
+        result
+    }
+
+    fn lock(&self) -> MutexGuard<'_, T> {
+        self.0 .0.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
+    /// What `look` finds, as soon as it finds something.
+    pub fn wait<R>(&self, what: &str, mut look: impl FnMut(&mut T) -> Option<R>) -> R {
+        let end = Instant::now() + PATIENCE;
+        let mut state = self.lock();
+        loop {
+            if let Some(found) = look(&mut state) {
+                return found;
+            }
+            let left = end.saturating_duration_since(Instant::now());
+            assert!(!left.is_zero(), "waited in vain: {what}");
+            let waited = self.0 .1.wait_timeout(state, left.min(Duration::from_millis(50)));
+            state = waited.unwrap_or_else(|poisoned| poisoned.into_inner()).0;
+        }
+    }
+}
+
+/// What the relay does with a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Deal {
+    Answer,
+    /// Carried out or not, and never answered.
+    Silent(bool),
+    Unreadable(bool),
+    Break(bool),
+    /// Turned away whole.
+    Throttle,
+    /// Stops at this order.
+    Refuse(usize),
+    /// Answered; then the connection ends.
+    Close,
+}
+
+#[derive(Default)]
+pub struct RelayState {
+    /// Each call's orders and the connection it came on, as it came.
+    pub calls: Vec<(usize, Vec<String>)>,
+    /// What is done with the next calls; then all are answered.
+    pub deals: VecDeque<Deal>,
+    pub proxies: BTreeSet<u16>,
+    pub slices: BTreeMap<u16, BTreeMap<String, f64>>,
+    pub out: BTreeSet<String>,
+    pub connections: usize,
+    pub follows: usize,
+    news: Vec<TcpStream>,
+    pub mute: bool,
+}
+
+impl RelayState {
+    /// To all that have asked for news.
+    pub fn tell(&mut self, line: &str) {
+        self.news.retain_mut(|stream| stream.write_all(format!("{line}\r\n").as_bytes()).is_ok());
+    }
+
+    /// Ends all news connections.
+    pub fn cut_news(&mut self) {
+        self.news.drain(..).for_each(|stream| drop(stream.shutdown(std::net::Shutdown::Both)));
+    }
+
+    /// Ends the news connection that was opened first.
+    pub fn cut_first_news(&mut self) {
+        let _ = self.news.remove(0).shutdown(std::net::Shutdown::Both);
+    }
+
+    fn standing(&self) -> String {
+        let mut text = String::from("OK\r\n");
+        self.proxies.iter().for_each(|proxy| text += &format!("* hello {proxy} a 5.0 0\r\n"));
+        for (slice, lines) in &self.slices {
+            text += &format!("* lease {slice} 1\r\n");
+            lines.iter().for_each(|(host, weight)| text += &format!("* line {slice} {host} {weight}\r\n"));
+        }
+        text
+    }
+
+    fn carry_out(&mut self, orders: &[String]) {
+        for order in orders {
+            match order.split(',').collect::<Vec<_>>()[..] {
+                ["SET", slice, host, weight] => {
+                    let weight: f64 = weight.parse().unwrap();
+                    let Some(lines) = self.slices.get_mut(&slice.parse().unwrap()) else { continue };
+                    _ = if weight > 0.0 { lines.insert(host.into(), weight) } else { lines.remove(host) };
+                }
+                ["OUT", host] => _ = self.out.insert(host.into()),
+                ["IN", host] => _ = self.out.remove(host),
+                ["LIMIT", ..] | ["SYNC", ..] | ["DEL", ..] => {}
+                _ => panic!("no order: {order}"),
+            }
+        }
+    }
+}
+
+fn relay(listener: TcpListener, state: Watched<RelayState>) {
+    let life = state.clone();
+    std::thread::spawn(move || loop {
+        // The relay's own beat, quicker than the real one so that tests are.
+        std::thread::park_timeout(Duration::from_millis(200));
+        life.change(|state| {
+            if !state.mute {
+                state.tell("*");
+            }
+        });
+    });
+    for stream in listener.incoming().map_while(Result::ok) {
+        let state = state.clone();
+        std::thread::spawn(move || {
+            let id = state.change(|state| {
+                state.connections += 1;
+                state.connections
+            });
+            talk(id, stream, &state);
+        });
+    }
+}
+
+fn talk(id: usize, stream: TcpStream, state: &Watched<RelayState>) {
+    let Ok(mut writer) = stream.try_clone() else { return };
+    for line in BufReader::new(stream).lines().map_while(Result::ok) {
+        if line == "follow" {
+            state.change(|state| {
+                state.follows += 1;
+                let Ok(news) = writer.try_clone() else { return };
+                if !state.mute && writer.write_all(state.standing().as_bytes()).is_ok() {
+                    state.news.push(news);
+                }
+            });
+            continue;
+        }
+        let Some(orders) = line.strip_prefix("txn ") else { panic!("no call: {line}") };
+        let orders: Vec<String> = orders.split(';').map(str::to_string).collect();
+        let deal = state.change(|state| {
+            let deal = state.deals.pop_front().unwrap_or(Deal::Answer);
+            let many = match deal {
+                Deal::Answer | Deal::Close => orders.len(),
+                Deal::Silent(done) | Deal::Unreadable(done) | Deal::Break(done) => {
+                    orders.len() * done as usize
+                }
+                Deal::Throttle => 0,
+                Deal::Refuse(at) => at.min(orders.len()),
+            };
+            state.carry_out(&orders[..many]);
+            state.calls.push((id, orders.clone()));
+            deal
+        });
+        let answer = match deal {
+            Deal::Answer | Deal::Close => format!("OK {}\r\n", orders.len()),
+            Deal::Refuse(at) => format!("OK {}\r\n", at.min(orders.len())),
+            Deal::Unreadable(_) => "O\u{1}?\r\n".to_string(),
+            Deal::Throttle => "Throttling\r\n".to_string(),
+            Deal::Silent(_) => continue,
+            Deal::Break(_) => String::new(),
+        };
+        let _ = writer.write_all(answer.as_bytes());
+        if matches!(deal, Deal::Break(_) | Deal::Close) {
+            let _ = writer.shutdown(std::net::Shutdown::Both);
+            return;
+        }
+    }
+}
+
+#[derive(Default)]
+pub struct DiscoveryState {
+    /// Paths asked for.
+    pub asked: Vec<String>,
+    /// The first line of the next watch.
+    pub first: String,
+    watches: Vec<Body<Bytes>>,
+    pub mute: bool,
+}
+
+impl DiscoveryState {
+    pub fn tell(&mut self, line: &str) {
+        let line = Bytes::from(format!("{line}\n"));
+        self.watches.retain_mut(|watch| watch.try_send(hyper::body::Frame::data(line.clone())).is_ok());
+    }
+
+    /// Ends all watches.
+    pub fn cut(&mut self) {
+        self.watches.clear();
+    }
+}
+
+#[derive(Default)]
+pub struct HostState {
+    /// Paths asked for.
+    pub asked: Vec<String>,
+    pub status: u16,
+}
+
+type Answer = Response<BoxBody<Bytes, Infallible>>;
+
+fn discovery_answer(path: String, state: &Watched<DiscoveryState>) -> Answer {
+    let (sender, body) = Channel::new(1024);
+    state.change(|state| {
+        state.asked.push(path);
+        state.watches.push(sender);
+        if !state.mute {
+            let first = state.first.clone();
+            let last = state.watches.len() - 1;
+            let _ = state.watches[last].try_send(hyper::body::Frame::data(Bytes::from(format!("{first}\n"))));
+        }
+    });
+    Response::new(body.boxed())
+}
+
+fn host_answer(path: String, state: &Watched<HostState>) -> Answer {
+    let status = state.change(|state| {
+        state.asked.push(path);
+        state.status
+    });
+    let mut answer = Response::new(Full::new(Bytes::from("TEXT q=0, lat_ms=100.5")).boxed());
+    *answer.status_mut() = hyper::StatusCode::from_u16(status).unwrap();
+    answer
+}
+
+/// Serves HTTP on a thread of its own.
+fn http<S: Send + 'static>(
+    listener: TcpListener,
+    state: Watched<S>,
+    answer: fn(String, &Watched<S>) -> Answer,
+) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    listener.set_nonblocking(true).unwrap();
+    runtime.block_on(async move {
+        let listener = tokio::net::TcpListener::from_std(listener).unwrap();
+        while let Ok((stream, _)) = listener.accept().await {
+            let state = state.clone();
+            let service = service_fn(move |request: Request<Incoming>| {
+                let answer = answer(request.uri().to_string(), &state);
+                async move { Ok::<_, Infallible>(answer) }
+            });
+            tokio::spawn(http1::Builder::new().serve_connection(TokioIo::new(stream), service));
+        }
+    });
+}
+
+fn listener() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    (listener, address)
+}
+
+/// A director among stand-ins.
+pub struct World {
+    pub relay: Watched<RelayState>,
+    pub discovery: Watched<DiscoveryState>,
+    pub host: Watched<HostState>,
+    pub log: Watched<Vec<String>>,
+    pub listen: SocketAddr,
+    host_address: SocketAddr,
+    folder: PathBuf,
+    director: Child,
+}
+
+impl World {
+    /// Three hosts in service, three proxies joined, two slices on the first host.
+    pub fn start() -> Self {
+        let ((relay_socket, relay_at), (discovery_socket, discovery_at)) = (listener(), listener());
+        let ((host_socket, host_address), (free, listen)) = (listener(), listener());
+        drop(free);
+        let lines = BTreeMap::from([("s-1".to_string(), 1.0)]);
+        let relay_state = Watched::new(RelayState {
+            proxies: BTreeSet::from([1, 2, 3]),
+            slices: BTreeMap::from([(0, lines.clone()), (1, lines)]),
+            ..RelayState::default()
+        });
+        let first = r#"{"version":1,"full":false,"servers":[]}"#.to_string();
+        let discovery = Watched::new(DiscoveryState { first, ..DiscoveryState::default() });
+        let host = Watched::new(HostState { status: 200, ..HostState::default() });
+        let (state, beat) = (relay_state.clone(), discovery.clone());
+        std::thread::spawn(move || relay(relay_socket, state));
+        let state = discovery.clone();
+        std::thread::spawn(move || http(discovery_socket, state, discovery_answer));
+        let state = host.clone();
+        std::thread::spawn(move || http(host_socket, state, host_answer));
+        std::thread::spawn(move || loop {
+            std::thread::park_timeout(Duration::from_millis(200));
+            beat.change(|state| {
+                if !state.mute {
+                    state.tell("");
+                }
+            });
+        });
+        let folder =
+            std::env::temp_dir().join(format!("coppersail-{}-{}", std::process::id(), listen.port()));
+        std::fs::create_dir_all(&folder).unwrap();
+        let known = list(1, true, &["s-1", "s-2", "s-3"].map(|id| entry(id, host_address, "in_service")));
+        let config = config(listen, discovery_at, relay_at, &known);
+        std::fs::write(folder.join("config.json"), config).unwrap();
+        let (director, log) = spawn(&folder.join("config.json"));
+        World { relay: relay_state, discovery, host, log, listen, host_address, folder, director }
+    }
+
+    /// Waits until the tables are laid: every slice has its second line.
+    pub fn laid() -> Self {
+        let world = World::start();
+        world.relay.wait("both slices have two lines", |state| {
+            state.slices.values().all(|lines| lines.len() == 2).then_some(())
+        });
+        world
+    }
+
+    pub fn connect(&self) -> Collector {
+        let end = Instant::now() + PATIENCE;
+        loop {
+            match TcpStream::connect(self.listen) {
+                Ok(stream) => {
+                    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+                    return Collector(stream);
+                }
+                Err(_) => assert!(Instant::now() < end, "the director does not listen"),
+            }
+            std::thread::yield_now();
+        }
+    }
+
+    /// Discovery tells of a host's new state.
+    pub fn list_change(&self, version: u64, id: &str, state: &str) {
+        let line = list(version, false, &[entry(id, self.host_address, state)]);
+        self.discovery.change(|state| {
+            state.first = line.clone();
+            state.tell(&line);
+        });
+    }
+
+    pub fn whole_list(&self, version: u64, ids: &[&str]) -> String {
+        let entries: Vec<String> = ids.iter().map(|id| entry(id, self.host_address, "in_service")).collect();
+        list(version, true, &entries)
+    }
+
+    pub fn signal(&self, name: &str) {
+        // The shell's own: a program of that name is not on every machine.
+        let sent =
+            Command::new("sh").args(["-c", &format!("kill -s {name} {}", self.director.id())]).status();
+        assert!(sent.unwrap().success());
+    }
+
+    /// The counters, as asked for by signal.
+    pub fn counter(&self, name: &str) -> u64 {
+        let before = self.log.change(|lines| lines.len());
+        self.signal("USR1");
+        self.log.wait("counters", |lines| {
+            let line = lines[before..].iter().find(|line| line.contains(" counters "))?;
+            let at = line.split(' ').find_map(|pair| pair.strip_prefix(&format!("{name}=")));
+            Some(at.unwrap_or_else(|| panic!("no counter {name}")).parse().unwrap())
+        })
+    }
+
+    /// Waits until a counter has reached a figure.
+    pub fn counted(&self, name: &str, least: u64) {
+        let end = Instant::now() + PATIENCE;
+        while self.counter(name) < least {
+            assert!(Instant::now() < end, "{name} stays below {least}");
+        }
+    }
+
+    pub fn logged(&self, text: &str) {
+        self.log.wait(text, |lines| lines.iter().any(|line| line.contains(text)).then_some(()));
+    }
+
+    /// Open descriptors of the director.
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.director.id())).unwrap().count()
+    }
+
+    pub fn exit(&mut self) -> Option<i32> {
+        let (end, mut code) = (Instant::now() + PATIENCE, None);
+        while code.is_none() && Instant::now() < end {
+            code = self.director.try_wait().unwrap();
+            std::thread::yield_now();
+        }
+        code.expect("the director goes on").code()
+    }
+
+    /// Kills the director outright and starts it anew.
+    pub fn restart(&mut self) {
+        let _ = self.director.kill();
+        let _ = self.director.wait();
+        (self.director, self.log) = spawn(&self.folder.join("config.json"));
+    }
+}
+
+impl Drop for World {
+    fn drop(&mut self) {
+        let _ = self.director.kill();
+        let _ = self.director.wait();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// A connection to the director's address.
+pub struct Collector(TcpStream);
+
+impl Collector {
+    pub fn say(&mut self, line: &[u8]) {
+        self.0.write_all(line).unwrap();
+        self.0.write_all(b"\n").unwrap();
+    }
+
+    /// Bytes without an end of line; the other side may have ended the connection.
+    pub fn bytes(&mut self, bytes: &[u8]) -> bool {
+        self.0.write_all(bytes).is_ok()
+    }
+
+    /// Asks for a sign of life.
+    pub fn alive(&mut self) -> bool {
+        let asked = self.0.write_all(b"{\"msg\":\"probe\"}\n").is_ok();
+        let mut answer = [0; 16];
+        asked && self.0.read_exact(&mut answer).is_ok() && &answer == b"{\"msg\":\"alive\"}\n"
+    }
+
+    /// Whether the director ends the connection, within the tests' patience.
+    pub fn ended(&mut self) -> bool {
+        !matches!(self.0.read(&mut [0; 16]), Ok(1..))
+    }
+}
+
+pub fn entry(id: &str, address: SocketAddr, state: &str) -> String {
+    format!(
+        r#"{{"id":"{id}","addr":"{address}","zone":"a","kind":"m2","cell":0,"state":"{state}","weight":1.0,"started_ms":0}}"#
+    )
+}
+
+pub fn list(version: u64, full: bool, entries: &[String]) -> String {
+    format!(r#"{{"version":{version},"full":{full},"servers":[{}]}}"#, entries.join(","))
+}
+
+pub fn config(listen: SocketAddr, discovery: SocketAddr, relay: SocketAddr, known: &str) -> String {
+    format!(
+        r#"{{"name":"n0","listen":"{listen}","discovery":"{discovery}","seed":"8c1f30d27a5be964",
+        "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"relay":{{"address":"{relay}"}},"known":{known},
+        "settings":{{"me":0,"balancers":1,"discovery":"pushed","zones":["a"],"kinds":["m2"],
+        "classes":[{{"name":"lookup","aim-ns":1000000000,"give-up-ns":3000000000,"worth":1.0,"semantics":"safe"}}],
+        "guarantees":{{"cold-from":0.2,"fall-multiple":4.0,"ramp-time-ns":2000000000,"stop-sending-within-ns":2000000000}},
+        "limits":{{"may-probe":true}},"report":{{"columns":["q","lat_ms"],"source":"piggyback"}},
+        "specifics":{{"slices":2,"proxy-count":3,"lines-per-s":60000.0,"backlog":120000.0,"overhead":12.0,
+        "interval-ns":1000000000,"admission":"fraction"}}}}}}"#
+    )
+}
+
+/// Starts the binary; its log comes line by line.
+pub fn spawn(config: &std::path::Path) -> (Child, Watched<Vec<String>>) {
+    let mut director = Command::new(env!("CARGO_BIN_EXE_coppersail-director"))
+        .env("EDGE_CONFIG", config)
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let (lines, log) = (BufReader::new(director.stderr.take().unwrap()), Watched::new(Vec::new()));
+    let heard = log.clone();
+    std::thread::spawn(move || {
+        lines
+            .lines()
+            .map_while(Result::ok)
+            .for_each(|line| heard.change(|lines: &mut Vec<String>| lines.push(line)));
+    });
+    (director, log)
+}
