--- a/crates/director/src/main.rs
+++ b/crates/director/src/main.rs
@@ -49,12 +49,12 @@
     }
 }
 
-fn configured() -> Result<(Config, Reducer), String> {
+/// `wall_ns`: what the wall clock showed at the start.
+fn configured(wall_ns: u64) -> Result<(Config, Reducer), String> {
     let path = std::env::var("EDGE_CONFIG").map_err(|_| "EDGE_CONFIG is not set".to_string())?;
     let bytes = std::fs::read(&path).map_err(|wrong| format!("EDGE_CONFIG: {wrong}"))?;
     let config = Config::parse(&bytes).map_err(|fault| format!("configuration: {fault}"))?;
-    let wall = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |wall| wall.as_nanos() as u64);
-    let reducer = Reducer::new(&config, wall).map_err(|wrong| format!("configuration: {wrong}"))?;
+    let reducer = Reducer::new(&config, wall_ns).map_err(|wrong| format!("configuration: {wrong}"))?;
     Ok((config, reducer))
 }
 
@@ -96,9 +96,10 @@
 }
 
 fn main() -> ExitCode {
-    let started = Instant::now();
+    let (started, wall) = (Instant::now(), SystemTime::now());
+    let wall_ns = wall.duration_since(UNIX_EPOCH).map_or(0, |wall| wall.as_nanos() as u64);
     logger::start(started);
-    let (config, reducer) = match configured() {
+    let (config, reducer) = match configured(wall_ns) {
         Ok(ready) => ready,
         Err(wrong) => {
             eprintln!("coppersail-director: {wrong}");
--- a/crates/director/src/reducer/calls.rs
+++ b/crates/director/src/reducer/calls.rs
@@ -122,10 +122,14 @@
         counters.calls_merged += 1;
     }
 
-    /// Whether an order is under way that would set a line of this slice.
-    pub fn concerns(&self, slice: SliceId) -> bool {
-        let sets = |told: &Told| matches!(told.aim, Aim::Line(of, _) | Aim::Clear(of) if of == slice);
-        self.due.is_some() && self.waiting.front().is_some_and(|call| call.iter().any(sets))
+    /// The slices of which the call that is out sets lines.
+    pub fn under_way(&self) -> BTreeSet<SliceId> {
+        let out = self.waiting.front().filter(|_| self.due.is_some() || self.repeats > 0);
+        let slice = |told: &Told| match told.aim {
+            Aim::Line(slice, _) | Aim::Clear(slice) => Some(slice),
+            _ => None,
+        };
+        out.into_iter().flatten().filter_map(slice).collect()
     }
 
     /// Sends the next call if one may go.
--- a/crates/director/src/reducer/mod.rs
+++ b/crates/director/src/reducer/mod.rs
@@ -306,8 +306,7 @@
             };
             match item {
                 Ok(item) => {
-                    let concerned = |slice| self.calls.concerns(slice);
-                    self.news.take(now, link, item, &concerned, &mut self.inputs);
+                    self.news.take(now, link, item, &mut self.inputs);
                 }
                 Err(fault) => {
                     // What it would have told is in what stands, which a new connection is told.
@@ -390,6 +389,7 @@
             LinkId(self.links)
         };
         self.calls.pump(now, &mut next, &mut self.counters, &mut self.effects);
+        self.news.under_way = self.calls.under_way();
         let wake = self.wakes.iter().map(|(at, _)| *at).fold(f64::INFINITY, f64::min);
         let wake = wake.min(self.calls.next()).min(self.news.next()).min(self.list.next());
         self.effects.push(Effect::Wake(wake));
--- a/crates/director/src/reducer/news.rs
+++ b/crates/director/src/reducer/news.rs
@@ -55,6 +55,8 @@
     feeds: Vec<Feed>,
     /// What the decisions have been told; lines as far as the relay has taken them.
     pub known: Standing,
+    /// Slices whose lines are in a call that is not settled: what stands of them may be old or new.
+    pub under_way: BTreeSet<SliceId>,
     dial_at: f64,
 }
 
@@ -136,12 +138,12 @@
             }
         }
         if feed.whole {
-            self.reconcile(now, &|_| false, inputs);
+            self.reconcile(now, inputs);
         }
     }
 
     /// All that stands is told: what is not among it is gone, and what was changed elsewhere is given anew.
-    fn reconcile(&mut self, now: f64, concerned: &dyn Fn(SliceId) -> bool, inputs: &mut Vec<Input>) {
+    fn reconcile(&mut self, now: f64, inputs: &mut Vec<Input>) {
         let Some(feed) = self.feeds.first_mut() else { return };
         let (standing, known) = (&feed.standing, &mut self.known);
         for proxy in known.proxies.keys().filter(|proxy| !standing.proxies.contains_key(proxy)) {
@@ -155,7 +157,7 @@
         for slice in std::mem::take(&mut feed.again) {
             let Some((_, lines)) = standing.slices.get(&slice) else { continue };
             let held = known.slices.get(&slice).map(|(_, lines)| lines);
-            if held.is_some_and(|held| concerned(slice) || alike(held, lines)) {
+            if held.is_some_and(|held| self.under_way.contains(&slice) || alike(held, lines)) {
                 continue;
             }
             inputs.push(Input::Given(slice));
@@ -164,15 +166,8 @@
         }
     }
 
-    /// Takes one line of news; `concerned` tells of slices whose lines are under way, `known` of none.
-    pub fn take(
-        &mut self,
-        now: f64,
-        id: LinkId,
-        item: Item,
-        concerned: &dyn Fn(SliceId) -> bool,
-        inputs: &mut Vec<Input>,
-    ) {
+    /// Takes one line of news.
+    pub fn take(&mut self, now: f64, id: LinkId, item: Item, inputs: &mut Vec<Input>) {
         let Some(at) = self.feeds.iter().position(|feed| feed.link == id) else { return };
         let (feed, known, leads) = (&mut self.feeds[at], &mut self.known, at == 0);
         feed.heard = now;
@@ -180,12 +175,14 @@
             Item::Start => {}
             Item::Life => {
                 if !std::mem::replace(&mut feed.whole, true) && leads {
-                    self.reconcile(now, concerned, inputs);
+                    self.reconcile(now, inputs);
                 }
             }
             Item::Joined { proxy, zone, calls_per_s, fresh } => {
                 let input = Input::Joined { proxy, zone, calls_per_s, fresh };
-                feed.standing.proxies.insert(proxy, (now, input.clone()));
+                let at = known.proxies.get(&proxy).map(|(at, _)| *at);
+                let at = at.filter(|_| !feed.whole && !leads).unwrap_or(now);
+                feed.standing.proxies.insert(proxy, (at, input.clone()));
                 if leads {
                     known.proxies.insert(proxy, (now, input.clone()));
                     inputs.push(input);
@@ -203,7 +200,10 @@
                 }
             }
             Item::Given(slice) => {
-                feed.standing.slices.insert(slice, (now, Lines::new()));
+                // What stands at the start of a second connection is no news where it is known.
+                let at = known.slices.get(&slice).map(|(at, _)| *at);
+                let at = at.filter(|_| !feed.whole && !leads).unwrap_or(now);
+                feed.standing.slices.insert(slice, (at, Lines::new()));
                 if leads && !feed.whole && known.slices.contains_key(&slice) {
                     feed.again.insert(slice);
                 } else if leads {
@@ -234,15 +234,20 @@
         }
     }
 
-    /// The relay has taken this line.
+    /// The relay has taken this line: so it stands, whether or not a connection's start has told it.
     pub fn wrote(&mut self, slice: SliceId, host: HostId, weight: f64) {
-        if let Some((_, lines)) = self.known.slices.get_mut(&slice) {
+        for (_, lines) in self.stored(slice) {
             _ = if weight > 0.0 { lines.insert(host, weight) } else { lines.remove(&host) };
         }
     }
 
     pub fn cleared(&mut self, slice: SliceId) {
-        self.known.slices.entry(slice).and_modify(|(_, lines)| lines.clear());
+        self.stored(slice).for_each(|(_, lines)| lines.clear());
+    }
+
+    fn stored(&mut self, slice: SliceId) -> impl Iterator<Item = &mut (f64, Lines)> {
+        let feeds = self.feeds.iter_mut().map(|feed| &mut feed.standing);
+        feeds.chain([&mut self.known]).filter_map(move |standing| standing.slices.get_mut(&slice))
     }
 
     pub fn next(&self) -> f64 {
--- a/crates/director/src/reducer/tests.rs
+++ b/crates/director/src/reducer/tests.rs
@@ -126,7 +126,7 @@
         news.up(now, LinkId(link), &mut counters, &mut effects);
     }
     for item in items {
-        news.take(now, LinkId(link), item.clone(), &|_| false, &mut inputs);
+        news.take(now, LinkId(link), item.clone(), &mut inputs);
     }
     inputs
 }
@@ -191,6 +191,25 @@
     assert_eq!(told(&mut news, 2.2, 2, &[Item::Taken(SliceId(2))]), [Input::Taken(SliceId(2))]);
 }
 
+#[test]
+fn what_was_written_since_both_began_is_no_change_elsewhere() {
+    let mut news = News::default();
+    let start = [joined(1), START[0].clone(), stored(1, 1, 1.0), Item::Life];
+    told(&mut news, 0.0, 1, &start);
+    told(&mut news, 3.0, 2, &start);
+    news.wrote(SliceId(1), HostId(2), 0.5);
+    assert_eq!(lost(&mut news, 5.0, 1), []);
+}
+
+#[test]
+fn a_slice_whose_lines_are_under_way_is_not_held_for_changed() {
+    let mut news = News::default();
+    told(&mut news, 0.0, 1, &[START[0].clone(), stored(1, 1, 1.0), Item::Life]);
+    lost(&mut news, 1.0, 1);
+    news.under_way.insert(SliceId(1));
+    assert_eq!(told(&mut news, 2.0, 2, &[START[0].clone(), stored(1, 4, 1.0), Item::Life]), []);
+}
+
 #[test]
 fn a_proxy_that_says_hello_again_has_joined_again() {
     let mut news = News::default();
