An unknown slice, proxy or zone costs only its own line

Now names and numbers are checked where they come in (reducer, named), counted and logged; only a line that is none costs its news connection, as what follows it can't be relied on.

--- a/crates/director/src/reducer/list.rs
+++ b/crates/director/src/reducer/list.rs
@@ -1,6 +1,6 @@
 //! The list of hosts as discovery tells it: one watch, dialled again when it ends or falls silent.
 
-use super::{Effect, LinkId};
+use super::{named, Effect, LinkId};
 use crate::counters::Counters;
 use crate::framing::Framed;
 use coppersail::interface::{CellId, HostId, HostState, Input, ListScope, Listing};
@@ -163,9 +163,8 @@
     }
 
     fn listing(&mut self, server: &Server<'_>, names: &mut Names) -> Result<Listing, Fault> {
-        let fault = |field: &str, expected: String| Fault(format!("field {field}: expected {expected}"));
-        let zone = names.zone(&server.zone).map_err(|expected| fault("zone", expected))?;
-        let kind = names.kind(&server.kind).map_err(|expected| fault("kind", expected))?;
+        let zone = named("zone", names.zone(&server.zone))?;
+        let kind = named("kind", names.kind(&server.kind))?;
         let started_ns = server.started_ms.saturating_mul(1_000_000);
         let listing = Listing {
             host: names.host(&server.id),
--- a/crates/director/src/reducer/mod.rs
+++ b/crates/director/src/reducer/mod.rs
@@ -98,9 +98,17 @@
     sound: bool,
 }
 
+/// What a message names, if we know it by that name.
+fn named<T>(field: &str, found: Result<T, String>) -> Result<T, Fault> {
+    found.map_err(|expected| Fault(format!("field {field}: expected {expected}")))
+}
+
 pub struct Reducer {
     director: Director,
     names: Names,
+    /// Slices and proxies are numbered below these; no figure for proxies: any.
+    slices: u64,
+    proxies: u64,
     may_follow: bool,
     probe_path: &'static str,
     taken: BTreeMap<ConnId, Taken>,
@@ -131,6 +139,8 @@
         };
         let may_follow = !told.list_is_pushed;
         let mut reducer = Reducer {
+            slices: told.slices,
+            proxies: told.proxies,
             director: Director::new(told, config.seed),
             names: Names::new(&boot),
             may_follow,
@@ -257,25 +267,19 @@
                 self.effects.push(Effect::Say(conn, ALIVE));
             }
             Line::Zone(zone) => {
-                self.names.zone(&zone).map_err(|expected| Fault(format!("field az: expected {expected}")))?;
+                named("az", self.names.zone(&zone))?;
                 self.counters.zones_named += 1;
             }
             Line::Tries { zone, host, tries, dropped, rt, span, report } => {
-                let zone = self
-                    .names
-                    .zone(&zone)
-                    .map_err(|expected| Fault(format!("field az: expected {expected}")))?;
-                let host = self.names.known_host(&host);
-                let host = host.ok_or_else(|| Fault("field host: not one that was listed".to_string()))?;
+                let zone = named("az", self.names.zone(&zone))?;
+                let host = self.names.known_host(&host).ok_or("a host that was listed".to_string());
+                let (host, load) = (named("host", host)?, self.load(&report));
                 self.counters.sums_of_tries += 1;
-                let load = self.load(&report);
                 self.inputs.push(api::Input::Tries { host, zone, span, tries, dropped, rt, load });
             }
             Line::Demand { slice, route, calls, dropped, span } => {
-                let route = self.names.route(&route);
-                let route = route.map_err(|expected| Fault(format!("field kind: expected {expected}")))?;
+                let (slice, route) = (self.slice(slice)?, named("kind", self.names.route(&route))?);
                 self.counters.sums_of_calls += 1;
-                let slice = api::SliceId(slice);
                 self.inputs.push(api::Input::Demand { slice, route, calls, dropped, span });
             }
         }
@@ -300,16 +304,18 @@
             }
         } else if self.news.owns(link) {
             self.counters.news_lines += 1;
-            let item = match &line {
-                Framed::Line(line) => self.item(line),
+            let news = match &line {
+                Framed::Line(line) => NewsLine::parse(line),
                 Framed::TooLong => Err(Fault("a line without an end".to_string())),
             };
-            match item {
-                Ok(item) => {
-                    self.news.take(now, link, item, &mut self.inputs);
+            match news.map(|news| self.item(news)) {
+                Ok(Ok(item)) => self.news.take(now, link, item, &mut self.inputs),
+                Ok(Err(unknown)) => {
+                    self.counters.news_bad += 1;
+                    self.warn(format!("relay: news passed over, {unknown}"));
                 }
                 Err(fault) => {
-                    // What it would have told is in what stands, which a new connection is told.
+                    // What else it would have told can't be relied on; a new connection is told all that stands.
                     self.counters.news_bad += 1;
                     let (counters, effects) = (&mut self.counters, &mut self.effects);
                     self.news.down(now, link, &fault.0, counters, effects, &mut self.inputs);
@@ -318,28 +324,44 @@
         }
     }
 
-    fn item(&mut self, line: &[u8]) -> Result<Item, Fault> {
-        Ok(match NewsLine::parse(line)? {
+    fn item(&mut self, news: NewsLine<'_>) -> Result<Item, Fault> {
+        Ok(match news {
             NewsLine::Start => Item::Start,
             NewsLine::Life => Item::Life,
             NewsLine::Joined { proxy, zone, calls_per_s, fresh } => {
-                let zone =
-                    self.names.zone(zone).map_err(|expected| Fault(format!("field az: {expected}")))?;
-                Item::Joined { proxy: api::ProxyId(proxy), zone, calls_per_s, fresh }
+                let (proxy, zone) = (self.proxy(proxy)?, named("az", self.names.zone(zone))?);
+                Item::Joined { proxy, zone, calls_per_s, fresh }
             }
-            NewsLine::Left { proxy } => Item::Left(api::ProxyId(proxy)),
+            NewsLine::Left { proxy } => Item::Left(self.proxy(proxy)?),
             NewsLine::Applied { proxy, mark, took } => {
-                let proxy = api::ProxyId(proxy);
+                let proxy = self.proxy(proxy)?;
                 Item::Applied(api::Input::Applied { proxy, mark: api::MarkId(mark), took }, proxy)
             }
-            NewsLine::Given { slice } => Item::Given(api::SliceId(slice)),
-            NewsLine::Taken { slice } => Item::Taken(api::SliceId(slice)),
+            NewsLine::Given { slice } => Item::Given(self.slice(slice)?),
+            NewsLine::Taken { slice } => Item::Taken(self.slice(slice)?),
             NewsLine::StoredLine { slice, host, weight } => {
-                Item::Line { slice: api::SliceId(slice), host: self.names.host(host), weight }
+                Item::Line { slice: self.slice(slice)?, host: self.names.host(host), weight }
             }
         })
     }
 
+    fn slice(&self, slice: u16) -> Result<api::SliceId, Fault> {
+        let unknown = || Err(format!("a slice below {}", self.slices));
+        named("partition", if u64::from(slice) < self.slices { Ok(api::SliceId(slice)) } else { unknown() })
+    }
+
+    fn proxy(&self, proxy: u16) -> Result<api::ProxyId, Fault> {
+        let unknown = || Err(format!("a proxy below {}", self.proxies));
+        named(
+            "sidecar",
+            if self.proxies == 0 || u64::from(proxy) < self.proxies {
+                Ok(api::ProxyId(proxy))
+            } else {
+                unknown()
+            },
+        )
+    }
+
     fn probed(&mut self, host: api::HostId, end: ProbeEnd, took: f64, body: &[u8]) {
         let (outcome, count) = match end {
             ProbeEnd::Status(200) => (api::Outcome::Answered, &mut self.counters.probes_answered),
--- a/crates/director/src/reducer/tests.rs
+++ b/crates/director/src/reducer/tests.rs
@@ -235,7 +235,7 @@
 
 fn reducer() -> Reducer {
     let config = r#"{"name":"n","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"1","relay":{"address":"127.0.0.1:3"},
-        "settings":{"zones":["a"],"kinds":["m2"],"classes":[{"name":"r"}],"specifics":{"slices":1}}}"#;
+        "settings":{"zones":["a"],"kinds":["m2"],"classes":[{"name":"r"}],"specifics":{"slices":1,"proxy-count":2}}}"#;
     Reducer::new(&Config::parse(config.as_bytes()).unwrap(), 0).unwrap()
 }
 
