Parts of the reducer share one outbox; one log line for an outage

Tried as a new user would: with nobody at discovery's address the log filled with four lines a second, with nobody at the relay's it said nothing. Now each outage gets one line and each return one. The mark was counted twice in a call's cost (mod.rs, overhead); lines are the settings' now.

--- a/crates/director/src/reducer/calls.rs
+++ b/crates/director/src/reducer/calls.rs
@@ -1,8 +1,7 @@
 //! The one ordered queue of calls to the relay. A call goes out when the one before it is settled: answered, or
 //! repeated until it is, as every order sets a state and twice is the same as once but for the lines it costs.
 
-use super::{Effect, LinkId};
-use crate::counters::Counters;
+use super::{Effect, LinkId, Out};
 use coppersail::interface::{HostId, RouteId, SliceId};
 use coppersail_protocol::relay::{self, Answer};
 use log::Level;
@@ -89,8 +88,7 @@
     }
 
     /// Orders given together go out as one call, or as several if it would be too long.
-    pub fn give(&mut self, orders: Vec<Told>, counters: &mut Counters) {
-        counters.orders_given += orders.len() as u64;
+    pub fn give(&mut self, orders: Vec<Told>) {
         let mut bytes = 0;
         let mut call = Vec::new();
         for order in orders {
@@ -107,7 +105,7 @@
     }
 
     /// While the relay is away, later orders take the place of earlier ones with the same aim.
-    fn merge(&mut self, counters: &mut Counters) {
+    fn merge(&mut self, out: &mut Out) {
         let first = if self.due.is_some() { self.waiting.pop_front() } else { None };
         let (mut seen, mut kept) = (BTreeSet::new(), Vec::new());
         for order in self.waiting.drain(..).rev().flat_map(|call| call.into_iter().rev()) {
@@ -117,9 +115,8 @@
         }
         kept.reverse();
         self.waiting.extend(first);
-        // These were counted when they were given.
-        self.give(kept, &mut Counters::default());
-        counters.calls_merged += 1;
+        self.give(kept);
+        out.counters.calls_merged += 1;
     }
 
     /// The slices of which the call that is out sets lines.
@@ -133,18 +130,12 @@
     }
 
     /// Sends the next call if one may go.
-    pub fn pump(
-        &mut self,
-        now: f64,
-        next: &mut impl FnMut() -> LinkId,
-        counters: &mut Counters,
-        effects: &mut Vec<Effect>,
-    ) {
+    pub fn pump(&mut self, now: f64, out: &mut Out) {
         if self.due.is_some_and(|due| now >= due) {
-            self.unsettled(now, "no answer in time", counters, effects);
+            self.unsettled(now, "no answer in time", out);
         }
         if self.waiting.len() > WAITING_MOST && now >= self.hold {
-            self.merge(counters);
+            self.merge(out);
         }
         let Some(call) = self.waiting.front() else { return };
         if self.due.is_some() || now < self.hold {
@@ -164,21 +155,21 @@
             Link::Up(link, since) if now - since < IDLE_MOST => {
                 self.lines += cost;
                 self.due = Some(now + ANSWER_MOST);
-                counters.calls_sent += 1;
-                effects.push(Effect::Send(link, relay::call(call.iter().map(|told| told.text.as_str()))));
+                out.counters.calls_sent += 1;
+                out.effects.push(Effect::Send(link, relay::call(call.iter().map(|told| told.text.as_str()))));
             }
             Link::Up(..) | Link::Down => {
-                self.hang_up(effects);
-                let link = next();
+                self.hang_up(out);
+                let link = out.link();
                 self.link = Link::Dialled(link);
-                effects.push(Effect::Dial(link));
+                out.effects.push(Effect::Dial(link));
             }
         }
     }
 
-    fn hang_up(&mut self, effects: &mut Vec<Effect>) {
+    fn hang_up(&mut self, out: &mut Out) {
         if let Link::Up(link, _) | Link::Dialled(link) = std::mem::replace(&mut self.link, Link::Down) {
-            effects.push(Effect::HangUp(link));
+            out.effects.push(Effect::HangUp(link));
         }
     }
 
@@ -190,35 +181,35 @@
         self.link = Link::Up(id, now);
     }
 
-    pub fn down(&mut self, now: f64, why: &str, counters: &mut Counters, effects: &mut Vec<Effect>) {
+    pub fn down(&mut self, now: f64, why: &str, out: &mut Out) {
         if self.due.is_some() {
-            return self.unsettled(now, why, counters, effects);
+            return self.unsettled(now, why, out);
         }
         // An idle connection may end; a dial that failed is tried again in a while.
         if matches!(self.link, Link::Dialled(_)) {
             self.hold = now + PAUSE;
         }
-        self.hang_up(effects);
+        self.hang_up(out);
     }
 
     /// The first call was carried out, or was not: nobody can tell. It goes out again before anything else, on
     /// a new connection, as a late answer on the old one would be taken for the next call's.
-    fn unsettled(&mut self, now: f64, why: &str, counters: &mut Counters, effects: &mut Vec<Effect>) {
-        counters.calls_repeated += 1;
+    fn unsettled(&mut self, now: f64, why: &str, out: &mut Out) {
+        out.counters.calls_repeated += 1;
         // One line for a call, however long the relay stays away.
         if self.repeats == 0 {
-            effects.push(Effect::Log(Level::Warn, format!("relay: call repeated, {why}")));
+            out.warn(format!("relay: call repeated, {why}"));
         }
         let pause = REPEAT_PAUSE * f64::from(self.repeats) * f64::from(self.repeats);
         self.repeats += 1;
         (self.due, self.hold) = (None, now + pause.min(REPEAT_PAUSE_MOST));
-        self.hang_up(effects);
+        self.hang_up(out);
     }
 
     /// The first call's state is known.
-    fn settled(&mut self, now: f64, link: LinkId, effects: &mut Vec<Effect>) {
+    fn settled(&mut self, now: f64, link: LinkId, out: &mut Out) {
         if self.repeats > 1 {
-            effects.push(Effect::Log(
+            out.effects.push(Effect::Log(
                 Level::Warn,
                 format!("relay: call settled after {} repeats", self.repeats),
             ));
@@ -227,56 +218,50 @@
     }
 
     /// What an answer says of the call that is out; the orders that are in force by it.
-    pub fn answer(
-        &mut self,
-        now: f64,
-        line: &[u8],
-        counters: &mut Counters,
-        effects: &mut Vec<Effect>,
-    ) -> Vec<Told> {
+    pub fn answer(&mut self, now: f64, line: &[u8], out: &mut Out) -> Vec<Told> {
         let Link::Up(link, _) = self.link else { return Vec::new() };
         let Some(call) = self.waiting.front_mut().filter(|_| self.due.is_some()) else {
             // An answer that nothing was asked for: the next one could not be told from it.
-            effects.push(Effect::Log(Level::Warn, "relay: an answer out of turn".to_string()));
-            self.hang_up(effects);
+            out.warn("relay: an answer out of turn".to_string());
+            self.hang_up(out);
             return Vec::new();
         };
         match Answer::parse(line) {
             Answer::Taken(many) if many <= call.len() => {
-                counters.calls_answered += 1;
-                counters.orders_taken += many as u64;
+                out.counters.calls_answered += 1;
+                out.counters.orders_taken += many as u64;
                 let mut taken = std::mem::take(call);
                 let mut rest = taken.split_off(many);
                 if !rest.is_empty() {
                     // The relay stops at an order that it cannot use; what follows it is sound.
-                    counters.orders_refused += 1;
+                    out.counters.orders_refused += 1;
                     let refused = rest.remove(0).text;
-                    effects.push(Effect::Log(Level::Warn, format!("relay: order refused: {refused}")));
+                    out.warn(format!("relay: order refused: {refused}"));
                 }
                 if rest.is_empty() {
                     self.waiting.pop_front();
                 } else {
                     *call = rest;
                 }
-                self.settled(now, link, effects);
+                self.settled(now, link, out);
                 taken
             }
             Answer::Throttling => {
-                counters.calls_throttled += 1;
-                self.settled(now, link, effects);
+                out.counters.calls_throttled += 1;
+                self.settled(now, link, out);
                 self.hold = now + PAUSE;
                 Vec::new()
             }
             Answer::Invalid => {
                 // It would be turned away for ever, and all others behind it.
-                counters.calls_invalid += 1;
-                effects.push(Effect::Log(Level::Error, "relay: call dropped, not valid".to_string()));
+                out.counters.calls_invalid += 1;
+                out.effects.push(Effect::Log(Level::Error, "relay: call dropped, not valid".to_string()));
                 self.waiting.pop_front();
-                self.settled(now, link, effects);
+                self.settled(now, link, out);
                 Vec::new()
             }
             Answer::Taken(_) | Answer::Unreadable => {
-                self.unsettled(now, "its answer cannot be read", counters, effects);
+                self.unsettled(now, "its answer cannot be read", out);
                 Vec::new()
             }
         }
--- a/crates/director/src/reducer/list.rs
+++ b/crates/director/src/reducer/list.rs
@@ -1,13 +1,11 @@
 //! The list of hosts as discovery tells it: one watch, dialled again when it ends or falls silent.
 
-use super::{named, Effect, LinkId};
-use crate::counters::Counters;
+use super::{named, Effect, LinkId, Out};
 use crate::framing::Framed;
 use coppersail::interface::{CellId, HostId, HostState, Input, ListScope, Listing};
 use coppersail_protocol::discovery::{self, Server, State};
 use coppersail_protocol::Fault;
 use coppersail_settings::{Clock, Names};
-use log::Level;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -33,6 +31,8 @@
     hosts: BTreeMap<HostId, (Listing, SocketAddr)>,
     /// The next watch asks for the whole list.
     whole: bool,
+    /// A loss was logged, and no list was told since.
+    lost: bool,
 }
 
 /// To a director that must ask for its list: asking failed.
@@ -42,7 +42,15 @@
 
 impl List {
     pub fn new(clock: Clock) -> Self {
-        List { clock, watch: None, open_at: 0.0, version: None, hosts: BTreeMap::new(), whole: false }
+        List {
+            clock,
+            watch: None,
+            open_at: 0.0,
+            version: None,
+            hosts: BTreeMap::new(),
+            whole: false,
+            lost: false,
+        }
     }
 
     pub fn owns(&self, id: LinkId) -> bool {
@@ -58,53 +66,38 @@
     }
 
     /// The list that the configuration remembers, maybe old.
-    pub fn remembered(
-        &mut self,
-        known: &[u8],
-        names: &mut Names,
-        counters: &mut Counters,
-    ) -> Result<Input, Fault> {
+    pub fn remembered(&mut self, known: &[u8], names: &mut Names, out: &mut Out) -> Result<Input, Fault> {
         let list = discovery::List::parse(known)?;
-        let entries = self.entries(&list, names, counters, &mut Vec::new());
+        let entries = self.entries(&list, names, out);
         self.version = Some(list.version);
         Ok(Input::Hosts { scope: ListScope::Remembered, version: list.version, entries })
     }
 
-    pub fn pump(
-        &mut self,
-        now: f64,
-        next: &mut impl FnMut() -> LinkId,
-        counters: &mut Counters,
-        effects: &mut Vec<Effect>,
-    ) {
+    pub fn pump(&mut self, now: f64, out: &mut Out) {
         if self.watch.as_ref().is_some_and(|watch| now >= watch.until) {
-            self.down(now, "silent", counters, effects);
+            self.down(now, "silent", out);
             self.open_at = now;
         }
         if self.watch.is_none() && now >= self.open_at {
-            let link = next();
+            let link = out.link();
             self.watch = Some(Watch { link, until: now + FIRST_MOST });
-            counters.watches_opened += 1;
+            out.counters.watches_opened += 1;
             let since = if self.whole { None } else { self.version };
-            effects.push(Effect::Watch(link, discovery::watch(since)));
+            out.effects.push(Effect::Watch(link, discovery::watch(since)));
         }
     }
 
-    pub fn down(&mut self, now: f64, why: &str, counters: &mut Counters, effects: &mut Vec<Effect>) {
-        counters.watches_lost += 1;
-        effects.push(Effect::Log(Level::Warn, format!("discovery: watch lost, {why}")));
+    pub fn down(&mut self, now: f64, why: &str, out: &mut Out) {
+        out.counters.watches_lost += 1;
+        // One line for an outage, however many watches are opened in vain.
+        if !std::mem::replace(&mut self.lost, true) {
+            out.warn(format!("discovery: watch lost, {why}"));
+        }
         (self.watch, self.open_at) = (None, now + PAUSE);
     }
 
     /// One line of the watch; an empty one is a sign of life.
-    pub fn line(
-        &mut self,
-        now: f64,
-        line: Framed,
-        names: &mut Names,
-        counters: &mut Counters,
-        effects: &mut Vec<Effect>,
-    ) -> Option<Input> {
+    pub fn line(&mut self, now: f64, line: Framed, names: &mut Names, out: &mut Out) -> Option<Input> {
         let watch = self.watch.as_mut()?;
         watch.until = now + SILENT_MOST;
         let line = match line {
@@ -116,33 +109,30 @@
             Ok(list) => list,
             Err(fault) => {
                 // What it would have told comes again on a watch from the version held.
-                counters.lists_bad += 1;
-                self.down(now, &fault.0, counters, effects);
+                out.counters.lists_bad += 1;
+                self.down(now, &fault.0, out);
                 return None;
             }
         };
         if self.version.is_some_and(|held| list.version < held) {
-            counters.lists_bad += 1;
+            out.counters.lists_bad += 1;
             let text = format!("discovery: list passed over, version {} is older than held", list.version);
-            effects.push(Effect::Log(Level::Warn, text));
+            out.warn(text);
             return None;
         }
-        counters.lists += 1;
+        out.counters.lists += 1;
         self.whole = false;
         self.version = Some(list.version);
-        let entries = self.entries(&list, names, counters, effects);
+        if std::mem::take(&mut self.lost) {
+            out.tell(format!("discovery: watch open, version {}", list.version));
+        }
+        let entries = self.entries(&list, names, out);
         let scope = if list.full { ListScope::Whole } else { ListScope::Changes };
         Some(Input::Hosts { scope, version: list.version, entries })
     }
 
     /// The sound entries. In a whole list a host whose entry is unsound stays as it was, lest it seem gone.
-    fn entries(
-        &mut self,
-        list: &discovery::List<'_>,
-        names: &mut Names,
-        counters: &mut Counters,
-        effects: &mut Vec<Effect>,
-    ) -> Vec<Listing> {
+    fn entries(&mut self, list: &discovery::List<'_>, names: &mut Names, out: &mut Out) -> Vec<Listing> {
         let mut entries = Vec::new();
         for server in &list.servers {
             let read = match server {
@@ -152,8 +142,8 @@
             match read {
                 Ok(listing) => entries.push(listing),
                 Err((id, fault)) => {
-                    counters.entries_unsound += 1;
-                    effects.push(Effect::Log(Level::Warn, format!("discovery: entry passed over, {fault}")));
+                    out.counters.entries_unsound += 1;
+                    out.warn(format!("discovery: entry passed over, {fault}"));
                     let held = id.and_then(|id| names.known_host(id)).and_then(|host| self.hosts.get(&host));
                     entries.extend(held.filter(|_| list.full).map(|(listing, _)| listing.clone()));
                 }
--- a/crates/director/src/reducer/mod.rs
+++ b/crates/director/src/reducer/mod.rs
@@ -103,6 +103,31 @@
     found.map_err(|expected| Fault(format!("field {field}: expected {expected}")))
 }
 
+/// What the parts give: effects, inputs for the decisions, counts.
+#[derive(Default)]
+struct Out {
+    effects: Vec<Effect>,
+    /// What has come in since the decisions were last asked.
+    inputs: Vec<api::Input>,
+    counters: Counters,
+    links: u64,
+}
+
+impl Out {
+    fn link(&mut self) -> LinkId {
+        self.links += 1;
+        LinkId(self.links)
+    }
+
+    fn warn(&mut self, text: String) {
+        self.effects.push(Effect::Log(Level::Warn, text));
+    }
+
+    fn tell(&mut self, text: String) {
+        self.effects.push(Effect::Log(Level::Info, text));
+    }
+}
+
 pub struct Reducer {
     director: Director,
     names: Names,
@@ -115,13 +140,9 @@
     calls: Calls,
     news: News,
     list: List,
-    links: u64,
-    /// What has come in since the decisions were last asked.
-    inputs: Vec<api::Input>,
     wakes: Vec<(f64, api::WakeId)>,
     started: bool,
-    counters: Counters,
-    effects: Vec<Effect>,
+    out: Out,
 }
 
 impl Reducer {
@@ -135,7 +156,7 @@
         let pace = Pace {
             lines_per_s: told.lines_per_s,
             backlog: told.backlog_lines,
-            overhead: told.message_overhead + 1.0,
+            overhead: told.message_overhead,
         };
         let may_follow = !told.list_is_pushed;
         let mut reducer = Reducer {
@@ -149,16 +170,13 @@
             calls: Calls::new(pace),
             news: News::default(),
             list: List::new(Clock::starting(wall_ns)),
-            links: 0,
-            inputs: Vec::new(),
             wakes: Vec::new(),
             started: false,
-            counters: Counters::default(),
-            effects: Vec::new(),
+            out: Out::default(),
         };
         if let Some(known) = &config.known {
-            let remembered = reducer.list.remembered(known, &mut reducer.names, &mut reducer.counters);
-            reducer.inputs.push(remembered.map_err(|fault| format!("field known: {fault}"))?);
+            let remembered = reducer.list.remembered(known, &mut reducer.names, &mut reducer.out);
+            reducer.out.inputs.push(remembered.map_err(|fault| format!("field known: {fault}"))?);
         }
         Ok(reducer)
     }
@@ -168,34 +186,33 @@
             Event::Accepted(conn) => self.accepted(now, conn),
             Event::Lines(conn, lines) => lines.into_iter().for_each(|line| self.line(now, conn, line)),
             Event::Ended(conn) => {
-                self.counters.connections_ended += self.taken.contains_key(&conn) as u64;
+                self.out.counters.connections_ended += self.taken.contains_key(&conn) as u64;
                 self.drop_connection(conn);
             }
             Event::RelayUp(link) if self.calls.owns(link) => self.calls.up(now, link),
             Event::RelayUp(link) if self.news.owns(link) => {
-                self.news.up(now, link, &mut self.counters, &mut self.effects);
+                self.news.up(now, link, &mut self.out);
             }
-            Event::RelayUp(link) => self.effects.push(Effect::HangUp(link)),
+            Event::RelayUp(link) => self.out.effects.push(Effect::HangUp(link)),
             Event::RelayLines(link, lines) => {
                 lines.into_iter().for_each(|line| self.relay_line(now, link, line));
             }
             Event::RelayDown(link, why) if self.calls.owns(link) => {
-                self.calls.down(now, &why, &mut self.counters, &mut self.effects);
+                self.calls.down(now, &why, &mut self.out);
             }
             Event::RelayDown(link, why) => {
-                let (counters, effects) = (&mut self.counters, &mut self.effects);
-                self.news.down(now, link, &why, counters, effects, &mut self.inputs);
+                self.news.down(now, link, &why, &mut self.out);
             }
             Event::WatchLines(link, lines) if self.list.owns(link) => {
                 for line in lines {
-                    let (counters, effects) = (&mut self.counters, &mut self.effects);
-                    self.inputs.extend(self.list.line(now, line, &mut self.names, counters, effects));
+                    let input = self.list.line(now, line, &mut self.names, &mut self.out);
+                    self.out.inputs.extend(input);
                 }
             }
             Event::WatchDown(link, why) if self.list.owns(link) => {
-                self.list.down(now, &why, &mut self.counters, &mut self.effects);
+                self.list.down(now, &why, &mut self.out);
                 if self.may_follow {
-                    self.inputs.push(list::failed());
+                    self.out.inputs.push(list::failed());
                 }
             }
             Event::WatchLines(..) | Event::WatchDown(..) => {}
@@ -205,22 +222,19 @@
             Event::Count => self.count(),
             Event::Stop => {
                 self.count();
-                self.effects.push(Effect::Exit);
+                self.out.effects.push(Effect::Exit);
             }
         }
-        std::mem::take(&mut self.effects)
+        std::mem::take(&mut self.out.effects)
     }
 
     fn count(&mut self) {
-        self.effects.push(Effect::Log(Level::Info, self.counters.line()));
-    }
-
-    fn warn(&mut self, text: String) {
-        self.effects.push(Effect::Log(Level::Warn, text));
+        let counters = self.out.counters.line();
+        self.out.tell(counters);
     }
 
     fn accepted(&mut self, now: f64, conn: ConnId) {
-        self.counters.connections_taken += 1;
+        self.out.counters.connections_taken += 1;
         self.taken.insert(conn, Taken { since: now, heard: now, sound: false });
         if self.taken.len() > CONNECTIONS_MOST {
             // Strangers first, then who has been silent longest: a collector that vanished never ends its own.
@@ -230,7 +244,7 @@
                 a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2))
             });
             if let Some(conn) = last.map(|(conn, _)| *conn) {
-                self.counters.strangers_dropped += 1;
+                self.out.counters.strangers_dropped += 1;
                 self.drop_connection(conn);
             }
         }
@@ -239,14 +253,14 @@
     /// The one place where a taken connection is given back.
     fn drop_connection(&mut self, conn: ConnId) {
         if self.taken.remove(&conn).is_some() {
-            self.effects.push(Effect::Drop(conn));
+            self.out.effects.push(Effect::Drop(conn));
         }
     }
 
     fn line(&mut self, now: f64, conn: ConnId, line: Framed) {
         let Some(taken) = self.taken.get_mut(&conn) else { return };
         taken.heard = now;
-        self.counters.lines_in += 1;
+        self.out.counters.lines_in += 1;
         let used = match &line {
             Framed::Line(line) => self.understood(conn, line),
             Framed::TooLong => Err(Fault("a line of over 1 MiB".to_string())),
@@ -254,8 +268,8 @@
         match used {
             Ok(()) => _ = self.taken.get_mut(&conn).map(|taken| taken.sound = true),
             Err(fault) => {
-                self.counters.lines_bad += 1;
-                self.warn(format!("collector: line passed over, {fault}"));
+                self.out.counters.lines_bad += 1;
+                self.out.warn(format!("collector: line passed over, {fault}"));
             }
         }
     }
@@ -263,31 +277,31 @@
     fn understood(&mut self, conn: ConnId, line: &[u8]) -> Result<(), Fault> {
         match Line::parse(line)? {
             Line::Probe => {
-                self.counters.alive_answers += 1;
-                self.effects.push(Effect::Say(conn, ALIVE));
+                self.out.counters.alive_answers += 1;
+                self.out.effects.push(Effect::Say(conn, ALIVE));
             }
             Line::Zone(zone) => {
                 named("az", self.names.zone(&zone))?;
-                self.counters.zones_named += 1;
+                self.out.counters.zones_named += 1;
             }
             Line::Tries { zone, host, tries, dropped, rt, span, report } => {
                 let zone = named("az", self.names.zone(&zone))?;
                 let host = self.names.known_host(&host).ok_or("a host that was listed".to_string());
                 let (host, load) = (named("host", host)?, self.load(&report));
-                self.counters.sums_of_tries += 1;
-                self.inputs.push(api::Input::Tries { host, zone, span, tries, dropped, rt, load });
+                self.out.counters.sums_of_tries += 1;
+                self.out.inputs.push(api::Input::Tries { host, zone, span, tries, dropped, rt, load });
             }
             Line::Demand { slice, route, calls, dropped, span } => {
                 let (slice, route) = (self.slice(slice)?, named("kind", self.names.route(&route))?);
-                self.counters.sums_of_calls += 1;
-                self.inputs.push(api::Input::Demand { slice, route, calls, dropped, span });
+                self.out.counters.sums_of_calls += 1;
+                self.out.inputs.push(api::Input::Demand { slice, route, calls, dropped, span });
             }
         }
         Ok(())
     }
 
     fn load(&mut self, report: &Report) -> api::Load {
-        self.counters.load_figures_odd += report.odd;
+        self.out.counters.load_figures_odd += report.odd;
         load(|name| report.get(name))
     }
 
@@ -295,7 +309,7 @@
         if self.calls.owns(link) {
             // A line that is too long is no answer that can be read.
             let line = if let Framed::Line(line) = line { line } else { Vec::new() };
-            for told in self.calls.answer(now, &line, &mut self.counters, &mut self.effects) {
+            for told in self.calls.answer(now, &line, &mut self.out) {
                 match told.aim {
                     Aim::Line(slice, host) => self.news.wrote(slice, host, told.weight),
                     Aim::Clear(slice) => self.news.cleared(slice),
@@ -303,22 +317,21 @@
                 }
             }
         } else if self.news.owns(link) {
-            self.counters.news_lines += 1;
+            self.out.counters.news_lines += 1;
             let news = match &line {
                 Framed::Line(line) => NewsLine::parse(line),
                 Framed::TooLong => Err(Fault("a line without an end".to_string())),
             };
             match news.map(|news| self.item(news)) {
-                Ok(Ok(item)) => self.news.take(now, link, item, &mut self.inputs),
+                Ok(Ok(item)) => self.news.take(now, link, item, &mut self.out),
                 Ok(Err(unknown)) => {
-                    self.counters.news_bad += 1;
-                    self.warn(format!("relay: news passed over, {unknown}"));
+                    self.out.counters.news_bad += 1;
+                    self.out.warn(format!("relay: news passed over, {unknown}"));
                 }
                 Err(fault) => {
                     // What else it would have told can't be relied on; a new connection is told all that stands.
-                    self.counters.news_bad += 1;
-                    let (counters, effects) = (&mut self.counters, &mut self.effects);
-                    self.news.down(now, link, &fault.0, counters, effects, &mut self.inputs);
+                    self.out.counters.news_bad += 1;
+                    self.news.down(now, link, &fault.0, &mut self.out);
                 }
             }
         }
@@ -364,67 +377,59 @@
 
     fn probed(&mut self, host: api::HostId, end: ProbeEnd, took: f64, body: &[u8]) {
         let (outcome, count) = match end {
-            ProbeEnd::Status(200) => (api::Outcome::Answered, &mut self.counters.probes_answered),
-            ProbeEnd::Status(503) => (api::Outcome::Throttled, &mut self.counters.probes_throttled),
-            ProbeEnd::Status(_) => (api::Outcome::Error, &mut self.counters.probes_failed),
-            ProbeEnd::TimedOut => (api::Outcome::TimedOut, &mut self.counters.probes_timed_out),
-            ProbeEnd::Unreachable => (api::Outcome::Unreachable, &mut self.counters.probes_unreachable),
-            ProbeEnd::Broken => (api::Outcome::Broken, &mut self.counters.probes_broken),
+            ProbeEnd::Status(200) => (api::Outcome::Answered, &mut self.out.counters.probes_answered),
+            ProbeEnd::Status(503) => (api::Outcome::Throttled, &mut self.out.counters.probes_throttled),
+            ProbeEnd::Status(_) => (api::Outcome::Error, &mut self.out.counters.probes_failed),
+            ProbeEnd::TimedOut => (api::Outcome::TimedOut, &mut self.out.counters.probes_timed_out),
+            ProbeEnd::Unreachable => (api::Outcome::Unreachable, &mut self.out.counters.probes_unreachable),
+            ProbeEnd::Broken => (api::Outcome::Broken, &mut self.out.counters.probes_broken),
         };
         *count += 1;
         let report = Report::text(if outcome == api::Outcome::Answered { body } else { b"" });
         let load = self.load(&report);
-        self.inputs.push(api::Input::Probed { host, outcome, took, load });
+        self.out.inputs.push(api::Input::Probed { host, outcome, took, load });
     }
 
     /// The batch is complete: the decisions are asked, and what has become due is done.
     fn settle(&mut self, now: f64) {
         let strangers = |(_, taken): &(&ConnId, &Taken)| !taken.sound && now - taken.since > STRANGER_MOST;
         for conn in self.taken.iter().filter(strangers).map(|(conn, _)| *conn).collect::<Vec<_>>() {
-            self.counters.strangers_dropped += 1;
+            self.out.counters.strangers_dropped += 1;
             self.drop_connection(conn);
         }
-        let mut next = || {
-            self.links += 1;
-            LinkId(self.links)
-        };
-        self.list.pump(now, &mut next, &mut self.counters, &mut self.effects);
-        self.news.pump(now, &mut next, &mut self.counters, &mut self.effects, &mut self.inputs);
+        self.list.pump(now, &mut self.out);
+        self.news.pump(now, &mut self.out);
         let wakes = std::mem::take(&mut self.wakes);
         for (at, wake) in wakes {
             if at <= now {
-                self.inputs.push(api::Input::Wake(wake));
+                self.out.inputs.push(api::Input::Wake(wake));
             } else {
                 self.wakes.push((at, wake));
             }
         }
-        if !self.inputs.is_empty() || !std::mem::replace(&mut self.started, true) {
-            let inputs = std::mem::take(&mut self.inputs);
+        if !self.out.inputs.is_empty() || !std::mem::replace(&mut self.started, true) {
+            let inputs = std::mem::take(&mut self.out.inputs);
             self.counters_of(&inputs);
             let orders = self.director.handle(now, &inputs);
-            self.counters.decisions += 1;
+            self.out.counters.decisions += 1;
             self.carry_out(now, orders);
         }
         self.calls.proxies = self.news.known.proxies.len();
-        let mut next = || {
-            self.links += 1;
-            LinkId(self.links)
-        };
-        self.calls.pump(now, &mut next, &mut self.counters, &mut self.effects);
+        self.calls.pump(now, &mut self.out);
         self.news.under_way = self.calls.under_way();
         let wake = self.wakes.iter().map(|(at, _)| *at).fold(f64::INFINITY, f64::min);
         let wake = wake.min(self.calls.next()).min(self.news.next()).min(self.list.next());
-        self.effects.push(Effect::Wake(wake));
+        self.out.effects.push(Effect::Wake(wake));
     }
 
     fn counters_of(&mut self, inputs: &[api::Input]) {
         for input in inputs {
             match input {
-                api::Input::Joined { .. } => self.counters.proxies_joined += 1,
-                api::Input::Left(_) => self.counters.proxies_left += 1,
-                api::Input::Given(_) => self.counters.slices_given += 1,
-                api::Input::Taken(_) => self.counters.slices_taken += 1,
-                api::Input::Applied { .. } => self.counters.receipts += 1,
+                api::Input::Joined { .. } => self.out.counters.proxies_joined += 1,
+                api::Input::Left(_) => self.out.counters.proxies_left += 1,
+                api::Input::Given(_) => self.out.counters.slices_given += 1,
+                api::Input::Taken(_) => self.out.counters.slices_taken += 1,
+                api::Input::Applied { .. } => self.out.counters.receipts += 1,
                 _ => {}
             }
         }
@@ -437,23 +442,24 @@
                 api::Order::WakeAt { wake, at } => self.wakes.push((at, wake)),
                 api::Order::Log { text, hosts } => {
                     let text = self.names.said(&text, &hosts);
-                    self.effects.push(Effect::Log(Level::Info, format!("decided: {text}")));
+                    self.out.tell(format!("decided: {text}"));
                 }
                 api::Order::Probe(host) => self.probe(host),
                 api::Order::Follow(_) => {}
                 api::Order::FetchList => self.list.ask_whole(now),
-                api::Order::Bind { .. } | api::Order::Tell { .. } => self.counters.orders_unknown += 1,
+                api::Order::Bind { .. } | api::Order::Tell { .. } => self.out.counters.orders_unknown += 1,
                 order => call.extend(self.told(order)),
             }
         }
-        self.calls.give(call, &mut self.counters);
+        self.out.counters.orders_given += call.len() as u64;
+        self.calls.give(call);
     }
 
     fn probe(&mut self, host: api::HostId) {
         match self.list.address(host) {
             Some(address) => {
-                self.counters.probes_sent += 1;
-                self.effects.push(Effect::Probe { host, address, path: self.probe_path });
+                self.out.counters.probes_sent += 1;
+                self.out.effects.push(Effect::Probe { host, address, path: self.probe_path });
             }
             // Nobody has told where it is, so it cannot be reached.
             None => self.probed(host, ProbeEnd::Unreachable, 0.0, b""),
--- a/crates/director/src/reducer/news.rs
+++ b/crates/director/src/reducer/news.rs
@@ -1,11 +1,9 @@
 //! News of the relay, on two connections: one leads, the other stands by with the same knowledge, so that a break
-//! of the first costs nothing. What is passed on goes to the decisions as inputs.
+//! of the first costs nothing. What is passed on goes to the decisions as out.inputs.
 
-use super::{Effect, LinkId};
-use crate::counters::Counters;
+use super::{Effect, LinkId, Out};
 use coppersail::interface::{HostId, Input, ProxyId, SliceId, ZoneId};
 use coppersail_protocol::relay::FOLLOW;
-use log::Level;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// A sign of life comes each second; so much later the connection is given up.
@@ -58,6 +56,8 @@
     /// Slices whose lines are in a call that is not settled: what stands of them may be old or new.
     pub under_way: BTreeSet<SliceId>,
     dial_at: f64,
+    /// A loss was logged, and nothing was told since.
+    lost: bool,
 }
 
 impl News {
@@ -65,71 +65,57 @@
         self.feeds.iter().any(|feed| feed.link == id)
     }
 
-    pub fn pump(
-        &mut self,
-        now: f64,
-        next: &mut impl FnMut() -> LinkId,
-        counters: &mut Counters,
-        effects: &mut Vec<Effect>,
-        inputs: &mut Vec<Input>,
-    ) {
+    pub fn pump(&mut self, now: f64, out: &mut Out) {
         let silent = |feed: &&Feed| now - feed.heard > SILENT_MOST;
         let lost: Vec<LinkId> = self.feeds.iter().filter(silent).map(|feed| feed.link).collect();
         for link in lost {
-            self.down(now, link, "silent", counters, effects, inputs);
+            self.down(now, link, "silent", out);
         }
         // The second one once the first has told all, lest both be asked for the same at a time.
         let settled = self.feeds.iter().all(|feed| feed.whole);
         if self.feeds.len() < FEEDS_MOST && settled && now >= self.dial_at {
-            let link = next();
+            let link = out.link();
             let (standing, again) = (Standing::default(), BTreeSet::new());
             self.feeds.push(Feed { link, up: false, heard: now, whole: false, standing, again });
-            effects.push(Effect::Dial(link));
+            out.effects.push(Effect::Dial(link));
         }
     }
 
-    pub fn up(&mut self, now: f64, id: LinkId, counters: &mut Counters, effects: &mut Vec<Effect>) {
-        counters.news_opened += 1;
-        effects.push(Effect::Send(id, FOLLOW.to_vec()));
+    pub fn up(&mut self, now: f64, id: LinkId, out: &mut Out) {
+        out.counters.news_opened += 1;
+        out.effects.push(Effect::Send(id, FOLLOW.to_vec()));
         self.feeds
             .iter_mut()
             .filter(|feed| feed.link == id)
             .for_each(|feed| (feed.up, feed.heard) = (true, now));
     }
 
-    pub fn down(
-        &mut self,
-        now: f64,
-        id: LinkId,
-        why: &str,
-        counters: &mut Counters,
-        effects: &mut Vec<Effect>,
-        inputs: &mut Vec<Input>,
-    ) {
+    pub fn down(&mut self, now: f64, id: LinkId, why: &str, out: &mut Out) {
         let Some(at) = self.feeds.iter().position(|feed| feed.link == id) else { return };
         let feed = self.feeds.remove(at);
-        effects.push(Effect::HangUp(id));
-        if feed.up {
-            counters.news_lost += 1;
-            effects.push(Effect::Log(Level::Warn, format!("relay: news lost, {why}")));
+        out.effects.push(Effect::HangUp(id));
+        out.counters.news_lost += feed.up as u64;
+        // One line for an outage, however often the relay is dialled in vain.
+        if !std::mem::replace(&mut self.lost, true) {
+            out.warn(format!("relay: news lost, {why}"));
         }
         // A relay that takes connections only to reset them is not to be dialled in a tight loop.
         if !feed.whole {
             self.dial_at = now + PAUSE;
         }
         if at == 0 {
-            self.lead(now, inputs);
+            self.lead(now, out);
         }
     }
 
     /// The next connection leads: what only it has been told is made up for.
-    fn lead(&mut self, now: f64, inputs: &mut Vec<Input>) {
+    fn lead(&mut self, now: f64, out: &mut Out) {
         let Some(feed) = self.feeds.first_mut() else { return };
         let standing = feed.standing.clone();
         for (proxy, (at, input)) in &standing.proxies {
             if self.known.proxies.get(proxy).is_none_or(|(known, _)| *at > known + APART) {
                 self.known.proxies.insert(*proxy, (now, input.clone()));
-                inputs.push(input.clone());
+                out.inputs.push(input.clone());
             }
         }
         for (slice, (at, _)) in &standing.slices {
@@ -138,20 +124,20 @@
             }
         }
         if feed.whole {
-            self.reconcile(now, inputs);
+            self.reconcile(now, out);
         }
     }
 
     /// All that stands is told: what is not among it is gone, and what was changed elsewhere is given anew.
-    fn reconcile(&mut self, now: f64, inputs: &mut Vec<Input>) {
+    fn reconcile(&mut self, now: f64, out: &mut Out) {
         let Some(feed) = self.feeds.first_mut() else { return };
         let (standing, known) = (&feed.standing, &mut self.known);
         for proxy in known.proxies.keys().filter(|proxy| !standing.proxies.contains_key(proxy)) {
-            inputs.push(Input::Left(*proxy));
+            out.inputs.push(Input::Left(*proxy));
         }
         known.proxies.retain(|proxy, _| standing.proxies.contains_key(proxy));
         for slice in known.slices.keys().filter(|slice| !standing.slices.contains_key(slice)) {
-            inputs.push(Input::Taken(*slice));
+            out.inputs.push(Input::Taken(*slice));
         }
         known.slices.retain(|slice, _| standing.slices.contains_key(slice));
         for slice in std::mem::take(&mut feed.again) {
@@ -160,22 +146,27 @@
             if held.is_some_and(|held| self.under_way.contains(&slice) || alike(held, lines)) {
                 continue;
             }
-            inputs.push(Input::Given(slice));
-            inputs.extend(lines.iter().map(|(host, weight)| stored(slice, *host, *weight)));
+            out.inputs.push(Input::Given(slice));
+            out.inputs.extend(lines.iter().map(|(host, weight)| stored(slice, *host, *weight)));
             known.slices.insert(slice, (now, lines.clone()));
         }
     }
 
     /// Takes one line of news.
-    pub fn take(&mut self, now: f64, id: LinkId, item: Item, inputs: &mut Vec<Input>) {
+    pub fn take(&mut self, now: f64, id: LinkId, item: Item, out: &mut Out) {
         let Some(at) = self.feeds.iter().position(|feed| feed.link == id) else { return };
         let (feed, known, leads) = (&mut self.feeds[at], &mut self.known, at == 0);
         feed.heard = now;
         match item {
             Item::Start => {}
             Item::Life => {
-                if !std::mem::replace(&mut feed.whole, true) && leads {
-                    self.reconcile(now, inputs);
+                if !std::mem::replace(&mut feed.whole, true) {
+                    let (proxies, slices) = (feed.standing.proxies.len(), feed.standing.slices.len());
+                    out.tell(format!("relay: news open, {proxies} proxies, {slices} slices"));
+                    self.lost = false;
+                    if leads {
+                        self.reconcile(now, out);
+                    }
                 }
             }
             Item::Joined { proxy, zone, calls_per_s, fresh } => {
@@ -185,18 +176,18 @@
                 feed.standing.proxies.insert(proxy, (at, input.clone()));
                 if leads {
                     known.proxies.insert(proxy, (now, input.clone()));
-                    inputs.push(input);
+                    out.inputs.push(input);
                 }
             }
             Item::Left(proxy) => {
                 feed.standing.proxies.remove(&proxy);
                 if leads && known.proxies.remove(&proxy).is_some() {
-                    inputs.push(Input::Left(proxy));
+                    out.inputs.push(Input::Left(proxy));
                 }
             }
             Item::Applied(input, proxy) => {
                 if leads && known.proxies.contains_key(&proxy) {
-                    inputs.push(input);
+                    out.inputs.push(input);
                 }
             }
             Item::Given(slice) => {
@@ -208,14 +199,14 @@
                     feed.again.insert(slice);
                 } else if leads {
                     known.slices.insert(slice, (now, Lines::new()));
-                    inputs.push(Input::Given(slice));
+                    out.inputs.push(Input::Given(slice));
                 }
             }
             Item::Taken(slice) => {
                 feed.standing.slices.remove(&slice);
                 feed.again.remove(&slice);
                 if leads && known.slices.remove(&slice).is_some() {
-                    inputs.push(Input::Taken(slice));
+                    out.inputs.push(Input::Taken(slice));
                 }
             }
             Item::Line { slice, host, weight } => {
@@ -226,7 +217,7 @@
                     if let Some((_, lines)) = known.slices.get_mut(&slice) {
                         // A line that is known already would count twice.
                         if lines.insert(host, weight).is_none() {
-                            inputs.push(stored(slice, host, weight));
+                            out.inputs.push(stored(slice, host, weight));
                         }
                     }
                 }
--- a/crates/director/src/reducer/tests.rs
+++ b/crates/director/src/reducer/tests.rs
@@ -13,43 +13,34 @@
     Told { aim, weight, text: format!("SET,{slice},h{host},{weight}") }
 }
 
-fn ids() -> impl FnMut() -> LinkId {
-    let mut last = 0;
-    move || {
-        last += 1;
-        LinkId(last)
-    }
-}
-
 /// A queue with one connection up and these calls given.
-fn calls(given: &[&[Told]]) -> (Calls, Counters, Vec<Effect>) {
-    let (mut calls, mut counters, mut effects) = (Calls::new(PACE), Counters::default(), Vec::new());
-    given.iter().for_each(|call| calls.give(call.to_vec(), &mut counters));
-    calls.pump(0.0, &mut ids(), &mut counters, &mut effects);
+fn calls(given: &[&[Told]]) -> (Calls, Out) {
+    let (mut calls, mut out) = (Calls::new(PACE), Out::default());
+    given.iter().for_each(|call| calls.give(call.to_vec()));
+    calls.pump(0.0, &mut out);
     calls.up(0.0, LinkId(1));
-    effects.clear();
-    calls.pump(0.0, &mut ids(), &mut counters, &mut effects);
-    (calls, counters, effects)
+    calls.pump(0.0, &mut out);
+    (calls, out)
 }
 
-fn sent(effects: &[Effect]) -> Vec<String> {
+fn sent(out: &Out) -> Vec<String> {
     let text = |effect: &Effect| match effect {
         Effect::Send(_, bytes) => Some(String::from_utf8_lossy(bytes).trim_end().to_string()),
         _ => None,
     };
-    effects.iter().filter_map(text).collect()
+    out.effects.iter().filter_map(text).collect()
 }
 
 #[test]
 fn one_call_is_out_at_a_time() {
-    let (mut calls, mut counters, mut effects) = calls(&[&[line(1, 1, 1.0)], &[line(2, 2, 0.5)]]);
-    assert_eq!(sent(&effects), ["txn SET,1,h1,1"]);
-    calls.pump(0.01, &mut ids(), &mut counters, &mut effects);
-    assert_eq!(sent(&effects).len(), 1, "the first is not answered yet");
-    let taken = calls.answer(0.02, b"OK 1", &mut counters, &mut effects);
+    let (mut calls, mut out) = calls(&[&[line(1, 1, 1.0)], &[line(2, 2, 0.5)]]);
+    assert_eq!(sent(&out), ["txn SET,1,h1,1"]);
+    calls.pump(0.01, &mut out);
+    assert_eq!(sent(&out).len(), 1, "the first is not answered yet");
+    let taken = calls.answer(0.02, b"OK 1", &mut out);
     assert_eq!(taken, [line(1, 1, 1.0)]);
-    calls.pump(0.02, &mut ids(), &mut counters, &mut effects);
-    assert_eq!(sent(&effects)[1..], ["txn SET,2,h2,0.5"]);
+    calls.pump(0.02, &mut out);
+    assert_eq!(sent(&out)[1..], ["txn SET,2,h2,0.5"]);
 }
 
 #[test_case(b"OK 2", 2, 0 ; "all taken")]
@@ -58,41 +49,43 @@
 #[test_case(b"OK 3", 0, 0 ; "more than there were cannot be read")]
 #[test_case(b"OK -1", 0, 0 ; "fewer than none cannot be read")]
 fn answers(answer: &[u8], taken: u64, refused: u64) {
-    let (mut calls, mut counters, mut effects) = calls(&[&[line(1, 1, 1.0), line(1, 2, 0.5)]]);
-    let told = calls.answer(0.01, answer, &mut counters, &mut effects);
-    assert_eq!((told.len() as u64, counters.orders_taken, counters.orders_refused), (taken, taken, refused));
-    assert_eq!(counters.calls_repeated, u64::from(taken + refused == 0));
+    let (mut calls, mut out) = calls(&[&[line(1, 1, 1.0), line(1, 2, 0.5)]]);
+    let told = calls.answer(0.01, answer, &mut out);
+    assert_eq!(
+        (told.len() as u64, out.counters.orders_taken, out.counters.orders_refused),
+        (taken, taken, refused)
+    );
+    assert_eq!(out.counters.calls_repeated, u64::from(taken + refused == 0));
 }
 
 #[test]
 fn a_long_call_is_split() {
     let text = "x".repeat(25_000);
     let long: Vec<Told> = (0..5).map(|k| Told { text: text.clone(), ..line(1, k, 1.0) }).collect();
-    let (_, counters, effects) = calls(&[&long]);
-    assert_eq!((sent(&effects)[0].len(), counters.calls_sent), (4 + 2 * 25_000 + 1, 1));
+    let (_, out) = calls(&[&long]);
+    assert_eq!((sent(&out)[0].len(), out.counters.calls_sent), (4 + 2 * 25_000 + 1, 1));
 }
 
 #[test]
 fn a_repeat_waits_until_the_backlog_holds_both_copies() {
-    let (mut calls, mut counters, mut effects) = (Calls::new(PACE), Counters::default(), Vec::new());
+    let (mut calls, mut out) = (Calls::new(PACE), Out::default());
     // Six proxies with nine lines of overhead and one of their own: 60 lines, twice is past the backlog of 100.
     calls.proxies = 6;
-    calls.give(vec![line(1, 1, 1.0)], &mut counters);
-    let mut links = ids();
-    calls.pump(0.0, &mut links, &mut counters, &mut effects);
+    calls.give(vec![line(1, 1, 1.0)]);
+    calls.pump(0.0, &mut out);
     calls.up(0.0, LinkId(1));
-    calls.pump(0.0, &mut links, &mut counters, &mut effects);
-    calls.down(0.001, "broken", &mut counters, &mut effects);
-    calls.pump(0.001, &mut links, &mut counters, &mut effects);
+    calls.pump(0.0, &mut out);
+    calls.down(0.001, "broken", &mut out);
+    calls.pump(0.001, &mut out);
     calls.up(0.001, LinkId(2));
-    calls.pump(0.001, &mut links, &mut counters, &mut effects);
-    assert_eq!(sent(&effects).len(), 1, "60 + 60 - 1 lines would wait");
+    calls.pump(0.001, &mut out);
+    assert_eq!(sent(&out).len(), 1, "60 + 60 - 1 lines would wait");
     let at = calls.next();
     assert!((0.015..0.025).contains(&at), "{at}");
-    calls.pump(at, &mut links, &mut counters, &mut effects);
+    calls.pump(at, &mut out);
     calls.up(at, LinkId(2));
-    calls.pump(at, &mut links, &mut counters, &mut effects);
-    assert_eq!(sent(&effects).len(), 2);
+    calls.pump(at, &mut out);
+    assert_eq!(sent(&out).len(), 2);
 }
 
 #[test]
@@ -100,14 +93,13 @@
     let given: Vec<Vec<Told>> =
         (0..40).map(|k| vec![line(1, 1, f64::from(k)), line(2, k % 2, 1.0)]).collect();
     let given: Vec<&[Told]> = given.iter().map(Vec::as_slice).collect();
-    let (mut calls, mut counters, mut effects) = (Calls::new(PACE), Counters::default(), Vec::new());
-    let mut links = ids();
-    given.iter().for_each(|call| calls.give(call.to_vec(), &mut counters));
-    calls.pump(0.0, &mut links, &mut counters, &mut effects);
+    let (mut calls, mut out) = (Calls::new(PACE), Out::default());
+    given.iter().for_each(|call| calls.give(call.to_vec()));
+    calls.pump(0.0, &mut out);
     calls.up(0.0, LinkId(1));
-    calls.pump(0.0, &mut links, &mut counters, &mut effects);
-    assert_eq!(sent(&effects), ["txn SET,2,h0,1;SET,1,h1,39;SET,2,h1,1"], "the last of each, in their order");
-    assert_eq!(counters.calls_merged, 1);
+    calls.pump(0.0, &mut out);
+    assert_eq!(sent(&out), ["txn SET,2,h0,1;SET,1,h1,39;SET,2,h1,1"], "the last of each, in their order");
+    assert_eq!(out.counters.calls_merged, 1);
 }
 
 fn joined(proxy: u16) -> Item {
@@ -120,21 +112,19 @@
 
 /// News on `link` from its start to the first sign of life; the inputs made of them.
 fn told(news: &mut News, now: f64, link: u64, items: &[Item]) -> Vec<Input> {
-    let (mut effects, mut counters, mut inputs) = (Vec::new(), Counters::default(), Vec::new());
+    let mut out = Out { links: link - 1, ..Out::default() };
     if !news.owns(LinkId(link)) {
-        news.pump(now, &mut || LinkId(link), &mut counters, &mut effects, &mut inputs);
-        news.up(now, LinkId(link), &mut counters, &mut effects);
-    }
-    for item in items {
-        news.take(now, LinkId(link), item.clone(), &mut inputs);
+        news.pump(now, &mut out);
+        news.up(now, LinkId(link), &mut out);
     }
-    inputs
+    items.iter().for_each(|item| news.take(now, LinkId(link), item.clone(), &mut out));
+    out.inputs
 }
 
 fn lost(news: &mut News, now: f64, link: u64) -> Vec<Input> {
-    let (mut effects, mut counters, mut inputs) = (Vec::new(), Counters::default(), Vec::new());
-    news.down(now, LinkId(link), "broken", &mut counters, &mut effects, &mut inputs);
-    inputs
+    let mut out = Out::default();
+    news.down(now, LinkId(link), "broken", &mut out);
+    out.inputs
 }
 
 const START: [Item; 2] = [Item::Given(SliceId(1)), Item::Given(SliceId(2))];
@@ -268,7 +258,7 @@
             // Links are numbered from 1; a few go with each round, as some parts cost their connection.
             let lines = vec![Framed::Line(text.as_bytes()[..end].to_vec())];
             reducer.reduce(now, Event::Lines(ConnId(0), lines.clone()));
-            for link in (0..=reducer.links).rev().take(6).map(LinkId) {
+            for link in (0..=reducer.out.links).rev().take(6).map(LinkId) {
                 reducer.reduce(now, Event::RelayUp(link));
                 reducer.reduce(now, Event::RelayLines(link, lines.clone()));
                 reducer.reduce(now, Event::WatchLines(link, lines.clone()));
@@ -277,6 +267,8 @@
         }
     }
     assert!(
-        reducer.counters.lists > 0 && reducer.counters.sums_of_tries > 0 && reducer.counters.slices_given > 0
+        reducer.out.counters.lists > 0
+            && reducer.out.counters.sums_of_tries > 0
+            && reducer.out.counters.slices_given > 0
     );
 }
