What waits for a lost relay is not written into tables that are no more

At fault: Calls had no way to forget, and pump sent before news told what stands. Also merge folded a call that is not settled into later ones. Each has a unit test.

--- a/crates/director/src/reducer/calls.rs
+++ b/crates/director/src/reducer/calls.rs
@@ -17,6 +17,9 @@
 /// connection that we gave up, and it holds few.
 const REPEAT_PAUSE: f64 = 0.05;
 const REPEAT_PAUSE_MOST: f64 = 0.4;
+/// What stands is told within about a second of a dial; a relay that takes calls but tells no news is written to all
+/// the same after this.
+const BLIND_MOST: f64 = 1.5;
 /// Calls that wait; beyond it they become one, of which each state is named once.
 const WAITING_MOST: usize = 16;
 
@@ -63,6 +66,8 @@
     due: Option<f64>,
     /// Nothing goes out before.
     hold: f64,
+    /// Nor before this, while what stands is not known.
+    blind_until: Option<f64>,
     /// So often the first call has been repeated.
     repeats: u32,
     /// Lines in the channel as reckoned, and when.
@@ -70,6 +75,8 @@
     reckoned_at: f64,
     /// So many proxies get each order.
     pub proxies: usize,
+    /// When the first call went out.
+    pub sent_at: f64,
 }
 
 impl Calls {
@@ -80,10 +87,12 @@
             link: Link::Down,
             due: None,
             hold: 0.0,
+            blind_until: None,
             repeats: 0,
             lines: 0.0,
             reckoned_at: 0.0,
             proxies: 0,
+            sent_at: 0.0,
         }
     }
 
@@ -106,7 +115,8 @@
 
     /// While the relay is away, later orders take the place of earlier ones with the same aim.
     fn merge(&mut self, out: &mut Out) {
-        let first = if self.due.is_some() { self.waiting.pop_front() } else { None };
+        // One that is not settled stays as it is: nothing later goes out with it.
+        let first = if self.unsettled() { self.waiting.pop_front() } else { None };
         let (mut seen, mut kept) = (BTreeSet::new(), Vec::new());
         for order in self.waiting.drain(..).rev().flat_map(|call| call.into_iter().rev()) {
             if seen.insert(order.aim.clone()) {
@@ -119,9 +129,32 @@
         out.counters.calls_merged += 1;
     }
 
+    /// A slice was given anew or taken: what waits was decided on a table that is no more. A line of it, written
+    /// now, would stand in the new table without anybody knowing.
+    pub fn forget(&mut self, slice: SliceId) {
+        let out = self.due.is_some() as usize;
+        for call in self.waiting.iter_mut().skip(out) {
+            call.retain(|told| match &told.aim {
+                Aim::Line(of, _) | Aim::Clear(of) | Aim::Admit(Some(of), _) => *of != slice,
+                _ => true,
+            });
+        }
+        if out == 0 && self.waiting.front().is_some_and(Vec::is_empty) {
+            self.repeats = 0;
+        }
+        self.waiting.retain(|call| !call.is_empty());
+    }
+
+    /// What stands at the relay is not known, or is known again. What waits may have been decided on tables that
+    /// are no more, so it waits for the news; after a while it goes out all the same, and again so long after
+    /// each call that was lost.
+    pub fn blind(&mut self, now: f64, blind: bool) {
+        self.blind_until = blind.then_some(now + BLIND_MOST);
+    }
+
     /// The slices of which the call that is out sets lines.
     pub fn under_way(&self) -> BTreeSet<SliceId> {
-        let out = self.waiting.front().filter(|_| self.due.is_some() || self.repeats > 0);
+        let out = self.waiting.front().filter(|_| self.unsettled());
         let slice = |told: &Told| match told.aim {
             Aim::Line(slice, _) | Aim::Clear(slice) => Some(slice),
             _ => None,
@@ -132,13 +165,13 @@
     /// Sends the next call if one may go.
     pub fn pump(&mut self, now: f64, out: &mut Out) {
         if self.due.is_some_and(|due| now >= due) {
-            self.unsettled(now, "no answer in time", out);
+            self.repeat(now, "no answer in time", out);
         }
-        if self.waiting.len() > WAITING_MOST && now >= self.hold {
+        if self.waiting.len() > WAITING_MOST {
             self.merge(out);
         }
         let Some(call) = self.waiting.front() else { return };
-        if self.due.is_some() || now < self.hold {
+        if self.due.is_some() || now < self.ready_at() {
             return;
         }
         let cost = self.proxies as f64 * (self.pace.overhead + call.len() as f64);
@@ -154,7 +187,7 @@
             Link::Dialled(_) => {}
             Link::Up(link, since) if now - since < IDLE_MOST => {
                 self.lines += cost;
-                self.due = Some(now + ANSWER_MOST);
+                (self.due, self.sent_at) = (Some(now + ANSWER_MOST), now);
                 out.counters.calls_sent += 1;
                 out.effects.push(Effect::Send(link, relay::call(call.iter().map(|told| told.text.as_str()))));
             }
@@ -167,6 +200,10 @@
         }
     }
 
+    fn ready_at(&self) -> f64 {
+        self.hold.max(self.blind_until.unwrap_or(0.0))
+    }
+
     fn hang_up(&mut self, out: &mut Out) {
         if let Link::Up(link, _) | Link::Dialled(link) = std::mem::replace(&mut self.link, Link::Down) {
             out.effects.push(Effect::HangUp(link));
@@ -183,7 +220,7 @@
 
     pub fn down(&mut self, now: f64, why: &str, out: &mut Out) {
         if self.due.is_some() {
-            return self.unsettled(now, why, out);
+            return self.repeat(now, why, out);
         }
         // An idle connection may end; a dial that failed is tried again in a while.
         if matches!(self.link, Link::Dialled(_)) {
@@ -192,9 +229,14 @@
         self.hang_up(out);
     }
 
+    /// The first call has gone out, and nobody knows yet whether it was carried out.
+    fn unsettled(&self) -> bool {
+        self.due.is_some() || self.repeats > 0
+    }
+
     /// The first call was carried out, or was not: nobody can tell. It goes out again before anything else, on
     /// a new connection, as a late answer on the old one would be taken for the next call's.
-    fn unsettled(&mut self, now: f64, why: &str, out: &mut Out) {
+    fn repeat(&mut self, now: f64, why: &str, out: &mut Out) {
         out.counters.calls_repeated += 1;
         // One line for a call, however long the relay stays away.
         if self.repeats == 0 {
@@ -203,16 +245,14 @@
         let pause = REPEAT_PAUSE * f64::from(self.repeats) * f64::from(self.repeats);
         self.repeats += 1;
         (self.due, self.hold) = (None, now + pause.min(REPEAT_PAUSE_MOST));
+        self.blind_until = self.blind_until.map(|_| now + BLIND_MOST);
         self.hang_up(out);
     }
 
     /// The first call's state is known.
     fn settled(&mut self, now: f64, link: LinkId, out: &mut Out) {
         if self.repeats > 1 {
-            out.effects.push(Effect::Log(
-                Level::Warn,
-                format!("relay: call settled after {} repeats", self.repeats),
-            ));
+            out.warn(format!("relay: call settled after {} repeats", self.repeats));
         }
         (self.due, self.repeats, self.link) = (None, 0, Link::Up(link, now));
     }
@@ -261,7 +301,7 @@
                 Vec::new()
             }
             Answer::Taken(_) | Answer::Unreadable => {
-                self.unsettled(now, "its answer cannot be read", out);
+                self.repeat(now, "its answer cannot be read", out);
                 Vec::new()
             }
         }
@@ -273,7 +313,7 @@
             (Some(due), _) => due,
             (None, Link::Dialled(_)) => f64::INFINITY,
             _ if self.waiting.is_empty() => f64::INFINITY,
-            _ => self.hold,
+            _ => self.ready_at(),
         }
     }
 }
--- a/crates/director/src/reducer/mod.rs
+++ b/crates/director/src/reducer/mod.rs
@@ -142,6 +142,8 @@
     list: List,
     wakes: Vec<(f64, api::WakeId)>,
     started: bool,
+    /// What stands at the relay was known when last looked.
+    told: bool,
     out: Out,
 }
 
@@ -172,6 +174,7 @@
             list: List::new(Clock::starting(wall_ns)),
             wakes: Vec::new(),
             started: false,
+            told: false,
             out: Out::default(),
         };
         if let Some(known) = &config.known {
@@ -309,9 +312,17 @@
         if self.calls.owns(link) {
             // A line that is too long is no answer that can be read.
             let line = if let Framed::Line(line) = line { line } else { Vec::new() };
+            let sent_at = self.calls.sent_at;
             for told in self.calls.answer(now, &line, &mut self.out) {
                 match told.aim {
-                    Aim::Line(slice, host) => self.news.wrote(slice, host, told.weight),
+                    Aim::Line(slice, host) => {
+                        // Given anew while the call was out: the line stands in a table that it was not meant for.
+                        let given = self.news.given_at(slice).is_some_and(|at| at > sent_at);
+                        if given && told.weight > 0.0 {
+                            self.out.inputs.push(news::stored(slice, host, told.weight));
+                        }
+                        self.news.wrote(slice, host, told.weight);
+                    }
                     Aim::Clear(slice) => self.news.cleared(slice),
                     _ => {}
                 }
@@ -410,10 +421,19 @@
         if !self.out.inputs.is_empty() || !std::mem::replace(&mut self.started, true) {
             let inputs = std::mem::take(&mut self.out.inputs);
             self.counters_of(&inputs);
+            for input in &inputs {
+                if let api::Input::Given(slice) | api::Input::Taken(slice) = input {
+                    self.calls.forget(*slice);
+                }
+            }
             let orders = self.director.handle(now, &inputs);
             self.out.counters.decisions += 1;
             self.carry_out(now, orders);
         }
+        let told = self.news.told();
+        if std::mem::replace(&mut self.told, told) != told {
+            self.calls.blind(now, !told);
+        }
         self.calls.proxies = self.news.known.proxies.len();
         self.calls.pump(now, &mut self.out);
         self.news.under_way = self.calls.under_way();
--- a/crates/director/src/reducer/news.rs
+++ b/crates/director/src/reducer/news.rs
@@ -227,20 +227,30 @@
 
     /// The relay has taken this line: so it stands, whether or not a connection's start has told it.
     pub fn wrote(&mut self, slice: SliceId, host: HostId, weight: f64) {
-        for (_, lines) in self.stored(slice) {
+        for (_, lines) in self.tables(slice) {
             _ = if weight > 0.0 { lines.insert(host, weight) } else { lines.remove(&host) };
         }
     }
 
     pub fn cleared(&mut self, slice: SliceId) {
-        self.stored(slice).for_each(|(_, lines)| lines.clear());
+        self.tables(slice).for_each(|(_, lines)| lines.clear());
     }
 
-    fn stored(&mut self, slice: SliceId) -> impl Iterator<Item = &mut (f64, Lines)> {
+    fn tables(&mut self, slice: SliceId) -> impl Iterator<Item = &mut (f64, Lines)> {
         let feeds = self.feeds.iter_mut().map(|feed| &mut feed.standing);
         feeds.chain([&mut self.known]).filter_map(move |standing| standing.slices.get_mut(&slice))
     }
 
+    /// What stands is known, and is being told.
+    pub fn told(&self) -> bool {
+        self.feeds.first().is_some_and(|feed| feed.whole)
+    }
+
+    /// When a slice was given to us, as far as the decisions know.
+    pub fn given_at(&self, slice: SliceId) -> Option<f64> {
+        self.known.slices.get(&slice).map(|(at, _)| *at)
+    }
+
     pub fn next(&self) -> f64 {
         let silent = self.feeds.iter().map(|feed| feed.heard + SILENT_MOST + 1e-3);
         let dial = if self.feeds.len() < FEEDS_MOST { self.dial_at } else { f64::INFINITY };
@@ -249,7 +259,7 @@
     }
 }
 
-fn stored(slice: SliceId, host: HostId, weight: f64) -> Input {
+pub fn stored(slice: SliceId, host: HostId, weight: f64) -> Input {
     Input::StoredLine { slice, host, weight }
 }
 
--- a/crates/director/src/reducer/tests.rs
+++ b/crates/director/src/reducer/tests.rs
@@ -102,6 +102,74 @@
     assert_eq!(out.counters.calls_merged, 1);
 }
 
+#[test]
+fn a_call_that_is_not_settled_is_not_merged() {
+    let (mut calls, mut out) = calls(&[&[line(1, 1, 1.0)]]);
+    (0..40).for_each(|k| calls.give(vec![line(1, 1, f64::from(k))]));
+    calls.down(0.01, "broken", &mut out);
+    calls.pump(0.02, &mut out);
+    calls.up(0.02, LinkId(2));
+    calls.pump(0.02, &mut out);
+    assert_eq!(sent(&out)[1..], ["txn SET,1,h1,1"], "the same again, and nothing later with it");
+    calls.answer(0.03, b"OK 1", &mut out);
+    calls.pump(0.03, &mut out);
+    assert_eq!(sent(&out)[2..], ["txn SET,1,h1,39"]);
+}
+
+#[test_case(true, &["txn SET,1,h1,1", "txn SET,2,h2,1;SET,2,h3,1"] ; "what waits")]
+#[test_case(false, &["txn SET,1,h1,1", "txn SET,2,h2,1;SET,2,h3,1"] ; "a repeat that waits")]
+fn orders_for_a_slice_that_went_are_forgotten(settled: bool, expected: &[&str]) {
+    let (mut calls, mut out) =
+        calls(&[&[line(1, 1, 1.0)], &[line(2, 2, 1.0), line(1, 2, 1.0), line(2, 3, 1.0)]]);
+    if settled {
+        calls.answer(0.01, b"OK 1", &mut out);
+    } else {
+        calls.down(0.01, "broken", &mut out);
+    }
+    calls.forget(SliceId(1));
+    calls.pump(0.02, &mut out);
+    calls.up(0.02, LinkId(2));
+    calls.pump(0.02, &mut out);
+    assert_eq!(sent(&out), expected);
+}
+
+#[test]
+fn a_line_that_met_a_new_table_is_told() {
+    let mut reducer = reducer();
+    let lines =
+        |texts: &[&str]| texts.iter().map(|text| Framed::Line(text.as_bytes().to_vec())).collect::<Vec<_>>();
+    // The news are the first that is dialled, the calls the second.
+    let (news, call) = (LinkId(2), LinkId(3));
+    reducer.reduce(0.0, Event::Settle);
+    reducer.reduce(0.0, Event::RelayUp(news));
+    reducer.reduce(0.1, Event::RelayLines(news, lines(&["OK", "* lease 0 1", "* line 0 h1 1.0", "*"])));
+    let host = reducer.names.host("h9");
+    reducer.calls.give(vec![Told {
+        aim: Aim::Line(SliceId(0), host),
+        weight: 1.0,
+        text: "SET,0,h9,1".to_string(),
+    }]);
+    reducer.calls.pump(0.2, &mut reducer.out);
+    reducer.calls.up(0.2, call);
+    reducer.calls.pump(0.2, &mut reducer.out);
+    reducer.reduce(0.21, Event::RelayLines(news, lines(&["* lease 0 0", "* lease 0 1"])));
+    reducer.out.inputs.clear();
+    reducer.reduce(0.22, Event::RelayLines(call, lines(&["OK 1"])));
+    assert_eq!(reducer.out.inputs, [Input::StoredLine { slice: SliceId(0), host, weight: 1.0 }]);
+}
+
+#[test]
+fn a_blind_director_waits_before_it_writes() {
+    let (mut calls, mut out) = calls(&[&[line(1, 1, 1.0)], &[line(2, 1, 1.0)]]);
+    calls.blind(0.01, true);
+    calls.down(0.1, "broken", &mut out);
+    calls.pump(1.5, &mut out);
+    assert_eq!((sent(&out).len(), calls.next()), (1, 1.6), "so long after a call that was lost");
+    calls.blind(1.55, false);
+    calls.pump(1.55, &mut out);
+    assert_eq!(out.effects.last(), Some(&Effect::Dial(LinkId(2))));
+}
+
 fn joined(proxy: u16) -> Item {
     Item::Joined { proxy: ProxyId(proxy), zone: ZoneId(0), calls_per_s: 1.0, fresh: false }
 }
