--- a/crates/director/src/reducer/mod.rs
+++ b/crates/director/src/reducer/mod.rs
@@ -247,12 +247,17 @@
                 a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2))
             });
             if let Some(conn) = last.map(|(conn, _)| *conn) {
-                self.out.counters.strangers_dropped += 1;
-                self.drop_connection(conn);
+                self.drop_stranger(conn, "to make room");
             }
         }
     }
 
+    fn drop_stranger(&mut self, conn: ConnId, why: &str) {
+        self.out.counters.strangers_dropped += 1;
+        self.out.warn(format!("collector: connection dropped, {why}"));
+        self.drop_connection(conn);
+    }
+
     /// The one place where a taken connection is given back.
     fn drop_connection(&mut self, conn: ConnId) {
         if self.taken.remove(&conn).is_some() {
@@ -304,7 +309,10 @@
     }
 
     fn load(&mut self, report: &Report) -> api::Load {
-        self.out.counters.load_figures_odd += report.odd;
+        if report.odd > 0 {
+            self.out.counters.load_figures_odd += report.odd;
+            self.out.warn(format!("load report: {} figures passed over", report.odd));
+        }
         load(|name| report.get(name))
     }
 
@@ -405,8 +413,7 @@
     fn settle(&mut self, now: f64) {
         let strangers = |(_, taken): &(&ConnId, &Taken)| !taken.sound && now - taken.since > STRANGER_MOST;
         for conn in self.taken.iter().filter(strangers).map(|(conn, _)| *conn).collect::<Vec<_>>() {
-            self.out.counters.strangers_dropped += 1;
-            self.drop_connection(conn);
+            self.drop_stranger(conn, "nothing sound was said");
         }
         self.list.pump(now, &mut self.out);
         self.news.pump(now, &mut self.out);
--- a/crates/director/tests/serve.rs
+++ b/crates/director/tests/serve.rs
@@ -237,6 +237,7 @@
     collector.say(OUTCOMES.replace("30.0", "\"slow\"").as_bytes());
     assert!(collector.alive());
     assert_eq!((world.counter("load_figures_odd"), world.counter("sums_of_tries")), (1, 1));
+    world.logged("load report: 1 figures passed over");
 }
 
 #[test]
@@ -250,6 +251,7 @@
     assert!(world.descriptors() < 100, "without waiting for the strangers' time to be over");
     assert!(strangers[0].ended(), "the first one made room");
     world.counted("strangers_dropped", 250);
+    world.logged("collector: connection dropped, to make room");
 }
 
 #[test]
