--- a/crates/director/src/logger.rs
+++ b/crates/director/src/logger.rs
@@ -1,13 +1,25 @@
 //! The log on standard error: seconds since the start, level, text. A flood of warnings, such as bad input can cause,
-//! is cut to what can be read; what is decided or asked for is always written.
+//! is cut to what can be read; what is decided or asked for is always written, as long as somebody takes it. A thread
+//! of its own writes, so that a reader that stalls holds nobody up.
 
 use log::{Level, LevelFilter, Log, Metadata, Record};
 use std::io::Write;
+use std::sync::mpsc::{sync_channel, Receiver, SyncSender};
 use std::sync::Mutex;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-/// Warnings in a second; more are counted and left out. Nobody reads more, and whoever takes them may block.
+/// Warnings in a second; more are counted and left out. Nobody reads more.
 const MOST: u32 = 200;
+/// Lines that wait for whoever takes them; a reader that stalls must not hold the director up.
+const WAITING_MOST: usize = 1024;
+/// How long the end waits for the last lines to be taken.
+const FINISH_MOST: Duration = Duration::from_millis(200);
+
+/// A line, or a wish to hear when all before it is written.
+enum Item {
+    Line(String),
+    Written(SyncSender<()>),
+}
 
 struct Budget {
     second: u64,
@@ -18,6 +30,7 @@
 struct Logger {
     started: Instant,
     budget: Mutex<Budget>,
+    lines: SyncSender<Item>,
 }
 
 impl Budget {
@@ -51,22 +64,42 @@
         let warning = record.level() < Level::Info;
         let left_out = if warning { budget.take(at.as_secs()) } else { Some(0) };
         let Some(left_out) = left_out else { return };
-        let mut error = std::io::stderr().lock();
-        // Whoever took the log may be gone; the director goes on without it.
         if left_out > 0 {
-            let _ = writeln!(error, "{:.3} WARN {left_out} warnings left out", at.as_secs_f64());
+            let text = format!("{:.3} WARN {left_out} warnings left out", at.as_secs_f64());
+            let _ = self.lines.try_send(Item::Line(text));
         }
         let text = record.args().to_string().replace(['\n', '\r'], " ");
-        let _ = writeln!(error, "{:.3} {} {text}", at.as_secs_f64(), record.level());
+        let line = format!("{:.3} {} {text}", at.as_secs_f64(), record.level());
+        if self.lines.try_send(Item::Line(line)).is_err() {
+            budget.left_out += 1;
+        }
     }
 
-    fn flush(&self) {}
+    /// Waits a moment for what has been logged to be written.
+    fn flush(&self) {
+        let (written, done) = sync_channel(1);
+        if self.lines.try_send(Item::Written(written)).is_ok() {
+            let _ = done.recv_timeout(FINISH_MOST);
+        }
+    }
+}
+
+fn write(items: Receiver<Item>) {
+    for item in items {
+        match item {
+            // Whoever took the log may be gone; the director goes on without it.
+            Item::Line(line) => drop(writeln!(std::io::stderr(), "{line}")),
+            Item::Written(written) => drop(written.try_send(())),
+        }
+    }
 }
 
 /// From here on `log` writes; a second call changes nothing.
 pub fn start(started: Instant) {
     let budget = Mutex::new(Budget { second: 0, written: 0, left_out: 0 });
-    if log::set_boxed_logger(Box::new(Logger { started, budget })).is_ok() {
+    let (lines, items) = sync_channel(WAITING_MOST);
+    std::thread::spawn(move || write(items));
+    if log::set_boxed_logger(Box::new(Logger { started, budget, lines })).is_ok() {
         log::set_max_level(LevelFilter::Info);
     }
 }
--- a/crates/director/src/main.rs
+++ b/crates/director/src/main.rs
@@ -111,6 +111,7 @@
         Ok(runtime) => runtime.block_on(serve(config, reducer, started)),
         Err(wrong) => Err(wrong.to_string()),
     };
+    log::logger().flush();
     match served {
         Ok(()) => ExitCode::SUCCESS,
         Err(wrong) => {
--- a/crates/director/tests/serve.rs
+++ b/crates/director/tests/serve.rs
@@ -254,6 +254,21 @@
     world.logged("collector: connection dropped, to make room");
 }
 
+#[test]
+fn a_log_that_nobody_takes_holds_nobody_up() {
+    let world = World::laid();
+    let mut collector = world.connect();
+    assert!(collector.alive());
+    let held = world.log.hold();
+    // Each asks for a line of about a kilobyte: far more than a pipe takes.
+    for _ in 0..150 {
+        world.signal("USR1");
+        assert!(collector.alive(), "it serves on");
+    }
+    drop(held);
+    world.counted("alive_answers", 151);
+}
+
 #[test]
 fn bytes_come_in_pieces() {
     let world = World::laid();
--- a/crates/director/tests/stand_ins/mod.rs
+++ b/crates/director/tests/stand_ins/mod.rs
@@ -42,6 +42,11 @@
         result
     }
 
+    /// Nobody else gets at the state as long as this is kept.
+    pub fn hold(&self) -> impl Drop + '_ {
+        self.lock()
+    }
+
     fn lock(&self) -> MutexGuard<'_, T> {
         self.0 .0.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
     }
