--- a/crates/director/src/counters.rs
+++ b/crates/director/src/counters.rs
@@ -59,4 +59,6 @@
     probes_timed_out,
     probes_unreachable,
     probes_broken,
+    configurations_taken,
+    configurations_bad,
 }
--- a/crates/director/src/discovery.rs
+++ b/crates/director/src/discovery.rs
@@ -1,10 +1,11 @@
-//! Discovery's watch: one connection at a time, whose lines go to the reducer.
+//! Discovery's watches: each a connection of its own, whose lines go to the reducer.
 
 use crate::framing::{Framed, Framer};
 use crate::http;
 use crate::net::Task;
 use crate::reducer::{Event, LinkId};
 use http_body_util::BodyExt;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::mpsc::Sender;
@@ -15,25 +16,26 @@
 const LINE_MOST: usize = 4 << 20;
 
 pub struct Discovery {
-    address: SocketAddr,
     events: Sender<Event>,
-    watch: Option<Task>,
+    watches: BTreeMap<LinkId, Task>,
 }
 
 impl Discovery {
-    pub fn new(address: SocketAddr, events: Sender<Event>) -> Self {
-        Discovery { address, events, watch: None }
+    pub fn new(events: Sender<Event>) -> Self {
+        Discovery { events, watches: BTreeMap::new() }
     }
 
-    /// Opens a watch in place of the one before.
-    pub fn watch(&mut self, id: LinkId, path: String) {
-        // The old one ends before the new one begins.
-        self.watch = None;
-        let (address, events) = (self.address, self.events.clone());
-        self.watch = Some(Task::spawn(async move {
+    pub fn watch(&mut self, id: LinkId, address: SocketAddr, path: String) {
+        let events = self.events.clone();
+        let task = Task::spawn(async move {
             let why = follow(id, address, &path, &events).await;
             let _ = events.send(Event::WatchDown(id, why)).await;
-        }));
+        });
+        self.watches.insert(id, task);
+    }
+
+    pub fn unwatch(&mut self, id: LinkId) {
+        self.watches.remove(&id);
     }
 }
 
--- a/crates/director/src/main.rs
+++ b/crates/director/src/main.rs
@@ -37,10 +37,11 @@
         match effect {
             Effect::Say(conn, bytes) => self.listener.say(conn, bytes),
             Effect::Drop(conn) => self.listener.drop_connection(conn),
-            Effect::Dial(link) => self.relay.dial(link),
+            Effect::Dial(link, address) => self.relay.dial(link, address),
             Effect::Send(link, bytes) => self.relay.send(link, bytes),
             Effect::HangUp(link) => self.relay.hang_up(link),
-            Effect::Watch(link, path) => self.discovery.watch(link, path),
+            Effect::Watch(link, address, path) => self.discovery.watch(link, address, path),
+            Effect::Unwatch(link) => self.discovery.unwatch(link),
             Effect::Probe { host, address, path } => self.probes.start(host, address, path),
             Effect::Wake(at) => self.alarm.set(at),
             Effect::Log(level, text) => log::log!(level, "{text}"),
@@ -50,27 +51,31 @@
     }
 }
 
-/// `wall_ns`: what the wall clock showed at the start.
-fn configured(wall_ns: u64) -> Result<(Config, Reducer), String> {
+/// The configuration as the file has it now, read whole before anything of it is used.
+fn configured() -> Result<Config, String> {
     let path = std::env::var("EDGE_CONFIG").map_err(|_| "EDGE_CONFIG is not set".to_string())?;
     let bytes = std::fs::read(&path).map_err(|wrong| format!("EDGE_CONFIG: {wrong}"))?;
-    let config = Config::parse(&bytes).map_err(|fault| format!("configuration: {fault}"))?;
-    let reducer = Reducer::new(&config, wall_ns).map_err(|wrong| format!("configuration: {wrong}"))?;
-    Ok((config, reducer))
+    Config::parse(&bytes).map_err(|fault| format!("configuration: {fault}"))
 }
 
-async fn serve(config: Config, mut reducer: Reducer, started: Instant) -> Result<(), String> {
+/// `wall_ns`: what the wall clock showed at the start.
+async fn serve(started: Instant, wall_ns: u64) -> Result<(), String> {
+    // First of all, as a signal without its handler ends the program.
+    let handlers = [SignalKind::user_defined1(), SignalKind::terminate(), SignalKind::hangup()].map(signal);
+    let [Ok(mut print), Ok(mut stop), Ok(mut reload)] = handlers else {
+        return Err("signals cannot be taken".to_string());
+    };
+    let config = configured()?;
+    let mut reducer = Reducer::new(&config, wall_ns).map_err(|wrong| format!("configuration: {wrong}"))?;
     let (sender, mut events) = channel(EVENTS_MOST);
     let bound = listener::Listener::bind(config.listen, sender.clone()).await;
     let mut io = Io {
         listener: bound.map_err(|wrong| format!("configuration: field listen: {wrong}"))?,
-        relay: relay::Relay::new(config.relay, sender.clone()),
-        discovery: discovery::Discovery::new(config.discovery, sender.clone()),
+        relay: relay::Relay::new(sender.clone()),
+        discovery: discovery::Discovery::new(sender.clone()),
         probes: probes::Probes::new(sender),
         alarm: timers::Alarm::new(started),
     };
-    let handlers = (signal(SignalKind::user_defined1()), signal(SignalKind::terminate()));
-    let (Ok(mut print), Ok(mut stop)) = handlers else { return Err("signals cannot be taken".to_string()) };
     log::info!("{} serves", config.name);
     let mut batch = vec![Event::Time];
     loop {
@@ -91,6 +96,7 @@
             Some(event) = events.recv() => batch.push(event),
             _ = io.alarm.rung() => batch.push(Event::Time),
             _ = print.recv() => batch.push(Event::Count),
+            _ = reload.recv() => batch.push(Event::Reload(Box::new(configured()))),
             _ = stop.recv() => batch.push(Event::Stop),
         }
     }
@@ -100,9 +106,8 @@
     let (started, wall) = (Instant::now(), SystemTime::now());
     let wall_ns = wall.duration_since(UNIX_EPOCH).map_or(0, |wall| wall.as_nanos() as u64);
     logger::start(started);
-    let (config, reducer) = configured(wall_ns)?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let served = runtime.map_err(|wrong| wrong.to_string())?.block_on(serve(config, reducer, started));
+    let served = runtime.map_err(|wrong| wrong.to_string())?.block_on(serve(started, wall_ns));
     log::logger().flush();
     served
 }
--- a/crates/director/src/reducer/calls.rs
+++ b/crates/director/src/reducer/calls.rs
@@ -6,6 +6,7 @@
 use coppersail_protocol::relay::{self, Answer};
 use log::Level;
 use std::collections::{BTreeSet, VecDeque};
+use std::net::SocketAddr;
 
 /// The relay answers within 50 ms or never; twice that, as the director's own machine may be slow.
 const ANSWER_MOST: f64 = 0.1;
@@ -61,7 +62,13 @@
 pub struct Calls {
     pace: Pace,
     waiting: VecDeque<Vec<Told>>,
+    /// Where the relay is.
+    address: SocketAddr,
     link: Link,
+    /// The relay has moved: `link` serves on until `next`, to where the relay is now, is up and no call is out.
+    next: Option<Link>,
+    /// When `next` is dialled again.
+    dial_at: f64,
     /// The first call is out, and its answer due by then.
     due: Option<f64>,
     /// Nothing goes out before.
@@ -80,11 +87,14 @@
 }
 
 impl Calls {
-    pub fn new(pace: Pace) -> Self {
+    pub fn new(pace: Pace, address: SocketAddr) -> Self {
         Calls {
             pace,
             waiting: VecDeque::new(),
+            address,
             link: Link::Down,
+            next: None,
+            dial_at: 0.0,
             due: None,
             hold: 0.0,
             blind_until: None,
@@ -170,6 +180,7 @@
         if self.waiting.len() > WAITING_MOST {
             self.merge(out);
         }
+        self.follow(now, out);
         let Some(call) = self.waiting.front() else { return };
         if self.due.is_some() || now < self.ready_at() {
             return;
@@ -185,7 +196,7 @@
         }
         match self.link {
             Link::Dialled(_) => {}
-            Link::Up(link, since) if now - since < IDLE_MOST => {
+            Link::Up(link, since) if now - since < IDLE_MOST || self.next.is_some() => {
                 self.lines += cost;
                 (self.due, self.sent_at) = (Some(now + ANSWER_MOST), now);
                 out.counters.calls_sent += 1;
@@ -193,9 +204,7 @@
             }
             Link::Up(..) | Link::Down => {
                 self.hang_up(out);
-                let link = out.link();
-                self.link = Link::Dialled(link);
-                out.effects.push(Effect::Dial(link));
+                self.link = self.dial(out);
             }
         }
     }
@@ -204,21 +213,58 @@
         self.hold.max(self.blind_until.unwrap_or(0.0))
     }
 
+    fn dial(&self, out: &mut Out) -> Link {
+        let link = out.link();
+        out.effects.push(Effect::Dial(link, self.address));
+        Link::Dialled(link)
+    }
+
     fn hang_up(&mut self, out: &mut Out) {
-        if let Link::Up(link, _) | Link::Dialled(link) = std::mem::replace(&mut self.link, Link::Down) {
-            out.effects.push(Effect::HangUp(link));
+        close(std::mem::replace(&mut self.link, Link::Down), out);
+    }
+
+    /// The relay is elsewhere from now on. A call that is out is settled where it went, as long as that serves.
+    pub fn move_to(&mut self, address: SocketAddr, out: &mut Out) {
+        if std::mem::replace(&mut self.address, address) == address {
+            return;
+        }
+        self.next.take().into_iter().for_each(|next| close(next, out));
+        match self.link {
+            Link::Up(..) => self.next = Some(self.dial(out)),
+            Link::Dialled(_) => self.hang_up(out),
+            Link::Down => {}
+        }
+    }
+
+    /// Leaves the connection to where the relay was, once another is up and no call is out.
+    fn follow(&mut self, now: f64, out: &mut Out) {
+        let Some(next) = &self.next else { return };
+        let leave = self.link == Link::Down || self.due.is_none() && matches!(next, Link::Up(..));
+        if leave {
+            self.hang_up(out);
+            self.link = self.next.take().unwrap_or(Link::Down);
+        } else if *next == Link::Down && now >= self.dial_at {
+            self.next = Some(self.dial(out));
         }
     }
 
     pub fn owns(&self, id: LinkId) -> bool {
-        matches!(self.link, Link::Dialled(link) | Link::Up(link, _) if link == id)
+        is(&self.link, id) || self.next.as_ref().is_some_and(|next| is(next, id))
     }
 
     pub fn up(&mut self, now: f64, id: LinkId) {
-        self.link = Link::Up(id, now);
+        match &mut self.next {
+            Some(next) if is(next, id) => *next = Link::Up(id, now),
+            _ => self.link = Link::Up(id, now),
+        }
     }
 
-    pub fn down(&mut self, now: f64, why: &str, out: &mut Out) {
+    pub fn down(&mut self, now: f64, id: LinkId, why: &str, out: &mut Out) {
+        if !is(&self.link, id) {
+            self.next.replace(Link::Down).into_iter().for_each(|next| close(next, out));
+            self.dial_at = now + PAUSE;
+            return;
+        }
         if self.due.is_some() {
             return self.repeat(now, why, out);
         }
@@ -258,8 +304,12 @@
     }
 
     /// What an answer says of the call that is out; the orders that are in force by it.
-    pub fn answer(&mut self, now: f64, line: &[u8], out: &mut Out) -> Vec<Told> {
-        let Link::Up(link, _) = self.link else { return Vec::new() };
+    pub fn answer(&mut self, now: f64, link: LinkId, line: &[u8], out: &mut Out) -> Vec<Told> {
+        if !matches!(self.link, Link::Up(up, _) if up == link) {
+            // Nothing was asked for on the connection to where the relay is now.
+            self.down(now, link, "an answer out of turn", out);
+            return Vec::new();
+        }
         let Some(call) = self.waiting.front_mut().filter(|_| self.due.is_some()) else {
             // An answer that nothing was asked for: the next one could not be told from it.
             out.warn("relay: an answer out of turn".to_string());
@@ -309,11 +359,22 @@
 
     /// When `pump` may have something to do by itself.
     pub fn next(&self) -> f64 {
-        match (self.due, &self.link) {
+        let dial = if self.next == Some(Link::Down) { self.dial_at } else { f64::INFINITY };
+        dial.min(match (self.due, &self.link) {
             (Some(due), _) => due,
             (None, Link::Dialled(_)) => f64::INFINITY,
             _ if self.waiting.is_empty() => f64::INFINITY,
             _ => self.ready_at(),
-        }
+        })
+    }
+}
+
+fn is(link: &Link, id: LinkId) -> bool {
+    matches!(link, Link::Dialled(of) | Link::Up(of, _) if *of == id)
+}
+
+fn close(link: Link, out: &mut Out) {
+    if let Link::Up(link, _) | Link::Dialled(link) = link {
+        out.effects.push(Effect::HangUp(link));
     }
 }
--- a/crates/director/src/reducer/list.rs
+++ b/crates/director/src/reducer/list.rs
@@ -1,4 +1,5 @@
-//! The list of hosts as discovery tells it: one watch, dialled again when it ends or falls silent.
+//! The list of hosts as discovery tells it: one watch, dialled again when it ends or falls silent. Where discovery
+//! has moved, the old watch is kept until the new one tells.
 
 use super::{named, Effect, LinkId, Out};
 use crate::framing::Framed;
@@ -18,13 +19,18 @@
 
 struct Watch {
     link: LinkId,
+    address: SocketAddr,
+    /// It has brought a line.
+    told: bool,
     /// Given up if nothing comes by then.
     until: f64,
 }
 
 pub struct List {
     clock: Clock,
-    watch: Option<Watch>,
+    address: SocketAddr,
+    /// One at `address`, and those that serve meanwhile.
+    watches: Vec<Watch>,
     open_at: f64,
     version: Option<u64>,
     /// Each host as last listed, and where it is.
@@ -41,10 +47,11 @@
 }
 
 impl List {
-    pub fn new(clock: Clock) -> Self {
+    pub fn new(clock: Clock, address: SocketAddr) -> Self {
         List {
             clock,
-            watch: None,
+            address,
+            watches: Vec::new(),
             open_at: 0.0,
             version: None,
             hosts: BTreeMap::new(),
@@ -54,15 +61,36 @@
     }
 
     pub fn owns(&self, id: LinkId) -> bool {
-        self.watch.as_ref().is_some_and(|watch| watch.link == id)
+        self.watches.iter().any(|watch| watch.link == id)
     }
 
     pub fn address(&self, host: HostId) -> Option<SocketAddr> {
         self.hosts.get(&host).map(|(_, address)| *address)
     }
 
-    pub fn ask_whole(&mut self, now: f64) {
-        (self.watch, self.open_at, self.whole) = (None, now, true);
+    pub fn ask_whole(&mut self, now: f64, out: &mut Out) {
+        (self.open_at, self.whole) = (now, true);
+        self.leave(|_| true, out);
+    }
+
+    /// Discovery is elsewhere from now on. What has told so far serves until the new watch tells.
+    pub fn move_to(&mut self, now: f64, address: SocketAddr, out: &mut Out) {
+        if std::mem::replace(&mut self.address, address) != address {
+            self.open_at = now;
+            self.leave(|watch| !watch.told, out);
+        }
+    }
+
+    /// The one place where watches are given back.
+    fn leave(&mut self, which: impl Fn(&Watch) -> bool, out: &mut Out) {
+        let (left, kept) = std::mem::take(&mut self.watches).into_iter().partition(which);
+        self.watches = kept;
+        let left: Vec<Watch> = left;
+        out.effects.extend(left.iter().map(|watch| Effect::Unwatch(watch.link)));
+    }
+
+    fn watches_here(&self) -> bool {
+        self.watches.iter().any(|watch| watch.address == self.address)
     }
 
     /// The list that the configuration remembers, maybe old.
@@ -74,32 +102,44 @@
     }
 
     pub fn pump(&mut self, now: f64, out: &mut Out) {
-        if self.watch.as_ref().is_some_and(|watch| now >= watch.until) {
-            self.down(now, "silent", out);
+        let silent = |watch: &&Watch| now >= watch.until;
+        for link in self.watches.iter().filter(silent).map(|watch| watch.link).collect::<Vec<_>>() {
+            self.down(now, link, "silent", out);
             self.open_at = now;
         }
-        if self.watch.is_none() && now >= self.open_at {
-            let link = out.link();
-            self.watch = Some(Watch { link, until: now + FIRST_MOST });
+        if !self.watches_here() && now >= self.open_at {
+            let (link, address) = (out.link(), self.address);
+            self.watches.push(Watch { link, address, told: false, until: now + FIRST_MOST });
             out.counters.watches_opened += 1;
             let since = if self.whole { None } else { self.version };
-            out.effects.push(Effect::Watch(link, discovery::watch(since)));
+            out.effects.push(Effect::Watch(link, address, discovery::watch(since)));
         }
     }
 
-    pub fn down(&mut self, now: f64, why: &str, out: &mut Out) {
+    pub fn down(&mut self, now: f64, id: LinkId, why: &str, out: &mut Out) {
         out.counters.watches_lost += 1;
         // One line for an outage, however many watches are opened in vain.
         if !std::mem::replace(&mut self.lost, true) {
             out.warn(format!("discovery: watch lost, {why}"));
         }
-        (self.watch, self.open_at) = (None, now + PAUSE);
+        self.open_at = now + PAUSE;
+        self.leave(|watch| watch.link == id, out);
     }
 
     /// One line of the watch; an empty one is a sign of life.
-    pub fn line(&mut self, now: f64, line: Framed, names: &mut Names, out: &mut Out) -> Option<Input> {
-        let watch = self.watch.as_mut()?;
-        watch.until = now + SILENT_MOST;
+    pub fn line(
+        &mut self,
+        now: f64,
+        id: LinkId,
+        line: Framed,
+        names: &mut Names,
+        out: &mut Out,
+    ) -> Option<Input> {
+        let watch = self.watches.iter_mut().find(|watch| watch.link == id)?;
+        (watch.until, watch.told) = (now + SILENT_MOST, true);
+        if watch.address == self.address {
+            self.leave(|watch| watch.link != id, out);
+        }
         let line = match line {
             Framed::Line(line) if line.is_empty() => return None,
             Framed::Line(line) => line,
@@ -110,7 +150,7 @@
             Err(fault) => {
                 // What it would have told comes again on a watch from the version held.
                 out.counters.lists_bad += 1;
-                self.down(now, &fault.0, out);
+                self.down(now, id, &fault.0, out);
                 return None;
             }
         };
@@ -174,6 +214,7 @@
     }
 
     pub fn next(&self) -> f64 {
-        self.watch.as_ref().map_or(self.open_at, |watch| watch.until)
+        let open = if self.watches_here() { f64::INFINITY } else { self.open_at };
+        self.watches.iter().map(|watch| watch.until).fold(open, f64::min)
     }
 }
--- a/crates/director/src/reducer/mod.rs
+++ b/crates/director/src/reducer/mod.rs
@@ -15,6 +15,7 @@
 use coppersail::Director;
 use coppersail_protocol::collector::{Line, ALIVE};
 use coppersail_protocol::config::Config;
+use coppersail_protocol::discovery;
 use coppersail_protocol::load::{Report, HEALTH, LOAD};
 use coppersail_protocol::relay::{Again, News as NewsLine, Order};
 use coppersail_protocol::Fault;
@@ -59,6 +60,8 @@
         took: f64,
         body: Vec<u8>,
     },
+    /// The configuration is to be taken anew: what the file holds, or what is wrong with it.
+    Reload(Box<Result<Config, String>>),
     /// The moment asked for has come.
     Time,
     /// The batch is complete.
@@ -72,16 +75,12 @@
 pub enum Effect {
     Say(ConnId, &'static [u8]),
     Drop(ConnId),
-    Dial(LinkId),
+    Dial(LinkId, SocketAddr),
     Send(LinkId, Vec<u8>),
     HangUp(LinkId),
-    /// Opens a watch in place of the one before.
-    Watch(LinkId, String),
-    Probe {
-        host: api::HostId,
-        address: SocketAddr,
-        path: &'static str,
-    },
+    Watch(LinkId, SocketAddr, String),
+    Unwatch(LinkId),
+    Probe { host: api::HostId, address: SocketAddr, path: &'static str },
     Wake(f64),
     Log(Level, String),
     Exit,
@@ -104,6 +103,14 @@
     found.map_err(|expected| Fault(format!("field {field}: expected {expected}")))
 }
 
+/// The settings of a configuration that can be used in every field.
+fn checked(config: &Config) -> Result<Boot, String> {
+    let paths = config.settings.iter().map(|(path, value)| (path.as_str(), value.as_str())).collect();
+    let known = config.known.as_deref().map(discovery::List::parse).transpose();
+    known.map_err(|fault| format!("field known: {fault}"))?;
+    Boot::read(&paths).map_err(|bad| format!("field settings.{}: expected {}", bad.field, bad.expected))
+}
+
 /// What the parts give: effects, inputs for the decisions, counts.
 #[derive(Default)]
 struct Out {
@@ -145,15 +152,15 @@
     started: bool,
     /// What stands at the relay was known when last looked.
     told: bool,
+    /// Of what only a start can take over, to name what has changed.
+    fixed: [(&'static str, u64); 4],
     out: Out,
 }
 
 impl Reducer {
     /// `wall_ns`: what the wall clock shows at the zero of all further times.
     pub fn new(config: &Config, wall_ns: u64) -> Result<Self, String> {
-        let paths = config.settings.iter().map(|(path, value)| (path.as_str(), value.as_str())).collect();
-        let boot = Boot::read(&paths)
-            .map_err(|bad| format!("field settings.{}: expected {}", bad.field, bad.expected))?;
+        let boot = checked(config)?;
         let told = settings(&boot);
         let reports = boot.top.report_columns.as_ref().is_some_and(|columns| !columns.0.is_empty());
         let pace = Pace {
@@ -170,12 +177,13 @@
             may_follow,
             probe_path: if reports { LOAD } else { HEALTH },
             taken: BTreeMap::new(),
-            calls: Calls::new(pace),
-            news: News::default(),
-            list: List::new(Clock::starting(wall_ns)),
+            calls: Calls::new(pace, config.relay),
+            news: News::new(config.relay),
+            list: List::new(Clock::starting(wall_ns), config.discovery),
             wakes: Vec::new(),
             started: false,
             told: false,
+            fixed: config.fixed(),
             out: Out::default(),
         };
         if let Some(known) = &config.known {
@@ -202,25 +210,26 @@
                 lines.into_iter().for_each(|line| self.relay_line(now, link, line));
             }
             Event::RelayDown(link, why) if self.calls.owns(link) => {
-                self.calls.down(now, &why, &mut self.out);
+                self.calls.down(now, link, &why, &mut self.out);
             }
             Event::RelayDown(link, why) => {
                 self.news.down(now, link, &why, &mut self.out);
             }
             Event::WatchLines(link, lines) if self.list.owns(link) => {
                 for line in lines {
-                    let input = self.list.line(now, line, &mut self.names, &mut self.out);
+                    let input = self.list.line(now, link, line, &mut self.names, &mut self.out);
                     self.out.inputs.extend(input);
                 }
             }
             Event::WatchDown(link, why) if self.list.owns(link) => {
-                self.list.down(now, &why, &mut self.out);
+                self.list.down(now, link, &why, &mut self.out);
                 if self.may_follow {
                     self.out.inputs.push(list::failed());
                 }
             }
             Event::WatchLines(..) | Event::WatchDown(..) => {}
             Event::Probed { host, end, took, body } => self.probed(host, end, took, &body),
+            Event::Reload(config) => self.reload(now, *config),
             Event::Time => {}
             Event::Settle => self.settle(now),
             Event::Count => self.count(),
@@ -237,6 +246,31 @@
         self.out.tell(counters);
     }
 
+    /// A new configuration is used whole or not at all. What is connected stays so until the new addresses serve.
+    fn reload(&mut self, now: f64, config: Result<Config, String>) {
+        let sound = config.and_then(|config| checked(&config).map(|_| config));
+        let config = match sound {
+            Ok(config) => config,
+            Err(wrong) => {
+                self.out.counters.configurations_bad += 1;
+                return self.out.warn(format!("configuration: all stays as it was, {wrong}"));
+            }
+        };
+        self.out.counters.configurations_taken += 1;
+        let changed = self.fixed.iter().zip(config.fixed()).filter(|(old, new)| **old != *new);
+        let changed: Vec<&str> = changed.map(|(old, _)| old.0).collect();
+        let only = if changed.is_empty() {
+            String::new()
+        } else {
+            format!("; only a start takes {}", changed.join(", "))
+        };
+        let (discovery, relay) = (config.discovery, config.relay);
+        self.out.tell(format!("configuration: taken, discovery {discovery}, relay {relay}{only}"));
+        self.list.move_to(now, discovery, &mut self.out);
+        self.news.move_to(now, relay, &mut self.out);
+        self.calls.move_to(relay, &mut self.out);
+    }
+
     fn accepted(&mut self, now: f64, conn: ConnId) {
         self.out.counters.connections_taken += 1;
         self.taken.insert(conn, Taken { since: now, heard: now, sound: false });
@@ -319,7 +353,7 @@
             // A line that is too long is no answer that can be read.
             let line = if let Framed::Line(line) = line { line } else { Vec::new() };
             let sent_at = self.calls.sent_at;
-            for told in self.calls.answer(now, &line, &mut self.out) {
+            for told in self.calls.answer(now, link, &line, &mut self.out) {
                 match told.aim {
                     Aim::Line(slice, host) => {
                         // Given anew while the call was out: the line stands in a table that it was not meant for.
@@ -466,7 +500,7 @@
                 }
                 api::Order::Probe(host) => self.probe(host),
                 api::Order::Follow(_) => {}
-                api::Order::FetchList => self.list.ask_whole(now),
+                api::Order::FetchList => self.list.ask_whole(now, &mut self.out),
                 api::Order::Bind { .. } | api::Order::Tell { .. } => self.out.counters.orders_unknown += 1,
                 order => call.extend(self.told(order)),
             }
--- a/crates/director/src/reducer/news.rs
+++ b/crates/director/src/reducer/news.rs
@@ -5,6 +5,7 @@
 use coppersail::interface::{HostId, Input, MarkId, ProxyId, SliceId, ZoneId};
 use coppersail_protocol::relay::FOLLOW;
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 
 /// A sign of life comes each second; so much later the connection is given up.
 const SILENT_MOST: f64 = 1.7;
@@ -39,6 +40,7 @@
 
 struct Feed {
     link: LinkId,
+    address: SocketAddr,
     up: bool,
     heard: f64,
     /// The first sign of life has come, so what stood at the start is told in full.
@@ -48,8 +50,9 @@
     again: BTreeSet<SliceId>,
 }
 
-#[derive(Default)]
 pub struct News {
+    /// Where the relay is; connections elsewhere serve until one there has told all.
+    address: SocketAddr,
     feeds: Vec<Feed>,
     /// What the decisions have been told; lines as far as the relay has taken them.
     pub known: Standing,
@@ -61,6 +64,32 @@
 }
 
 impl News {
+    pub fn new(address: SocketAddr) -> Self {
+        let (feeds, known, under_way) = (Vec::new(), Standing::default(), BTreeSet::new());
+        News { address, feeds, known, under_way, dial_at: 0.0, lost: false }
+    }
+
+    /// The relay is elsewhere from now on. Connections that have told all serve until one there has.
+    pub fn move_to(&mut self, now: f64, address: SocketAddr, out: &mut Out) {
+        if std::mem::replace(&mut self.address, address) != address {
+            self.dial_at = now;
+            self.leave(|feed| feed.address != address && !feed.whole, out);
+        }
+    }
+
+    fn leave(&mut self, which: impl Fn(&Feed) -> bool, out: &mut Out) {
+        for feed in self.feeds.iter().filter(|feed| which(feed)) {
+            out.effects.push(Effect::HangUp(feed.link));
+        }
+        self.feeds.retain(|feed| !which(feed));
+    }
+
+    /// Connections to where the relay is: how many, and whether all of them have told what stands.
+    fn here(&self) -> (usize, bool) {
+        let mut here = self.feeds.iter().filter(|feed| feed.address == self.address);
+        (here.clone().count(), here.all(|feed| feed.whole))
+    }
+
     pub fn owns(&self, id: LinkId) -> bool {
         self.feeds.iter().any(|feed| feed.link == id)
     }
@@ -72,12 +101,12 @@
             self.down(now, link, "silent", out);
         }
         // The second one once the first has told all, lest both be asked for the same at a time.
-        let settled = self.feeds.iter().all(|feed| feed.whole);
-        if self.feeds.len() < FEEDS_MOST && settled && now >= self.dial_at {
-            let link = out.link();
+        let (feeds, settled) = self.here();
+        if feeds < FEEDS_MOST && settled && now >= self.dial_at {
+            let (link, address) = (out.link(), self.address);
             let (standing, again) = (Standing::default(), BTreeSet::new());
-            self.feeds.push(Feed { link, up: false, heard: now, whole: false, standing, again });
-            out.effects.push(Effect::Dial(link));
+            self.feeds.push(Feed { link, address, up: false, heard: now, whole: false, standing, again });
+            out.effects.push(Effect::Dial(link, address));
         }
     }
 
@@ -166,6 +195,12 @@
                     self.lost = false;
                     if leads {
                         self.reconcile(now, out);
+                    } else if self.feeds[at].address == self.address && self.feeds[0].address != self.address
+                    {
+                        // The first that has told all where the relay is now: the old ones have served.
+                        let here = self.address;
+                        self.leave(|feed| feed.address != here, out);
+                        self.lead(now, out);
                     }
                 }
             }
@@ -251,8 +286,8 @@
 
     pub fn next(&self) -> f64 {
         let silent = self.feeds.iter().map(|feed| feed.heard + SILENT_MOST + 1e-3);
-        let dial = if self.feeds.len() < FEEDS_MOST { self.dial_at } else { f64::INFINITY };
-        let settled = self.feeds.iter().all(|feed| feed.whole);
+        let (feeds, settled) = self.here();
+        let dial = if feeds < FEEDS_MOST { self.dial_at } else { f64::INFINITY };
         silent.fold(if settled { dial } else { f64::INFINITY }, f64::min)
     }
 }
--- a/crates/director/src/reducer/tests.rs
+++ b/crates/director/src/reducer/tests.rs
@@ -6,6 +6,14 @@
 use coppersail::interface::{HostId, Input, ProxyId, SliceId, ZoneId};
 use test_case::test_case;
 
+fn here() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 1))
+}
+
+fn elsewhere() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 2))
+}
+
 const PACE: Pace = Pace { lines_per_s: 1000.0, backlog: 100.0, overhead: 9.0 };
 
 fn line(slice: u16, host: u32, weight: f64) -> Told {
@@ -15,7 +23,7 @@
 
 /// A queue with one connection up and these calls given.
 fn calls(given: &[&[Told]]) -> (Calls, Out) {
-    let (mut calls, mut out) = (Calls::new(PACE), Out::default());
+    let (mut calls, mut out) = (Calls::new(PACE, here()), Out::default());
     given.iter().for_each(|call| calls.give(call.to_vec()));
     calls.pump(0.0, &mut out);
     calls.up(0.0, LinkId(1));
@@ -37,7 +45,7 @@
     assert_eq!(sent(&out), ["txn SET,1,h1,1"]);
     calls.pump(0.01, &mut out);
     assert_eq!(sent(&out).len(), 1, "the first is not answered yet");
-    let taken = calls.answer(0.02, b"OK 1", &mut out);
+    let taken = calls.answer(0.02, LinkId(1), b"OK 1", &mut out);
     assert_eq!(taken, [line(1, 1, 1.0)]);
     calls.pump(0.02, &mut out);
     assert_eq!(sent(&out)[1..], ["txn SET,2,h2,0.5"]);
@@ -50,7 +58,7 @@
 #[test_case(b"OK -1", 0, 0 ; "fewer than none cannot be read")]
 fn answers(answer: &[u8], taken: u64, refused: u64) {
     let (mut calls, mut out) = calls(&[&[line(1, 1, 1.0), line(1, 2, 0.5)]]);
-    let told = calls.answer(0.01, answer, &mut out);
+    let told = calls.answer(0.01, LinkId(1), answer, &mut out);
     assert_eq!(
         (told.len() as u64, out.counters.orders_taken, out.counters.orders_refused),
         (taken, taken, refused)
@@ -68,14 +76,14 @@
 
 #[test]
 fn a_repeat_waits_until_the_backlog_holds_both_copies() {
-    let (mut calls, mut out) = (Calls::new(PACE), Out::default());
+    let (mut calls, mut out) = (Calls::new(PACE, here()), Out::default());
     // Six proxies with nine lines of overhead and one of their own: 60 lines, twice is past the backlog of 100.
     calls.proxies = 6;
     calls.give(vec![line(1, 1, 1.0)]);
     calls.pump(0.0, &mut out);
     calls.up(0.0, LinkId(1));
     calls.pump(0.0, &mut out);
-    calls.down(0.001, "broken", &mut out);
+    calls.down(0.001, LinkId(1), "broken", &mut out);
     calls.pump(0.001, &mut out);
     calls.up(0.001, LinkId(2));
     calls.pump(0.001, &mut out);
@@ -93,7 +101,7 @@
     let given: Vec<Vec<Told>> =
         (0..40).map(|k| vec![line(1, 1, f64::from(k)), line(2, k % 2, 1.0)]).collect();
     let given: Vec<&[Told]> = given.iter().map(Vec::as_slice).collect();
-    let (mut calls, mut out) = (Calls::new(PACE), Out::default());
+    let (mut calls, mut out) = (Calls::new(PACE, here()), Out::default());
     given.iter().for_each(|call| calls.give(call.to_vec()));
     calls.pump(0.0, &mut out);
     calls.up(0.0, LinkId(1));
@@ -106,12 +114,12 @@
 fn a_call_that_is_not_settled_is_not_merged() {
     let (mut calls, mut out) = calls(&[&[line(1, 1, 1.0)]]);
     (0..40).for_each(|k| calls.give(vec![line(1, 1, f64::from(k))]));
-    calls.down(0.01, "broken", &mut out);
+    calls.down(0.01, LinkId(1), "broken", &mut out);
     calls.pump(0.02, &mut out);
     calls.up(0.02, LinkId(2));
     calls.pump(0.02, &mut out);
     assert_eq!(sent(&out)[1..], ["txn SET,1,h1,1"], "the same again, and nothing later with it");
-    calls.answer(0.03, b"OK 1", &mut out);
+    calls.answer(0.03, LinkId(2), b"OK 1", &mut out);
     calls.pump(0.03, &mut out);
     assert_eq!(sent(&out)[2..], ["txn SET,1,h1,39"]);
 }
@@ -122,9 +130,9 @@
     let (mut calls, mut out) =
         calls(&[&[line(1, 1, 1.0)], &[line(2, 2, 1.0), line(1, 2, 1.0), line(2, 3, 1.0)]]);
     if settled {
-        calls.answer(0.01, b"OK 1", &mut out);
+        calls.answer(0.01, LinkId(1), b"OK 1", &mut out);
     } else {
-        calls.down(0.01, "broken", &mut out);
+        calls.down(0.01, LinkId(1), "broken", &mut out);
     }
     calls.forget(SliceId(1));
     calls.pump(0.02, &mut out);
@@ -184,19 +192,48 @@
         reducer.reduce(0.2, Event::RelayDown(NEWS, "broken".to_string()));
     }
     let effects = reducer.reduce(0.2, Event::Settle);
-    assert_eq!(effects.iter().filter(|effect| matches!(effect, Effect::Dial(_))).count(), dialled);
+    assert_eq!(effects.iter().filter(|effect| matches!(effect, Effect::Dial(..))).count(), dialled);
 }
 
 #[test]
 fn a_blind_director_waits_before_it_writes() {
     let (mut calls, mut out) = calls(&[&[line(1, 1, 1.0)], &[line(2, 1, 1.0)]]);
     calls.blind(0.01, true);
-    calls.down(0.1, "broken", &mut out);
+    calls.down(0.1, LinkId(1), "broken", &mut out);
     calls.pump(1.5, &mut out);
     assert_eq!((sent(&out).len(), calls.next()), (1, 1.6), "so long after a call that was lost");
     calls.blind(1.55, false);
     calls.pump(1.55, &mut out);
-    assert_eq!(out.effects.last(), Some(&Effect::Dial(LinkId(2))));
+    assert_eq!(out.effects.last(), Some(&Effect::Dial(LinkId(2), here())));
+}
+
+#[test_case(b"OK 1", &["txn SET,1,h1,1", "txn SET,2,h1,1"] ; "answered")]
+#[test_case(b"O?", &["txn SET,1,h1,1", "txn SET,1,h1,1"] ; "with an answer that cannot be read")]
+fn a_call_under_way_is_settled_before_the_relay_is_left(answer: &[u8], expected: &[&str]) {
+    let (mut calls, mut out) = calls(&[&[line(1, 1, 1.0)], &[line(2, 1, 1.0)]]);
+    calls.move_to(elsewhere(), &mut out);
+    assert_eq!(out.effects.last(), Some(&Effect::Dial(LinkId(2), elsewhere())), "while the old one serves");
+    calls.up(0.01, LinkId(2));
+    calls.pump(0.01, &mut out);
+    assert!(!out.effects.contains(&Effect::HangUp(LinkId(1))), "its answer is awaited");
+    calls.answer(0.02, LinkId(1), answer, &mut out);
+    calls.pump(0.02, &mut out);
+    assert!(out.effects.contains(&Effect::HangUp(LinkId(1))));
+    assert_eq!(sent(&out), expected);
+    assert!(matches!(out.effects.last(), Some(Effect::Send(LinkId(2), _))));
+}
+
+#[test]
+fn the_old_relay_serves_until_the_new_one_is_up() {
+    let (mut calls, mut out) = calls(&[&[line(1, 1, 1.0)], &[line(2, 1, 1.0)]]);
+    calls.answer(0.01, LinkId(1), b"OK 1", &mut out);
+    calls.move_to(elsewhere(), &mut out);
+    calls.down(0.02, LinkId(2), "refused", &mut out);
+    calls.pump(0.02, &mut out);
+    assert!(matches!(out.effects.last(), Some(Effect::Send(LinkId(1), _))), "nobody is there yet");
+    calls.pump(0.2, &mut out);
+    let again = |effect: &&Effect| **effect == Effect::Dial(LinkId(3), elsewhere());
+    assert_eq!(out.effects.iter().filter(again).count(), 1, "it is dialled again");
 }
 
 fn joined(proxy: u16) -> Item {
@@ -228,7 +265,7 @@
 
 #[test]
 fn a_new_connection_tells_what_went_and_what_changed_elsewhere() {
-    let mut news = News::default();
+    let mut news = News::new(here());
     told(
         &mut news,
         0.0,
@@ -266,7 +303,7 @@
 
 #[test]
 fn the_second_connection_takes_over_without_a_gap() {
-    let mut news = News::default();
+    let mut news = News::new(here());
     let start = [joined(1), START[0].clone(), stored(1, 1, 1.0), Item::Life];
     assert_eq!(told(&mut news, 0.0, 1, &start).len(), 3);
     assert_eq!(told(&mut news, 1.0, 2, &start), [], "what it tells is known");
@@ -278,9 +315,24 @@
     assert_eq!(told(&mut news, 2.2, 2, &[Item::Taken(SliceId(2))]), [Input::Taken(SliceId(2))]);
 }
 
+#[test]
+fn the_old_news_lead_until_the_new_relay_has_told_all() {
+    let (mut news, mut out) = (News::new(here()), Out::default());
+    let start = [joined(1), START[0].clone(), stored(1, 1, 1.0), Item::Life];
+    told(&mut news, 0.0, 1, &start);
+    news.move_to(1.0, elsewhere(), &mut out);
+    assert_eq!(told(&mut news, 1.0, 2, &start[..3]), [], "what it tells is known");
+    let left = told(&mut news, 1.1, 1, &[Item::Left(ProxyId(1))]);
+    assert_eq!(left, [Input::Left(ProxyId(1))], "the old one is heard meanwhile");
+    news.take(1.2, LinkId(2), Item::Left(ProxyId(1)), &mut out);
+    news.take(1.3, LinkId(2), Item::Life, &mut out);
+    assert_eq!((out.effects.contains(&Effect::HangUp(LinkId(1))), out.inputs), (true, vec![]));
+    assert!(news.told() && !news.owns(LinkId(1)));
+}
+
 #[test]
 fn what_was_written_since_both_began_is_no_change_elsewhere() {
-    let mut news = News::default();
+    let mut news = News::new(here());
     let start = [joined(1), START[0].clone(), stored(1, 1, 1.0), Item::Life];
     told(&mut news, 0.0, 1, &start);
     told(&mut news, 1.0, 2, &start);
@@ -290,7 +342,7 @@
 
 #[test]
 fn what_is_written_while_all_is_told_is_no_change_elsewhere() {
-    let mut news = News::default();
+    let mut news = News::new(here());
     told(&mut news, 0.0, 1, &[START[0].clone(), stored(1, 1, 1.0), Item::Life]);
     lost(&mut news, 1.0, 1);
     told(&mut news, 1.0, 2, &[START[0].clone(), stored(1, 1, 1.0)]);
@@ -300,7 +352,7 @@
 
 #[test]
 fn a_slice_whose_lines_are_under_way_is_not_held_for_changed() {
-    let mut news = News::default();
+    let mut news = News::new(here());
     told(&mut news, 0.0, 1, &[START[0].clone(), stored(1, 1, 1.0), Item::Life]);
     lost(&mut news, 1.0, 1);
     news.under_way.insert(SliceId(1));
@@ -309,14 +361,14 @@
 
 #[test]
 fn a_proxy_that_says_hello_again_has_joined_again() {
-    let mut news = News::default();
+    let mut news = News::new(here());
     told(&mut news, 0.0, 1, &[joined(1), Item::Life]);
     assert_eq!(told(&mut news, 1.0, 1, &[joined(1)]).len(), 1);
 }
 
 #[test]
 fn a_line_that_is_known_counts_once() {
-    let mut news = News::default();
+    let mut news = News::new(here());
     told(&mut news, 0.0, 1, &[START[0].clone(), stored(1, 1, 1.0), Item::Life]);
     assert_eq!(told(&mut news, 1.0, 1, &[stored(1, 1, 1.0)]), []);
 }
@@ -325,15 +377,16 @@
 #[test_case(Item::Taken(SliceId(5)) ; "a slice that was never given")]
 #[test_case(stored(5, 1, 1.0) ; "a line of no slice of ours")]
 fn news_of_strangers_change_nothing(item: Item) {
-    let mut news = News::default();
+    let mut news = News::new(here());
     told(&mut news, 0.0, 1, &[joined(1), Item::Life]);
     assert_eq!(told(&mut news, 1.0, 1, &[item]), []);
 }
 
+const CONFIG: &str = r#"{"name":"n","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"1","relay":{"address":"127.0.0.1:3"},
+    "settings":{"zones":["a"],"kinds":["m2"],"classes":[{"name":"r"}],"specifics":{"slices":1,"proxy-count":2}}}"#;
+
 fn reducer() -> Reducer {
-    let config = r#"{"name":"n","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"1","relay":{"address":"127.0.0.1:3"},
-        "settings":{"zones":["a"],"kinds":["m2"],"classes":[{"name":"r"}],"specifics":{"slices":1,"proxy-count":2}}}"#;
-    Reducer::new(&Config::parse(config.as_bytes()).unwrap(), 0).unwrap()
+    Reducer::new(&Config::parse(CONFIG.as_bytes()).unwrap(), 0).unwrap()
 }
 
 #[test_case(b"", true ; "that says nothing")]
@@ -347,6 +400,57 @@
     assert_eq!(reducer.reduce(11.0, Event::Settle).contains(&Effect::Drop(conn)), dropped);
 }
 
+fn configured(relay: u16, more: &str) -> Event {
+    let text = CONFIG.replace("127.0.0.1:3", &format!("127.0.0.1:{relay}")).replace("\"m2\"", more);
+    Event::Reload(Box::new(Config::parse(text.as_bytes()).map_err(|fault| fault.0)))
+}
+
+#[test_case(configured(3, "\"m2\""), "taken, discovery 127.0.0.1:2, relay 127.0.0.1:3", 0 ; "unchanged")]
+#[test_case(configured(4, "\"m2\""), "taken, discovery 127.0.0.1:2, relay 127.0.0.1:4", 2 ; "another relay")]
+#[test_case(configured(3, "\"m3\""), "only a start takes settings", 0 ; "a setting that only a start takes")]
+#[test_case(configured(4, "\"m2\"],\"me\":[\"x\""), "field settings.me", 0 ; "a field that cannot be used")]
+#[test_case(Event::Reload(Box::new(Err("EOF".to_string()))), "all stays as it was, EOF", 0 ; "cut off")]
+fn a_new_configuration_is_taken_whole_or_not_at_all(event: Event, expected: &str, dialled: usize) {
+    let (mut reducer, _) = holding_a_slice();
+    reducer.calls.up(0.2, LinkId(9));
+    reducer.reduce(0.2, Event::Settle);
+    let mut effects = reducer.reduce(0.2, event);
+    let Some(at) = effects.iter().position(|effect| matches!(effect, Effect::Log(..))) else {
+        panic!("no line")
+    };
+    let Effect::Log(_, text) = effects.remove(at) else { unreachable!() };
+    assert!(text.contains(expected), "{text}");
+    assert_eq!(
+        effects.len(),
+        dialled,
+        "a dial for the calls; the news that have not told all are left: {effects:?}"
+    );
+    let after = reducer.reduce(0.2, Event::Settle);
+    assert!(
+        !after.iter().any(|effect| matches!(effect, Effect::HangUp(_) | Effect::Unwatch(_))),
+        "{after:?}"
+    );
+    assert!(reducer.news.told(), "nothing learnt is lost");
+}
+
+#[test]
+fn the_old_watch_is_kept_until_the_new_one_tells() {
+    let mut reducer = reducer();
+    reducer.reduce(0.0, Event::Settle);
+    let watch = LinkId(1);
+    reducer.reduce(0.1, Event::WatchLines(watch, lines(&[""])));
+    let text = CONFIG.replace("127.0.0.1:2", "127.0.0.1:5");
+    reducer.reduce(0.2, Event::Reload(Box::new(Ok(Config::parse(text.as_bytes()).unwrap()))));
+    let effects = reducer.reduce(0.2, Event::Settle);
+    let new = effects.iter().find_map(|effect| match effect {
+        Effect::Watch(link, address, _) if address.port() == 5 => Some(*link),
+        _ => None,
+    });
+    assert!(new.is_some() && !effects.contains(&Effect::Unwatch(watch)), "{effects:?}");
+    let effects = reducer.reduce(0.3, Event::WatchLines(new.unwrap(), lines(&[""])));
+    assert_eq!(effects, [Effect::Unwatch(watch)]);
+}
+
 #[test]
 fn no_part_of_a_message_does_harm() {
     let mut reducer = reducer();
--- a/crates/director/src/relay.rs
+++ b/crates/director/src/relay.rs
@@ -23,19 +23,18 @@
 }
 
 pub struct Relay {
-    address: SocketAddr,
     events: Sender<Event>,
     links: BTreeMap<LinkId, Link>,
 }
 
 impl Relay {
-    pub fn new(address: SocketAddr, events: Sender<Event>) -> Self {
-        Relay { address, events, links: BTreeMap::new() }
+    pub fn new(events: Sender<Event>) -> Self {
+        Relay { events, links: BTreeMap::new() }
     }
 
-    pub fn dial(&mut self, id: LinkId) {
+    pub fn dial(&mut self, id: LinkId, address: SocketAddr) {
         let (writes, queue) = channel(2);
-        let task = Task::spawn(run(id, self.address, queue, self.events.clone()));
+        let task = Task::spawn(run(id, address, queue, self.events.clone()));
         self.links.insert(id, Link { writes, _task: task });
     }
 
--- a/crates/director/tests/serve.rs
+++ b/crates/director/tests/serve.rs
@@ -159,6 +159,47 @@
     assert_eq!(world.counter("news_lost"), 0);
 }
 
+#[test_case(&[] ; "in peace")]
+#[test_case(&[Deal::Silent(true)] ; "while a call is out that was carried out")]
+#[test_case(&[Deal::Silent(false)] ; "while a call is out that was not carried out")]
+fn a_new_configuration_is_followed_without_a_gap(deals: &[Deal]) {
+    let mut world = World::laid();
+    let mut collector = world.connect();
+    collector.say(br#"{"msg":"agent","az":"a"}"#);
+    world.relay.wait("a second connection stands by", |state| (state.follows >= 2).then_some(()));
+    for version in [2, 4] {
+        let follows = world.relay.change(|state| {
+            state.deals.extend(deals);
+            state.follows
+        });
+        world.list_change(version, "s-1", "terminating");
+        world.relocate();
+        world.relay.wait("news are asked for there", |state| (state.follows >= follows + 2).then_some(()));
+        world.relay.change(|state| state.leave_old());
+        world.discovery.change(|state| state.leave_old());
+        world.relay.wait("s-1 is shut out", |state| state.out.contains("s-1").then_some(()));
+        world.list_change(version + 1, "s-1", "in_service");
+        world.relay.wait("s-1 is let back", |state| state.out.is_empty().then_some(()));
+    }
+    collector.say(OUTCOMES.as_bytes());
+    world.counted("sums_of_tries", 1);
+    let counts = ["proxies_joined", "proxies_left", "slices_given", "configurations_taken", "calls_repeated"];
+    assert_eq!(counts.map(|name| world.counter(name)), [3, 0, 2, 2, 2 * deals.len() as u64]);
+    world.signal("TERM");
+    assert_eq!(world.exit(), Some(0));
+}
+
+#[test_case("{\"name\":" ; "cut off")]
+#[test_case("" ; "empty")]
+fn a_configuration_that_cannot_be_used_changes_nothing(text: &str) {
+    let world = World::laid();
+    world.configure(text);
+    world.logged("configuration: all stays as it was, ");
+    world.list_change(2, "s-1", "terminating");
+    world.relay.wait("s-1 is shut out", |state| state.out.contains("s-1").then_some(()));
+    assert_eq!((world.counter("configurations_bad"), world.counter("news_lost")), (1, 0));
+}
+
 #[test]
 fn a_watch_that_ends_is_opened_from_the_version_held() {
     let world = World::laid();
--- a/crates/director/tests/stand_ins/mod.rs
+++ b/crates/director/tests/stand_ins/mod.rs
@@ -96,9 +96,18 @@
     pub follows: usize,
     news: Vec<TcpStream>,
     pub mute: bool,
+    /// Where it is now: it has moved so often. All open connections, and where they came in.
+    place: usize,
+    streams: Vec<(usize, TcpStream)>,
 }
 
 impl RelayState {
+    /// Ends all connections that came in where it was before.
+    pub fn leave_old(&mut self) {
+        let old = self.streams.iter().filter(|(place, _)| *place < self.place);
+        old.for_each(|(_, stream)| drop(stream.shutdown(std::net::Shutdown::Both)));
+    }
+
     /// To all that have asked for news.
     pub fn tell(&mut self, line: &str) {
         self.news.retain_mut(|stream| stream.write_all(format!("{line}\r\n").as_bytes()).is_ok());
@@ -149,21 +158,23 @@
     });
 }
 
-fn relay(listener: TcpListener, state: Watched<RelayState>) {
-    beat(state.clone(), |state| (!state.mute).then(|| state.tell("*")));
+/// Takes connections at this place as long as the relay is there.
+fn relay(listener: TcpListener, place: usize, state: Watched<RelayState>) {
     for stream in listener.incoming().map_while(Result::ok) {
         let state = state.clone();
         std::thread::spawn(move || {
             let id = state.change(|state| {
+                let kept = stream.try_clone().ok().filter(|_| state.place == place)?;
+                state.streams.push((place, kept));
                 state.connections += 1;
-                state.connections
+                Some(state.connections)
             });
-            talk(id, stream, &state);
+            id.into_iter().for_each(|id| talk(id, &stream, &state));
         });
     }
 }
 
-fn talk(id: usize, stream: TcpStream, state: &Watched<RelayState>) {
+fn talk(id: usize, stream: &TcpStream, state: &Watched<RelayState>) {
     let Ok(mut writer) = stream.try_clone() else { return };
     for line in BufReader::new(stream).lines().map_while(Result::ok) {
         if line == "follow" {
@@ -216,9 +227,16 @@
     pub first: String,
     watches: Vec<Body<Bytes>>,
     pub mute: bool,
+    /// Watches opened before this one are told nothing more, as discovery has moved.
+    moved_at: usize,
 }
 
 impl DiscoveryState {
+    /// Ends the watches that were opened where it was before.
+    pub fn leave_old(&mut self) {
+        self.watches.drain(..self.moved_at.min(self.watches.len()));
+    }
+
     pub fn tell(&mut self, line: &str) {
         let line = Bytes::from(format!("{line}\n"));
         self.watches.retain_mut(|watch| watch.try_send(hyper::body::Frame::data(line.clone())).is_ok());
@@ -318,7 +336,8 @@
         let discovery = Watched::new(DiscoveryState { first, ..DiscoveryState::default() });
         let host = Watched::new(HostState { status: 200, ..HostState::default() });
         let state = relay_state.clone();
-        std::thread::spawn(move || relay(relay_socket, state));
+        std::thread::spawn(move || relay(relay_socket, 0, state));
+        beat(relay_state.clone(), |state| (!state.mute).then(|| state.tell("*")));
         let state = discovery.clone();
         std::thread::spawn(move || http(discovery_socket, state, discovery_answer));
         let state = host.clone();
@@ -334,6 +353,27 @@
         World { relay: relay_state, discovery, host, log, listen, host_address, folder, director }
     }
 
+    /// Relay and discovery are at new addresses as well; where they were, what is open stays open.
+    pub fn relocate(&self) {
+        let ((relay_socket, relay_at), (discovery_socket, discovery_at)) = (listener(), listener());
+        let place = self.relay.change(|state| {
+            state.place += 1;
+            state.place
+        });
+        self.discovery.change(|state| state.moved_at = state.watches.len());
+        let state = self.relay.clone();
+        std::thread::spawn(move || relay(relay_socket, place, state));
+        let state = self.discovery.clone();
+        std::thread::spawn(move || http(discovery_socket, state, discovery_answer));
+        self.configure(&config(self.listen, discovery_at, relay_at, &list(1, true, &[])));
+    }
+
+    /// The file holds another configuration, and the director is told so.
+    pub fn configure(&self, text: &str) {
+        std::fs::write(self.folder.join("config.json"), text).unwrap();
+        self.signal("HUP");
+    }
+
     /// Waits until the tables are laid: every slice has its second line.
     pub fn laid() -> Self {
         let world = World::start();
--- a/crates/protocol/src/config.rs
+++ b/crates/protocol/src/config.rs
@@ -3,6 +3,7 @@
 use crate::Fault;
 use serde_json::Value;
 use std::collections::BTreeMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 
 #[derive(Clone, Debug, PartialEq)]
@@ -16,6 +17,8 @@
     pub known: Option<Vec<u8>>,
     /// The settings by their paths.
     pub settings: BTreeMap<String, String>,
+    /// The director's limits, likewise.
+    pub limits: BTreeMap<String, String>,
 }
 
 /// Stands before and between the values of a plain list, as no name holds it.
@@ -67,8 +70,9 @@
         if !settings.is_object() {
             return Err(Fault::odd("settings", "an object"));
         }
-        let mut paths = BTreeMap::new();
+        let (mut paths, mut limits) = (BTreeMap::new(), BTreeMap::new());
         flatten("", settings, &mut paths);
+        flatten("", config.get("limits").unwrap_or(&Value::Null), &mut limits);
         let seed = u64::from_str_radix(text(&config, "seed")?, 16);
         Ok(Config {
             name: text(&config, "name")?.to_string(),
@@ -81,8 +85,24 @@
                 .filter(|known| !known.is_null())
                 .map(|known| known.to_string().into_bytes()),
             settings: paths,
+            limits,
         })
     }
+
+    /// What a running director cannot take over, by field: a digest each, to tell whether it has changed.
+    pub fn fixed(&self) -> [(&'static str, u64); 4] {
+        fn digest(part: impl Hash) -> u64 {
+            let mut hasher = DefaultHasher::new();
+            part.hash(&mut hasher);
+            hasher.finish()
+        }
+        [
+            ("name", digest(&self.name)),
+            ("listen", digest(self.listen)),
+            ("limits", digest(&self.limits)),
+            ("settings", digest(&self.settings)),
+        ]
+    }
 }
 
 #[cfg(test)]
@@ -110,6 +130,17 @@
         assert_eq!((config.seed, config.relay.port()), (0x8c1f30d27a5be964, 3));
     }
 
+    #[test_case("n3", "n4", "name" ; "a name")]
+    #[test_case("127.0.0.1:1", "127.0.0.1:4", "listen" ; "an address to listen at")]
+    #[test_case(r#""me":3"#, r#""me":4"#, "settings" ; "a setting")]
+    #[test_case("127.0.0.1:3", "127.0.0.1:4", "" ; "a relay is none of these")]
+    fn what_only_a_start_takes(old: &str, new: &str, field: &str) {
+        let [old, new] = [CONFIG.to_string(), CONFIG.replace(old, new)]
+            .map(|text| Config::parse(text.as_bytes()).unwrap().fixed());
+        let changed: Vec<&str> = old.iter().zip(&new).filter(|(a, b)| a != b).map(|(a, _)| a.0).collect();
+        assert_eq!(changed.join(","), field);
+    }
+
     #[test_case("{", "}", "EOF" ; "cut off")]
     #[test_case(r#""relay""#, r#""relais""#, "relay.address: missing" ; "no relay")]
     #[test_case("127.0.0.1:1", "host:1", "listen: expected" ; "a name for an address")]
