Taken connections are new or joined; strangers and unreadable streams are closed

Its log: 5,734 lines passed over in 37 s on few connections (streams that went on with what can't be read and were never closed), 754 connections dropped to make room, oldest first, 112 descriptors; memory 12 of 48 MB, as each reader kept 64 KiB and a line of 1 MiB. Read in mod.rs: any understood line, a probe too, made a connection sound for good; a report was used before its sender had named a zone; a stranger had 10 s; the bound was 48, whatever the limits.

Changed: reducer/taken.rs holds who connects. New until it names a zone of ours, a second for that, short lines, closed at the first thing that is neither a joining nor a probe; only joined ones reach the decisions, and nothing is written to them. A joined stream is closed after three unreadable lines in a row or when a line that can't become a message goes on. Making room starts with those that have their answer, then those heard for a quarter of a second; until then nobody is taken. Framing moved into the reducer, so that the limit of a line follows the state. bounds.rs shares descriptors and memory by the limits. Log lines of floods: one a second, with how many more.

--- a/crates/director/src/counters.rs
+++ b/crates/director/src/counters.rs
@@ -18,9 +18,12 @@
 counters! {
     connections_taken,
     connections_ended,
-    /// Ended by us, to make room or for silence.
+    /// Ended by us before they had joined.
     strangers_dropped,
+    /// Ended by us after they had joined.
+    collectors_dropped,
     lines_in,
+    /// Passed over, from collectors.
     lines_bad,
     alive_answers,
     zones_named,
--- a/crates/director/src/discovery.rs
+++ b/crates/director/src/discovery.rs
@@ -12,23 +12,22 @@
 
 /// The agent is on this machine; a dial that takes longer has met nobody.
 const CONNECT_MOST: Duration = Duration::from_millis(300);
-/// A whole list of ten thousand hosts fits.
-const LINE_MOST: usize = 4 << 20;
 
 pub struct Discovery {
     events: Sender<Event>,
+    line_most: usize,
     watches: BTreeMap<LinkId, Task>,
 }
 
 impl Discovery {
-    pub fn new(events: Sender<Event>) -> Self {
-        Discovery { events, watches: BTreeMap::new() }
+    pub fn new(events: Sender<Event>, line_most: usize) -> Self {
+        Discovery { events, line_most, watches: BTreeMap::new() }
     }
 
     pub fn watch(&mut self, id: LinkId, address: SocketAddr, path: String) {
-        let events = self.events.clone();
+        let (events, line_most) = (self.events.clone(), self.line_most);
         let task = Task::spawn(async move {
-            let why = follow(id, address, &path, &events).await;
+            let why = follow(id, address, &path, line_most, &events).await;
             let _ = events.send(Event::WatchDown(id, why)).await;
         });
         self.watches.insert(id, task);
@@ -39,7 +38,13 @@
     }
 }
 
-async fn follow(id: LinkId, address: SocketAddr, path: &str, events: &Sender<Event>) -> String {
+async fn follow(
+    id: LinkId,
+    address: SocketAddr,
+    path: &str,
+    line_most: usize,
+    events: &Sender<Event>,
+) -> String {
     let (answer, _driver) = match http::get(address, path, CONNECT_MOST).await {
         Ok(answer) => answer,
         Err(failed) => return format!("{failed:?}").to_lowercase(),
@@ -47,7 +52,7 @@
     if answer.status().as_u16() != 200 {
         return format!("status {}", answer.status().as_u16());
     }
-    let (mut body, mut framer) = (answer.into_body(), Framer::new(LINE_MOST));
+    let (mut body, mut framer) = (answer.into_body(), Framer::new(line_most));
     loop {
         let data = match body.frame().await {
             None => return "ended by discovery".to_string(),
--- a/crates/director/src/framing.rs
+++ b/crates/director/src/framing.rs
@@ -8,7 +8,8 @@
 }
 
 pub struct Framer {
-    most: usize,
+    /// Most bytes in a line.
+    pub most: usize,
     buffer: Vec<u8>,
     /// The rest of a line that is too long.
     passing: bool,
@@ -19,35 +20,54 @@
         Framer { most, buffer: Vec::new(), passing: false }
     }
 
-    /// The lines that `bytes` complete; a CR before the LF belongs to the end.
+    /// The lines that `bytes` complete.
     pub fn take(&mut self, mut bytes: &[u8]) -> Vec<Framed> {
-        let mut lines = Vec::new();
+        std::iter::from_fn(|| self.next(&mut bytes)).collect()
+    }
+
+    /// The next line that `bytes` complete, which are then the rest; a CR before the LF belongs to the end.
+    pub fn next(&mut self, bytes: &mut &[u8]) -> Option<Framed> {
         while let Some(end) = bytes.iter().position(|byte| *byte == b'\n') {
             let (head, rest) = (&bytes[..end], &bytes[end + 1..]);
-            bytes = rest;
-            let passing = std::mem::take(&mut self.passing);
+            *bytes = rest;
             let mut line = std::mem::take(&mut self.buffer);
-            if passing {
+            if std::mem::take(&mut self.passing) {
                 continue;
             }
             if line.len() + head.len() > self.most {
-                lines.push(Framed::TooLong);
-                continue;
+                return Some(Framed::TooLong);
             }
             line.extend_from_slice(head);
             if line.last() == Some(&b'\r') {
                 line.pop();
             }
-            lines.push(Framed::Line(line));
+            return Some(Framed::Line(line));
         }
-        if !self.passing && self.buffer.len() + bytes.len() > self.most {
+        let rest = std::mem::take(bytes);
+        if !self.passing && self.buffer.len() + rest.len() > self.most {
             // The end will come some time; until then nothing of it is kept.
             (self.passing, self.buffer) = (true, Vec::new());
-            lines.push(Framed::TooLong);
-        } else if !self.passing {
-            self.buffer.extend_from_slice(bytes);
+            return Some(Framed::TooLong);
         }
-        lines
+        if !self.passing {
+            self.buffer.extend_from_slice(rest);
+        }
+        None
+    }
+
+    /// The line begun.
+    pub fn line(&self) -> &[u8] {
+        &self.buffer
+    }
+
+    /// Bytes kept of it.
+    pub fn begun(&self) -> usize {
+        self.buffer.len()
+    }
+
+    /// It was longer than allowed, and goes on.
+    pub fn passing(&self) -> bool {
+        self.passing
     }
 }
 
--- a/crates/director/src/listener.rs
+++ b/crates/director/src/listener.rs
@@ -1,17 +1,18 @@
-//! Collectors' connections: taken here, kept in one table, given back by `drop_connection` or when they end.
+//! Taken connections: kept in one table, given back by `drop_connection`.
 
-use crate::framing::Framer;
 use crate::net::Task;
 use crate::reducer::{ConnId, Event};
-use coppersail_protocol::collector::MOST;
 use std::collections::BTreeMap;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::io::AsyncReadExt;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::Sender;
 
+/// Bytes read at a time, held only while they are on their way: hundreds of connections cost nothing while silent.
+const PIECE: usize = 1 << 13;
+
 struct Connection {
     writer: OwnedWriteHalf,
     _reader: Task,
@@ -30,7 +31,7 @@
         Ok(Listener { socket, events, connections: BTreeMap::new(), next: 0 })
     }
 
-    /// Takes one connection; the reducer says at once whom to drop for it.
+    /// Takes one connection; the reducer says whom to drop for the next, or that none is to be taken.
     pub async fn accept(&mut self) -> Event {
         loop {
             match self.socket.accept().await {
@@ -61,12 +62,17 @@
     }
 }
 
-async fn read(conn: ConnId, mut reader: OwnedReadHalf, events: Sender<Event>) {
-    let (mut framer, mut bytes) = (Framer::new(MOST), vec![0; 1 << 16]);
-    while let Ok(many @ 1..) = reader.read(&mut bytes).await {
-        let lines = framer.take(&bytes[..many]);
-        if !lines.is_empty() && events.send(Event::Lines(conn, lines)).await.is_err() {
-            return;
+async fn read(conn: ConnId, reader: OwnedReadHalf, events: Sender<Event>) {
+    while reader.readable().await.is_ok() {
+        let mut piece = Vec::with_capacity(PIECE);
+        match reader.try_read_buf(&mut piece) {
+            Ok(1..) => {
+                if events.send(Event::Heard(conn, piece)).await.is_err() {
+                    return;
+                }
+            }
+            Err(wrong) if wrong.kind() == ErrorKind::WouldBlock => {}
+            Ok(0) | Err(_) => break,
         }
     }
     let _ = events.send(Event::Ended(conn)).await;
--- a/crates/director/src/main.rs
+++ b/crates/director/src/main.rs
@@ -1,6 +1,7 @@
 //! `coppersail-director`: the decisions on real sockets. This loop hands every event to the reducer and carries out
 //! the effects that it asks for.
 
+mod bounds;
 mod counters;
 mod discovery;
 mod framing;
@@ -13,6 +14,7 @@
 mod relay;
 mod timers;
 
+use bounds::Bounds;
 use coppersail_protocol::config::Config;
 use reducer::{Effect, Event, Reducer};
 use std::process::ExitCode;
@@ -29,6 +31,7 @@
     discovery: discovery::Discovery,
     probes: probes::Probes,
     alarm: timers::Alarm,
+    accepting: bool,
 }
 
 impl Io {
@@ -36,6 +39,7 @@
     fn carry_out(&mut self, effect: Effect) -> bool {
         match effect {
             Effect::Say(conn, bytes) => self.listener.say(conn, bytes),
+            Effect::Accept(accepting) => self.accepting = accepting,
             Effect::Drop(conn) => self.listener.drop_connection(conn),
             Effect::Dial(link, address) => self.relay.dial(link, address),
             Effect::Send(link, bytes) => self.relay.send(link, bytes),
@@ -67,14 +71,16 @@
     };
     let config = configured()?;
     let mut reducer = Reducer::new(&config, wall_ns).map_err(|wrong| format!("configuration: {wrong}"))?;
+    let bounds = Bounds::of(&config.limits);
     let (sender, mut events) = channel(EVENTS_MOST);
     let bound = listener::Listener::bind(config.listen, sender.clone()).await;
     let mut io = Io {
         listener: bound.map_err(|wrong| format!("configuration: field listen: {wrong}"))?,
         relay: relay::Relay::new(sender.clone()),
-        discovery: discovery::Discovery::new(sender.clone()),
-        probes: probes::Probes::new(sender),
+        discovery: discovery::Discovery::new(sender.clone(), bounds.list),
+        probes: probes::Probes::new(sender, bounds.probes),
         alarm: timers::Alarm::new(started),
+        accepting: true,
     };
     log::info!("{} serves", config.name);
     let mut batch = vec![Event::Time];
@@ -92,7 +98,7 @@
             }
         }
         tokio::select! {
-            event = io.listener.accept() => batch.push(event),
+            event = io.listener.accept(), if io.accepting => batch.push(event),
             Some(event) = events.recv() => batch.push(event),
             _ = io.alarm.rung() => batch.push(Event::Time),
             _ = print.recv() => batch.push(Event::Count),
--- a/crates/director/src/probes.rs
+++ b/crates/director/src/probes.rs
@@ -16,8 +16,6 @@
 const ANSWER_MOST: Duration = Duration::from_millis(700);
 /// A load report is a line.
 const BODY_MOST: usize = 4096;
-/// Probes under way at a time; the module has one for a host, so this is met only by very large lists.
-const PROBES_MOST: usize = 256;
 
 pub struct Probes {
     events: Sender<Event>,
@@ -25,8 +23,9 @@
 }
 
 impl Probes {
-    pub fn new(events: Sender<Event>) -> Self {
-        Probes { events, room: Arc::new(Semaphore::new(PROBES_MOST)) }
+    /// `most` are under way at a time; the others wait.
+    pub fn new(events: Sender<Event>, most: usize) -> Self {
+        Probes { events, room: Arc::new(Semaphore::new(most)) }
     }
 
     pub fn start(&mut self, host: HostId, address: SocketAddr, path: &'static str) {
--- a/crates/director/src/reducer/mod.rs
+++ b/crates/director/src/reducer/mod.rs
@@ -5,15 +5,17 @@
 mod calls;
 mod list;
 mod news;
+mod taken;
 #[cfg(test)]
 mod tests;
 
+use crate::bounds::Bounds;
 use crate::counters::Counters;
 use crate::framing::Framed;
 use calls::{Aim, Calls, Pace, Told};
 use coppersail::interface as api;
 use coppersail::Director;
-use coppersail_protocol::collector::{Line, ALIVE};
+use coppersail_protocol::collector::{readable, Line, ALIVE};
 use coppersail_protocol::config::Config;
 use coppersail_protocol::discovery;
 use coppersail_protocol::load::{Report, HEALTH, LOAD};
@@ -23,9 +25,8 @@
 use list::List;
 use log::Level;
 use news::{Item, News};
-use std::cmp::Ordering;
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use taken::{Sender, Sparing, Taken};
 
 /// A connection that was taken, numbered by the listener.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -47,7 +48,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
     Accepted(ConnId),
-    Lines(ConnId, Vec<Framed>),
+    Heard(ConnId, Vec<u8>),
     Ended(ConnId),
     RelayUp(LinkId),
     RelayLines(LinkId, Vec<Framed>),
@@ -75,29 +76,23 @@
 pub enum Effect {
     Say(ConnId, &'static [u8]),
     Drop(ConnId),
+    /// Whether further connections are to be taken.
+    Accept(bool),
     Dial(LinkId, SocketAddr),
     Send(LinkId, Vec<u8>),
     HangUp(LinkId),
     Watch(LinkId, SocketAddr, String),
     Unwatch(LinkId),
-    Probe { host: api::HostId, address: SocketAddr, path: &'static str },
+    Probe {
+        host: api::HostId,
+        address: SocketAddr,
+        path: &'static str,
+    },
     Wake(f64),
     Log(Level, String),
     Exit,
 }
 
-/// Connections taken at a time. Zones have a collector each; the rest is room for those that say nothing.
-const CONNECTIONS_MOST: usize = 48;
-/// Who has not said a sound line by then is a stranger.
-const STRANGER_MOST: f64 = 10.0;
-
-struct Taken {
-    since: f64,
-    heard: f64,
-    /// It has said something that we understand.
-    sound: bool,
-}
-
 /// What a message names, if we know it by that name.
 fn named<T>(field: &str, found: Result<T, String>) -> Result<T, Fault> {
     found.map_err(|expected| Fault(format!("field {field}: expected {expected}")))
@@ -144,7 +139,8 @@
     proxies: u64,
     may_follow: bool,
     probe_path: &'static str,
-    taken: BTreeMap<ConnId, Taken>,
+    taken: Taken,
+    lines_log: Sparing,
     calls: Calls,
     news: News,
     list: List,
@@ -168,6 +164,7 @@
             backlog: told.backlog_lines,
             overhead: told.message_overhead,
         };
+        let bounds = Bounds::of(&config.limits);
         let may_follow = !told.list_is_pushed;
         let mut reducer = Reducer {
             slices: told.slices,
@@ -176,7 +173,8 @@
             names: Names::new(&boot),
             may_follow,
             probe_path: if reports { LOAD } else { HEALTH },
-            taken: BTreeMap::new(),
+            taken: Taken::new(bounds.taken, bounds.begun),
+            lines_log: Sparing::default(),
             calls: Calls::new(pace, config.relay),
             news: News::new(config.relay),
             list: List::new(Clock::starting(wall_ns), config.discovery),
@@ -195,12 +193,9 @@
 
     pub fn reduce(&mut self, now: f64, event: Event) -> Vec<Effect> {
         match event {
-            Event::Accepted(conn) => self.accepted(now, conn),
-            Event::Lines(conn, lines) => lines.into_iter().for_each(|line| self.line(now, conn, line)),
-            Event::Ended(conn) => {
-                self.out.counters.connections_ended += self.taken.contains_key(&conn) as u64;
-                self.drop_connection(conn);
-            }
+            Event::Accepted(conn) => self.taken.accepted(now, conn, &mut self.out),
+            Event::Heard(conn, bytes) => self.heard(now, conn, &bytes),
+            Event::Ended(conn) => self.taken.ended(conn, &mut self.out),
             Event::RelayUp(link) if self.calls.owns(link) => self.calls.up(now, link),
             Event::RelayUp(link) if self.news.owns(link) => {
                 self.news.up(now, link, &mut self.out);
@@ -271,59 +266,36 @@
         self.calls.move_to(relay, &mut self.out);
     }
 
-    fn accepted(&mut self, now: f64, conn: ConnId) {
-        self.out.counters.connections_taken += 1;
-        self.taken.insert(conn, Taken { since: now, heard: now, sound: false });
-        if self.taken.len() > CONNECTIONS_MOST {
-            // Strangers first, then who has been silent longest: a collector that vanished never ends its own.
-            let rank = |(conn, taken): (&ConnId, &Taken)| (taken.sound, taken.heard, *conn);
-            let last = self.taken.iter().map(rank).min_by(|a, b| a.partial_cmp(b).unwrap_or(Ordering::Equal));
-            if let Some((.., conn)) = last {
-                self.drop_stranger(conn, "to make room");
-            }
-        }
-    }
-
-    fn drop_stranger(&mut self, conn: ConnId, why: &str) {
-        self.out.counters.strangers_dropped += 1;
-        self.out.warn(format!("collector: connection dropped, {why}"));
-        self.drop_connection(conn);
-    }
-
-    /// The one place where a taken connection is given back.
-    fn drop_connection(&mut self, conn: ConnId) {
-        if self.taken.remove(&conn).is_some() {
-            self.out.effects.push(Effect::Drop(conn));
-        }
-    }
-
-    fn line(&mut self, now: f64, conn: ConnId, line: Framed) {
-        let Some(taken) = self.taken.get_mut(&conn) else { return };
-        taken.heard = now;
-        self.out.counters.lines_in += 1;
-        let used = match &line {
-            Framed::Line(line) => self.understood(conn, line),
-            Framed::TooLong => Err(Fault("a line of over 1 MiB".to_string())),
-        };
-        match used {
-            Ok(()) => _ = self.taken.get_mut(&conn).map(|taken| taken.sound = true),
-            Err(fault) => {
-                self.out.counters.lines_bad += 1;
-                self.out.warn(format!("collector: line passed over, {fault}"));
+    fn heard(&mut self, now: f64, conn: ConnId, mut bytes: &[u8]) {
+        while let Some((sender, line)) = self.taken.next(now, conn, &mut bytes, &mut self.out) {
+            let used = match &line {
+                Framed::Line(line) => self.understood(now, conn, sender, line),
+                Framed::TooLong => Err(Fault("a line that is too long".to_string())),
+            };
+            let Err(fault) = used else {
+                self.taken.judged(now, conn, true, &mut self.out);
+                continue;
+            };
+            if sender == Sender::New {
+                self.taken.drop(now, conn, &fault.0, &mut self.out);
+                return;
             }
+            self.out.counters.lines_bad += 1;
+            self.lines_log.warn(now, format!("collector: line passed over, {fault}"), &mut self.out);
+            let message = matches!(&line, Framed::Line(line) if readable(line));
+            self.taken.judged(now, conn, message, &mut self.out);
         }
     }
 
-    fn understood(&mut self, conn: ConnId, line: &[u8]) -> Result<(), Fault> {
+    fn understood(&mut self, now: f64, conn: ConnId, sender: Sender, line: &[u8]) -> Result<(), Fault> {
         match Line::parse(line)? {
-            Line::Probe => {
-                self.out.counters.alive_answers += 1;
-                self.out.effects.push(Effect::Say(conn, ALIVE));
-            }
+            Line::Probe => self.taken.answer(conn, ALIVE, &mut self.out),
             Line::Zone(zone) => {
-                named("az", self.names.zone(&zone))?;
-                self.out.counters.zones_named += 1;
+                let zone = named("az", self.names.zone(&zone))?;
+                self.taken.joined(now, conn, zone, &mut self.out);
             }
+            // What anybody may say must not reach the decisions.
+            _ if sender == Sender::New => return Err(Fault("a report before joining".to_string())),
             Line::Tries { zone, host, tries, dropped, rt, span, report } => {
                 let zone = named("az", self.names.zone(&zone))?;
                 let host = self.names.known_host(&host).ok_or("a host that was listed".to_string());
@@ -442,10 +414,7 @@
 
     /// The batch is complete: the decisions are asked, and what has become due is done.
     fn settle(&mut self, now: f64) {
-        let strangers = |(_, taken): &(&ConnId, &Taken)| !taken.sound && now - taken.since > STRANGER_MOST;
-        for conn in self.taken.iter().filter(strangers).map(|(conn, _)| *conn).collect::<Vec<_>>() {
-            self.drop_stranger(conn, "nothing sound was said");
-        }
+        self.taken.pump(now, &mut self.out);
         self.list.pump(now, &mut self.out);
         self.news.pump(now, &mut self.out);
         let due = |(at, _): &(f64, api::WakeId)| *at <= now;
@@ -472,7 +441,8 @@
         self.calls.pump(now, &mut self.out);
         self.news.under_way = self.calls.under_way();
         let wake = self.wakes.iter().map(|(at, _)| *at).fold(f64::INFINITY, f64::min);
-        let wake = wake.min(self.calls.next()).min(self.news.next()).min(self.list.next());
+        let parts = [self.calls.next(), self.news.next(), self.list.next(), self.taken.wake_at()];
+        let wake = parts.into_iter().fold(wake, f64::min);
         self.out.effects.push(Effect::Wake(wake));
     }
 
--- a/crates/protocol/src/collector.rs
+++ b/crates/protocol/src/collector.rs
@@ -99,6 +99,19 @@
     }
 }
 
+/// Whether a line is a message at all, with whatever fault.
+pub fn readable(line: &[u8]) -> bool {
+    line.trim_ascii_start().starts_with(b"{") && serde_json::from_slice::<serde::de::IgnoredAny>(line).is_ok()
+}
+
+/// Whether a line that begins with `begun`, `piece` being its newest part, can't become a message any more. JSON
+/// holds no control characters but these between its parts.
+pub fn hopeless(begun: &[u8], piece: &[u8]) -> bool {
+    let first = begun.iter().find(|byte| !byte.is_ascii_whitespace());
+    first.is_some_and(|first| *first != b'{')
+        || piece.iter().any(|byte| *byte < b' ' && !b"\t\r\n".contains(byte))
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -128,6 +141,24 @@
         assert!(matches!(Line::parse(line), Ok(Line::Demand { calls: 1, dropped: 2, .. })));
     }
 
+    #[test_case(br#"{"msg":"news"}"#, true ; "an unknown kind")]
+    #[test_case(br#"{"msg":"agent","az":7}"#, true ; "a wrong type")]
+    #[test_case(br#"{"msg":"agent""#, false ; "cut off")]
+    #[test_case(b"7", false ; "no object")]
+    #[test_case(b"", false ; "nothing")]
+    fn messages_with_faults_are_told_from_what_is_none(line: &[u8], expected: bool) {
+        assert_eq!(readable(line), expected);
+    }
+
+    #[test_case(b" {\"msg\":", false ; "a message so far")]
+    #[test_case(b"GET / HT", true ; "HTTP")]
+    #[test_case(b"\x00\x00\x00\x20{", true ; "a binary length")]
+    #[test_case(b"{\"msg\":\x01", true ; "a control character")]
+    #[test_case(b"", false ; "nothing yet")]
+    fn what_cannot_become_a_message(begun: &[u8], expected: bool) {
+        assert_eq!(hopeless(begun, begun), expected);
+    }
+
     #[test_case(b"{", "EOF" ; "cut off")]
     #[test_case(b"\xff\xff", "expected value" ; "no text")]
     #[test_case(br#"[]"#, "invalid length" ; "no object")]
--- a/crates/protocol/src/config.rs
+++ b/crates/protocol/src/config.rs
@@ -17,8 +17,14 @@
     pub known: Option<Vec<u8>>,
     /// The settings by their paths.
     pub settings: BTreeMap<String, String>,
-    /// The director's limits, likewise.
-    pub limits: BTreeMap<String, String>,
+    pub limits: Limits,
+}
+
+/// What the director may use, where that is told.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Limits {
+    pub sockets: Option<u64>,
+    pub memory_mb: Option<u64>,
 }
 
 /// Stands before and between the values of a plain list, as no name holds it.
@@ -33,6 +39,16 @@
     text(config, path)?.parse().map_err(|_| Fault::odd(path, "an address and a port, such as 127.0.0.1:8000"))
 }
 
+fn limit(config: &Value, name: &str) -> Result<Option<u64>, Fault> {
+    match config.get("limits").and_then(|limits| limits.get(name)) {
+        None | Some(Value::Null) => Ok(None),
+        Some(value) => match value.as_u64() {
+            Some(limit @ 1..=0xffff_ffff) => Ok(Some(limit)),
+            _ => Err(Fault::odd(&format!("limits.{name}"), "a whole number from 1")),
+        },
+    }
+}
+
 fn plain(value: &Value) -> Option<String> {
     match value {
         Value::String(text) => Some(text.clone()),
@@ -70,9 +86,8 @@
         if !settings.is_object() {
             return Err(Fault::odd("settings", "an object"));
         }
-        let (mut paths, mut limits) = (BTreeMap::new(), BTreeMap::new());
+        let mut paths = BTreeMap::new();
         flatten("", settings, &mut paths);
-        flatten("", config.get("limits").unwrap_or(&Value::Null), &mut limits);
         let seed = u64::from_str_radix(text(&config, "seed")?, 16);
         Ok(Config {
             name: text(&config, "name")?.to_string(),
@@ -85,7 +100,7 @@
                 .filter(|known| !known.is_null())
                 .map(|known| known.to_string().into_bytes()),
             settings: paths,
-            limits,
+            limits: Limits { sockets: limit(&config, "sockets")?, memory_mb: limit(&config, "memory_mb")? },
         })
     }
 
@@ -99,7 +114,7 @@
         [
             ("name", digest(&self.name)),
             ("listen", digest(self.listen)),
-            ("limits", digest(&self.limits)),
+            ("limits", digest(self.limits)),
             ("settings", digest(&self.settings)),
         ]
     }
@@ -144,6 +159,7 @@
     #[test_case("{", "}", "EOF" ; "cut off")]
     #[test_case(r#""relay""#, r#""relais""#, "relay.address: missing" ; "no relay")]
     #[test_case("127.0.0.1:1", "host:1", "listen: expected" ; "a name for an address")]
+    #[test_case("\"relay\"", "\"limits\":{\"sockets\":-1},\"relay\"", "limits.sockets: expected" ; "a limit below 0")]
     #[test_case("8c1f", "zz", "seed: expected" ; "a seed that is no number")]
     #[test_case(r#""settings":{"#, r#""settings":7,"x":{"#, "settings: expected an object" ; "settings that are a number")]
     fn faults_name_the_field(sound: &str, unsound: &str, expected: &str) {
