Figures out of range reach no measurement; an answer that refuses is asked twice

Lines at fault: collector.rs counts() and Line::parse, which asked only for a number of 0 or more. Answers of the relay that can't be read were settled rightly; one that is read as a refusal dropped an order for good (calls.rs answer()).

Changed: reducer/ranges.rs bounds calls, means and load figures by the settings' time limits and by what the joined proxies are said to ask for; protocol asks for a span within an hour and for a mean where tries were answered. A refusal, or ValidationError, must come twice. A probe's answer that is no HTTP counts as an error of a living process.

--- a/crates/director/src/http.rs
+++ b/crates/director/src/http.rs
@@ -17,6 +17,8 @@
     /// No connection came up.
     Unreachable,
     Broken,
+    /// Something lives there, but its answer is none.
+    Unreadable,
 }
 
 /// The answer's head; its body comes as long as the task that drives the connection is kept.
@@ -33,5 +35,6 @@
     let driver = Task::spawn(async move { drop(connection.await) });
     let request = Request::get(path).header(HOST, address.to_string()).body(Empty::<Bytes>::new());
     let answer = sender.send_request(request.map_err(|_| Failed::Broken)?).await;
-    Ok((answer.map_err(|_| Failed::Broken)?, driver))
+    let failed = |wrong: hyper::Error| if wrong.is_parse() { Failed::Unreadable } else { Failed::Broken };
+    Ok((answer.map_err(failed)?, driver))
 }
--- a/crates/director/src/probes.rs
+++ b/crates/director/src/probes.rs
@@ -49,6 +49,7 @@
         Ok(answer) => answer,
         Err(Failed::Unreachable) => return (ProbeEnd::Unreachable, Vec::new()),
         Err(Failed::Broken) => return (ProbeEnd::Broken, Vec::new()),
+        Err(Failed::Unreadable) => return (ProbeEnd::Unreadable, Vec::new()),
     };
     let status = answer.status().as_u16();
     match Limited::new(answer.into_body(), BODY_MOST).collect().await {
--- a/crates/director/src/reducer/calls.rs
+++ b/crates/director/src/reducer/calls.rs
@@ -77,6 +77,8 @@
     blind_until: Option<f64>,
     /// So often the first call has been repeated.
     repeats: u32,
+    /// The relay was read to refuse the first order, or the whole call, once: that answer may have been spoilt.
+    refused: bool,
     /// Lines in the channel as reckoned, and when.
     lines: f64,
     reckoned_at: f64,
@@ -99,6 +101,7 @@
             hold: 0.0,
             blind_until: None,
             repeats: 0,
+            refused: false,
             lines: 0.0,
             reckoned_at: 0.0,
             proxies: 0,
@@ -150,7 +153,7 @@
             });
         }
         if out == 0 && self.waiting.front().is_some_and(Vec::is_empty) {
-            self.repeats = 0;
+            (self.repeats, self.refused) = (0, false);
         }
         self.waiting.retain(|call| !call.is_empty());
     }
@@ -277,7 +280,7 @@
 
     /// The first call has gone out, and nobody knows yet whether it was carried out.
     fn unsettled(&self) -> bool {
-        self.due.is_some() || self.repeats > 0
+        self.due.is_some() || self.repeats > 0 || self.refused
     }
 
     /// The first call was carried out, or was not: nobody can tell. It goes out again before anything else, on
@@ -322,11 +325,15 @@
                 out.counters.orders_taken += many as u64;
                 let mut taken = std::mem::take(call);
                 let mut rest = taken.split_off(many);
-                if !rest.is_empty() {
-                    // The relay stops at an order that it cannot use; what follows it is sound.
+                // The relay stops at an order that it cannot use; what follows it is sound. A spoilt answer may say the
+                // same of one that it took, so it is asked once more, with the rest, before it is dropped.
+                if many == 0 && self.refused && !rest.is_empty() {
                     out.counters.orders_refused += 1;
                     let refused = rest.remove(0).text;
                     out.warn(format!("relay: order refused: {refused}"));
+                    self.refused = false;
+                } else {
+                    self.refused = !rest.is_empty();
                 }
                 if rest.is_empty() {
                     self.waiting.pop_front();
@@ -342,8 +349,13 @@
                 self.hold = now + PAUSE;
                 Vec::new()
             }
+            Answer::Invalid if !std::mem::replace(&mut self.refused, true) => {
+                self.repeat(now, "it is not valid, as its answer is read", out);
+                Vec::new()
+            }
             Answer::Invalid => {
                 // It would be turned away for ever, and all others behind it.
+                self.refused = false;
                 out.counters.calls_invalid += 1;
                 out.effects.push(Effect::Log(Level::Error, "relay: call dropped, not valid".to_string()));
                 self.waiting.pop_front();
--- a/crates/director/src/reducer/mod.rs
+++ b/crates/director/src/reducer/mod.rs
@@ -5,6 +5,7 @@
 mod calls;
 mod list;
 mod news;
+mod ranges;
 mod taken;
 #[cfg(test)]
 mod tests;
@@ -25,6 +26,7 @@
 use list::List;
 use log::Level;
 use news::{Item, News};
+use ranges::Ranges;
 use std::net::SocketAddr;
 use taken::{Sender, Sparing, Taken};
 
@@ -43,6 +45,8 @@
     TimedOut,
     Unreachable,
     Broken,
+    /// What came back is no answer.
+    Unreadable,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -141,6 +145,7 @@
     probe_path: &'static str,
     taken: Taken,
     lines_log: Sparing,
+    ranges: Ranges,
     calls: Calls,
     news: News,
     list: List,
@@ -169,6 +174,7 @@
         let mut reducer = Reducer {
             slices: told.slices,
             proxies: told.proxies,
+            ranges: Ranges::new(&told),
             director: Director::new(told, config.seed),
             names: Names::new(&boot),
             may_follow,
@@ -223,7 +229,7 @@
                 }
             }
             Event::WatchLines(..) | Event::WatchDown(..) => {}
-            Event::Probed { host, end, took, body } => self.probed(host, end, took, &body),
+            Event::Probed { host, end, took, body } => self.probed(now, host, end, took, &body),
             Event::Reload(config) => self.reload(now, *config),
             Event::Time => {}
             Event::Settle => self.settle(now),
@@ -299,12 +305,15 @@
             Line::Tries { zone, host, tries, dropped, rt, span, report } => {
                 let zone = named("az", self.names.zone(&zone))?;
                 let host = self.names.known_host(&host).ok_or("a host that was listed".to_string());
-                let (host, load) = (named("host", host)?, self.load(&report));
+                let (host, rt) = (named("host", host)?, self.ranges.rt(rt)?);
+                self.ranges.calls(tries, dropped, span)?;
+                let load = self.load(now, &report);
                 self.out.counters.sums_of_tries += 1;
                 self.out.inputs.push(api::Input::Tries { host, zone, span, tries, dropped, rt, load });
             }
             Line::Demand { slice, route, calls, dropped, span } => {
                 let (slice, route) = (self.slice(slice)?, named("kind", self.names.route(&route))?);
+                self.ranges.calls(calls, dropped, span)?;
                 self.out.counters.sums_of_calls += 1;
                 self.out.inputs.push(api::Input::Demand { slice, route, calls, dropped, span });
             }
@@ -312,12 +321,8 @@
         Ok(())
     }
 
-    fn load(&mut self, report: &Report) -> api::Load {
-        if report.odd > 0 {
-            self.out.counters.load_figures_odd += report.odd;
-            self.out.warn(format!("load report: {} figures passed over", report.odd));
-        }
-        load(|name| report.get(name))
+    fn load(&mut self, now: f64, report: &Report) -> api::Load {
+        self.ranges.load(now, load(|name| report.get(name)), report.odd, &mut self.out)
     }
 
     fn relay_line(&mut self, now: f64, link: LinkId, line: Framed) {
@@ -397,18 +402,20 @@
         )
     }
 
-    fn probed(&mut self, host: api::HostId, end: ProbeEnd, took: f64, body: &[u8]) {
+    fn probed(&mut self, now: f64, host: api::HostId, end: ProbeEnd, took: f64, body: &[u8]) {
         let (outcome, count) = match end {
             ProbeEnd::Status(200) => (api::Outcome::Answered, &mut self.out.counters.probes_answered),
             ProbeEnd::Status(503) => (api::Outcome::Throttled, &mut self.out.counters.probes_throttled),
-            ProbeEnd::Status(_) => (api::Outcome::Error, &mut self.out.counters.probes_failed),
+            ProbeEnd::Status(_) | ProbeEnd::Unreadable => {
+                (api::Outcome::Error, &mut self.out.counters.probes_failed)
+            }
             ProbeEnd::TimedOut => (api::Outcome::TimedOut, &mut self.out.counters.probes_timed_out),
             ProbeEnd::Unreachable => (api::Outcome::Unreachable, &mut self.out.counters.probes_unreachable),
             ProbeEnd::Broken => (api::Outcome::Broken, &mut self.out.counters.probes_broken),
         };
         *count += 1;
         let report = Report::text(if outcome == api::Outcome::Answered { body } else { b"" });
-        let load = self.load(&report);
+        let load = self.load(now, &report);
         self.out.inputs.push(api::Input::Probed { host, outcome, took, load });
     }
 
@@ -437,6 +444,7 @@
         if std::mem::replace(&mut self.told, told) != told {
             self.calls.blind(now, !told);
         }
+        self.ranges.proxies(self.news.known.proxies.values().map(|(_, joined)| joined));
         self.calls.proxies = self.news.known.proxies.len();
         self.calls.pump(now, &mut self.out);
         self.news.under_way = self.calls.under_way();
@@ -468,7 +476,7 @@
                     let text = self.names.said(&text, &hosts);
                     self.out.tell(format!("decided: {text}"));
                 }
-                api::Order::Probe(host) => self.probe(host),
+                api::Order::Probe(host) => self.probe(now, host),
                 api::Order::Follow(_) => {}
                 api::Order::FetchList => self.list.ask_whole(now, &mut self.out),
                 api::Order::Bind { .. } | api::Order::Tell { .. } => self.out.counters.orders_unknown += 1,
@@ -479,14 +487,14 @@
         self.calls.give(call);
     }
 
-    fn probe(&mut self, host: api::HostId) {
+    fn probe(&mut self, now: f64, host: api::HostId) {
         match self.list.address(host) {
             Some(address) => {
                 self.out.counters.probes_sent += 1;
                 self.out.effects.push(Effect::Probe { host, address, path: self.probe_path });
             }
             // Nobody has told where it is, so it cannot be reached.
-            None => self.probed(host, ProbeEnd::Unreachable, 0.0, b""),
+            None => self.probed(now, host, ProbeEnd::Unreachable, 0.0, b""),
         }
     }
 
--- a/crates/director/src/reducer/tests.rs
+++ b/crates/director/src/reducer/tests.rs
@@ -51,19 +51,38 @@
     assert_eq!(sent(&out)[1..], ["txn SET,2,h2,0.5"]);
 }
 
-#[test_case(b"OK 2", 2, 0 ; "all taken")]
-#[test_case(b"OK 1", 1, 1 ; "the second refused")]
-#[test_case(b"OK 0", 0, 1 ; "the first refused")]
-#[test_case(b"OK 3", 0, 0 ; "more than there were cannot be read")]
-#[test_case(b"OK -1", 0, 0 ; "fewer than none cannot be read")]
-fn answers(answer: &[u8], taken: u64, refused: u64) {
+#[test_case(&[b"OK 2"], 2, 0, 0 ; "all taken")]
+#[test_case(&[b"OK 1", b"OK 0"], 1, 1, 0 ; "the second refused")]
+#[test_case(&[b"OK 0", b"OK 0"], 0, 1, 0 ; "the first refused")]
+#[test_case(&[b"OK 0", b"OK 2"], 2, 0, 0 ; "a spoilt answer that refuses the first")]
+#[test_case(&[b"OK 1", b"OK 1"], 2, 0, 0 ; "a spoilt answer that refuses the second")]
+#[test_case(&[b"OK 3"], 0, 0, 1 ; "more than there were cannot be read")]
+#[test_case(&[b"OK -1"], 0, 0, 1 ; "fewer than none cannot be read")]
+#[test_case(&[b"ValidationError"], 0, 0, 1 ; "not valid once may be spoilt")]
+fn answers(answers: &[&[u8]], taken: u64, refused: u64, repeated: u64) {
     let (mut calls, mut out) = calls(&[&[line(1, 1, 1.0), line(1, 2, 0.5)]]);
-    let told = calls.answer(0.01, LinkId(1), answer, &mut out);
-    assert_eq!(
-        (told.len() as u64, out.counters.orders_taken, out.counters.orders_refused),
-        (taken, taken, refused)
-    );
-    assert_eq!(out.counters.calls_repeated, u64::from(taken + refused == 0));
+    calls.give(vec![line(2, 1, 1.0)]);
+    let mut told = 0;
+    for answer in answers {
+        assert!(!sent(&out).concat().contains("SET,2"), "nothing later before it is settled");
+        told += calls.answer(0.01, LinkId(1), answer, &mut out).len() as u64;
+        calls.pump(0.01, &mut out);
+    }
+    let counts = &out.counters;
+    assert_eq!((told, counts.orders_taken, counts.orders_refused), (taken, taken, refused));
+    assert_eq!(counts.calls_repeated, repeated);
+}
+
+#[test]
+fn a_call_that_is_not_valid_twice_is_dropped() {
+    let (mut calls, mut out) = calls(&[&[line(1, 1, 1.0)], &[line(2, 1, 1.0)]]);
+    calls.answer(0.01, LinkId(1), b"ValidationError", &mut out);
+    calls.pump(0.01, &mut out);
+    calls.up(0.01, LinkId(2));
+    calls.pump(0.01, &mut out);
+    calls.answer(0.02, LinkId(2), b"ValidationError", &mut out);
+    calls.pump(0.02, &mut out);
+    assert_eq!(sent(&out), ["txn SET,1,h1,1", "txn SET,1,h1,1", "txn SET,2,h1,1"]);
 }
 
 #[test]
@@ -393,7 +412,7 @@
 }
 
 const CONFIG: &str = r#"{"name":"n","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"1","relay":{"address":"127.0.0.1:3"},
-    "settings":{"zones":["a"],"kinds":["m2"],"classes":[{"name":"r"}],"specifics":{"slices":1,"proxy-count":2}}}"#;
+    "settings":{"zones":["a"],"kinds":["m2"],"classes":[{"name":"r","give-up-ns":3000000000}],"specifics":{"slices":1,"proxy-count":2}}}"#;
 
 fn reducer() -> Reducer {
     Reducer::new(&Config::parse(CONFIG.as_bytes()).unwrap(), 0).unwrap()
@@ -465,6 +484,75 @@
     assert_eq!(reducer.out.counters.sums_of_calls, reports as u64, "what stands beside it is used");
 }
 
+/// Each field of each report in turn, spoilt in each way that was seen on sockets.
+#[test]
+fn a_spoilt_field_reaches_no_measurement() {
+    let tries = [
+        ("msg", "\"outcomes\""),
+        ("az", "\"a\""),
+        ("host", "\"h\""),
+        ("n", "2"),
+        ("bad", "1"),
+        ("avg", "40.0"),
+    ];
+    let tries = [&tries[..], &[("window", "1000.0"), ("report", "{\"q\":1.0,\"lat_ms\":30.0}")]].concat();
+    let demand = [
+        ("msg", "\"hot\""),
+        ("partition", "0"),
+        ("kind", "\"r\""),
+        ("n", "2"),
+        ("bad", "1"),
+        ("window", "1000.0"),
+    ];
+    let spoilt = ["", "-3", "1e30", "38654705664", "\"nan\"", "\"\"", "\"s-zz\"", "[1]", "{}", "true"];
+    for (report, spoilt) in
+        [&tries[..], &demand].iter().flat_map(|report| spoilt.map(|spoilt| (report, spoilt)))
+    {
+        for at in 0..report.len() {
+            let (mut reducer, _) = said(&[AGENT]);
+            let host = reducer.names.host("h");
+            let mut fields = report.to_vec();
+            fields[at] = if spoilt.is_empty() { ("x", "0") } else { (fields[at].0, spoilt) };
+            let (field, pairs) =
+                (report[at].0, fields.iter().map(|(name, value)| format!("\"{name}\":{value}")));
+            let line = format!("{{{}}}\n", pairs.collect::<Vec<_>>().join(","));
+            reducer.reduce(0.1, Event::Heard(CONN, [line.as_bytes(), HOT].concat()));
+            let mut inputs = reducer.out.inputs;
+            assert!(
+                matches!(inputs.pop(), Some(Input::Demand { calls: 4, .. })),
+                "what follows {line} is used"
+            );
+            // Of an unsound load report only that is lost; extra fields are none of ours.
+            let load = api::Load::default();
+            let expected =
+                Input::Tries { host, zone: ZoneId(0), span: 1.0, tries: 2, dropped: 1, rt: 0.04, load };
+            let kept = if field == "report" { vec![expected] } else { vec![] };
+            assert_eq!(inputs, kept, "{line}");
+        }
+    }
+}
+
+#[test_case("1.0", Some(1.0) ; "sound")]
+#[test_case("-1.0", None ; "negative")]
+#[test_case("1e30", None ; "absurdly large")]
+#[test_case("NaN", None ; "not finite")]
+fn a_spoilt_figure_of_a_probes_answer_costs_only_itself(figure: &str, waiting: Option<f64>) {
+    let mut reducer = reducer();
+    let (host, body) = (reducer.names.host("h"), format!("TEXT q={figure}, lat_ms=500").into_bytes());
+    reducer.reduce(0.0, Event::Probed { host, end: ProbeEnd::Status(200), took: 0.1, body });
+    let Some(Input::Probed { load, .. }) = reducer.out.inputs.pop() else { panic!("no answer") };
+    assert_eq!((load.waiting, load.service_time), (waiting, Some(0.5)));
+    assert_eq!(reducer.out.counters.load_figures_odd, waiting.is_none() as u64);
+}
+
+#[test]
+fn an_answer_to_a_probe_that_is_none_is_no_sign_of_death() {
+    let mut reducer = reducer();
+    let (host, body) = (reducer.names.host("h"), Vec::new());
+    reducer.reduce(0.0, Event::Probed { host, end: ProbeEnd::Unreadable, took: 0.1, body });
+    assert!(matches!(reducer.out.inputs[..], [Input::Probed { outcome: api::Outcome::Error, .. }]));
+}
+
 /// A table of connections with room for four, and a memory for two long lines.
 fn table(now: f64, conns: &[u64]) -> (Taken, Out) {
     let (mut taken, mut out) = (Taken::new(4, 3 << 19), Out::default());
--- a/crates/director/tests/serve.rs
+++ b/crates/director/tests/serve.rs
@@ -73,14 +73,17 @@
 fn a_refused_order_is_dropped_and_the_rest_sent() {
     let world = World::laid();
     let before = world.relay.change(|state| {
-        state.deals.push_back(Deal::Refuse(0));
+        state.deals.extend([Deal::Refuse(0); 2]);
         state.calls.len()
     });
     world.list_change(2, "s-1", "terminating");
     let calls = world
         .relay
-        .wait("the rest", |state| (state.calls.len() >= before + 2).then(|| state.calls[before..].to_vec()));
-    assert!(calls[0].1.len() > 1 && calls[1].1[..] == calls[0].1[1..], "{calls:?}");
+        .wait("the rest", |state| (state.calls.len() >= before + 3).then(|| state.calls[before..].to_vec()));
+    assert!(
+        calls[0].1.len() > 1 && calls[1].1 == calls[0].1 && calls[2].1[..] == calls[0].1[1..],
+        "{calls:?}"
+    );
     world.counted("orders_refused", 1);
     world.logged("order refused: OUT,s-1");
     assert!(world.relay.change(|state| state.out.is_empty()), "what was refused is not sent again");
--- a/crates/protocol/src/collector.rs
+++ b/crates/protocol/src/collector.rs
@@ -8,6 +8,9 @@
 /// Most bytes in a message.
 pub const MOST: usize = 1 << 20;
 
+/// Milliseconds that a sum can cover: an hour, as one that reports each second is long lost by then.
+const WINDOW_MOST: f64 = 3_600_000.0;
+
 /// The answer to `Line::Probe`.
 pub const ALIVE: &[u8] = b"{\"msg\":\"alive\"}\n";
 
@@ -66,8 +69,11 @@
     /// Calls, those dropped, and the span in seconds. More may be dropped than came: calls that came in an earlier
     /// span end in this one.
     fn counts(&self) -> Result<(u64, u64, f64), Fault> {
-        let span = sound(need(self.window, "window")?, "window")? / 1e3;
-        Ok((need(self.n, "n")?, need(self.bad, "bad")?, span))
+        let window = need(self.window, "window")?;
+        if !(window > 0.0 && window <= WINDOW_MOST) {
+            return Err(Fault::odd("window", "milliseconds, an hour at most"));
+        }
+        Ok((need(self.n, "n")?, need(self.bad, "bad")?, window / 1e3))
     }
 }
 
@@ -83,7 +89,8 @@
                     tries,
                     dropped,
                     span,
-                    rt: sound(raw.avg.unwrap_or(0.0), "avg")? / 1e3,
+                    // Without it the answered ones would seem to have taken no time.
+                    rt: sound(if tries > dropped { need(raw.avg, "avg")? } else { 0.0 }, "avg")? / 1e3,
                     zone: need(raw.az, "az")?.0,
                     host: need(raw.host, "host")?.0,
                     report: raw.report.as_ref().map(Report::json).unwrap_or_default(),
@@ -167,6 +174,9 @@
     #[test_case(br#"{"msg":"hot","partition":-1,"kind":"a","n":1,"bad":0,"window":1}"#, "u16" ; "a negative slice")]
     #[test_case(br#"{"msg":"hot","partition":1,"kind":"a","n":"4","bad":0,"window":1}"#, "u64" ; "a word for a number")]
     #[test_case(br#"{"msg":"outcomes","az":"a","host":"h","n":1,"bad":0,"avg":-4,"window":1}"#, "field avg" ; "a negative time")]
+    #[test_case(br#"{"msg":"outcomes","az":"a","host":"h","n":1,"bad":0,"window":1}"#, "field avg" ; "no time of answered tries")]
+    #[test_case(br#"{"msg":"hot","partition":1,"kind":"a","n":1,"bad":0,"window":1e30}"#, "field window" ; "an endless span")]
+    #[test_case(br#"{"msg":"hot","partition":1,"kind":"a","n":1,"bad":0,"window":0}"#, "field window" ; "no span")]
     fn faults(line: &[u8], expected: &str) {
         let fault = Line::parse(line).unwrap_err().0;
         assert!(fault.contains(expected), "{fault}");
