What is kept of hosts that went is given back, from the module to the names

Read: Names kept each name for good (names.rs hosts, numbers), List each address, and the module an actor, a view, a withdrawal and an out mark for each host ever listed, each of them worked ten times a second.

Changed: a host off the list for ten seconds, named by no table and let in again by the proxies, is dropped by Channel, Tables and Director in turn (Note::Over); Order::Forget tells the adapter, which gives the name back when no waiting call and no table as told refers to it. Numbers are not used again.

--- a/crates/director/src/counters.rs
+++ b/crates/director/src/counters.rs
@@ -33,6 +33,7 @@
     lists,
     lists_bad,
     entries_unsound,
+    hosts_forgotten,
     watches_opened,
     watches_lost,
     news_lines,
--- a/crates/director/src/reducer/calls.rs
+++ b/crates/director/src/reducer/calls.rs
@@ -175,6 +175,12 @@
         out.into_iter().flatten().filter_map(slice).collect()
     }
 
+    /// Whether an order that waits names the host.
+    pub fn names(&self, host: HostId) -> bool {
+        let named = |told: &Told| matches!(told.aim, Aim::Line(_, of) | Aim::Withdraw(of) if of == host);
+        self.waiting.iter().flatten().any(named)
+    }
+
     /// Sends the next call if one may go.
     pub fn pump(&mut self, now: f64, out: &mut Out) {
         if self.due.is_some_and(|due| now >= due) {
--- a/crates/director/src/reducer/list.rs
+++ b/crates/director/src/reducer/list.rs
@@ -93,6 +93,15 @@
         self.watches.iter().any(|watch| watch.address == self.address)
     }
 
+    pub fn forget(&mut self, host: HostId) {
+        self.hosts.remove(&host);
+    }
+
+    #[cfg(test)]
+    pub fn count(&self) -> usize {
+        self.hosts.len()
+    }
+
     /// The list that the configuration remembers, maybe old.
     pub fn remembered(&mut self, known: &[u8], names: &mut Names, out: &mut Out) -> Result<Input, Fault> {
         let list = discovery::List::parse(known)?;
--- a/crates/director/src/reducer/mod.rs
+++ b/crates/director/src/reducer/mod.rs
@@ -27,6 +27,7 @@
 use log::Level;
 use news::{Item, News};
 use ranges::Ranges;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use taken::{Sender, Sparing, Taken};
 
@@ -149,6 +150,8 @@
     calls: Calls,
     news: News,
     list: List,
+    /// Hosts that the decisions have forgotten; their names are given back when nothing here refers to them.
+    forgotten: BTreeSet<api::HostId>,
     wakes: Vec<(f64, api::WakeId)>,
     started: bool,
     /// What stands at the relay was known when last looked.
@@ -184,6 +187,7 @@
             calls: Calls::new(pace, config.relay),
             news: News::new(config.relay),
             list: List::new(Clock::starting(wall_ns), config.discovery),
+            forgotten: BTreeSet::new(),
             wakes: Vec::new(),
             started: false,
             told: false,
@@ -432,8 +436,14 @@
             let inputs = std::mem::take(&mut self.out.inputs);
             self.counters_of(&inputs);
             for input in &inputs {
-                if let api::Input::Given(slice) | api::Input::Taken(slice) = input {
-                    self.calls.forget(*slice);
+                match input {
+                    api::Input::Given(slice) | api::Input::Taken(slice) => self.calls.forget(*slice),
+                    // The decisions hear of it again.
+                    api::Input::StoredLine { host, .. } => _ = self.forgotten.remove(host),
+                    api::Input::Hosts { entries, .. } => {
+                        entries.iter().for_each(|entry| _ = self.forgotten.remove(&entry.host));
+                    }
+                    _ => {}
                 }
             }
             let orders = self.director.handle(now, &inputs);
@@ -448,12 +458,26 @@
         self.calls.proxies = self.news.known.proxies.len();
         self.calls.pump(now, &mut self.out);
         self.news.under_way = self.calls.under_way();
+        self.give_back_names();
         let wake = self.wakes.iter().map(|(at, _)| *at).fold(f64::INFINITY, f64::min);
         let parts = [self.calls.next(), self.news.next(), self.list.next(), self.taken.wake_at()];
         let wake = parts.into_iter().fold(wake, f64::min);
         self.out.effects.push(Effect::Wake(wake));
     }
 
+    /// The one place where what is kept by host is given back.
+    fn give_back_names(&mut self) {
+        let named = |host: &api::HostId| self.calls.names(*host) || self.news.names(*host);
+        let (kept, over): (_, BTreeSet<api::HostId>) =
+            std::mem::take(&mut self.forgotten).into_iter().partition(named);
+        self.forgotten = kept;
+        for host in over {
+            self.list.forget(host);
+            self.names.forget(host);
+            self.out.counters.hosts_forgotten += 1;
+        }
+    }
+
     fn counters_of(&mut self, inputs: &[api::Input]) {
         for input in inputs {
             match input {
@@ -478,6 +502,7 @@
                 }
                 api::Order::Probe(host) => self.probe(now, host),
                 api::Order::Follow(_) => {}
+                api::Order::Forget(host) => _ = self.forgotten.insert(host),
                 api::Order::FetchList => self.list.ask_whole(now, &mut self.out),
                 api::Order::Bind { .. } | api::Order::Tell { .. } => self.out.counters.orders_unknown += 1,
                 order => call.extend(self.told(order)),
--- a/crates/director/src/reducer/news.rs
+++ b/crates/director/src/reducer/news.rs
@@ -269,6 +269,12 @@
         self.tables(slice).for_each(|(_, lines)| lines.clear());
     }
 
+    /// Whether a table names the host, as far as told.
+    pub fn names(&self, host: HostId) -> bool {
+        let standing = self.feeds.iter().map(|feed| &feed.standing).chain([&self.known]);
+        standing.flat_map(|standing| standing.slices.values()).any(|(_, lines)| lines.contains_key(&host))
+    }
+
     fn tables(&mut self, slice: SliceId) -> impl Iterator<Item = &mut (f64, Lines)> {
         let feeds = self.feeds.iter_mut().map(|feed| &mut feed.standing);
         feeds.chain([&mut self.known]).filter_map(move |standing| standing.slices.get_mut(&slice))
--- a/crates/director/src/reducer/tests.rs
+++ b/crates/director/src/reducer/tests.rs
@@ -670,6 +670,86 @@
     assert_eq!(effects, [Effect::Unwatch(watch)]);
 }
 
+/// Surroundings that answer every effect at once: a relay, a discovery and hosts that do what they are asked.
+fn answered(reducer: &mut Reducer, now: f64, event: Event) {
+    let mut events = std::collections::VecDeque::from([event, Event::Settle]);
+    while let Some(event) = events.pop_front() {
+        for effect in reducer.reduce(now, event) {
+            let answer = match effect {
+                Effect::Dial(link, _) => Event::RelayUp(link),
+                Effect::Send(link, bytes) if bytes.starts_with(b"txn ") => {
+                    let many = bytes.iter().filter(|byte| **byte == b';').count() + 1;
+                    Event::RelayLines(link, lines(&[&format!("OK {many}")]))
+                }
+                Effect::Send(link, _) => {
+                    let news = ["OK", "* hello 0 a 5.0 0", "* lease 0 1", "* line 0 h0 1.0", "*"];
+                    Event::RelayLines(link, lines(&news))
+                }
+                Effect::Probe { host, .. } => {
+                    Event::Probed { host, end: ProbeEnd::Status(200), took: 0.01, body: Vec::new() }
+                }
+                _ => continue,
+            };
+            events.extend([answer, Event::Settle]);
+        }
+    }
+}
+
+/// A thousand hosts replaced by new ones with new ids, a thousand connections that come and go.
+#[test]
+fn what_is_kept_by_name_and_connection_is_given_back() {
+    let text = CONFIG
+        .replace("\"slices\"", "\"lines-per-s\":60000.0,\"backlog\":120000.0,\"overhead\":12.0,\"slices\"");
+    let mut reducer = Reducer::new(&Config::parse(text.as_bytes()).unwrap(), 0).unwrap();
+    answered(&mut reducer, 0.0, Event::Time);
+    for beat in 0..5000 {
+        let (n, now) = (beat / 5, f64::from(beat) / 5.0);
+        if beat % 5 == 0 {
+            let entry = |n: i32, state: &str| {
+                format!(
+                    r#"{{"id":"h{n}","addr":"127.0.0.1:9","zone":"a","kind":"m2","cell":0,"state":"{state}","weight":1.0,"started_ms":0}}"#
+                )
+            };
+            let entries = format!("{},{}", entry(n, "in_service"), entry(n - 4, "terminated"));
+            let list = format!(r#"{{"version":{},"full":false,"servers":[{entries}]}}"#, n + 1);
+            let watch =
+                LinkId((1..=reducer.out.links).rev().find(|link| reducer.list.owns(LinkId(*link))).unwrap());
+            answered(&mut reducer, now, Event::WatchLines(watch, lines(&[&list])));
+            let conn = ConnId(n as u64);
+            answered(&mut reducer, now, Event::Accepted(conn));
+            answered(&mut reducer, now, Event::Heard(conn, AGENT.to_vec()));
+            answered(&mut reducer, now, Event::Heard(conn, HOT.to_vec()));
+            if n % 2 == 0 {
+                answered(&mut reducer, now, Event::Ended(conn));
+            }
+        }
+        for link in (1..=reducer.out.links)
+            .rev()
+            .take(9)
+            .map(LinkId)
+            .filter(|link| reducer.news.owns(*link))
+            .collect::<Vec<_>>()
+        {
+            let life = if beat % 1000 == 999 { "gone" } else { "*" };
+            answered(&mut reducer, now, Event::RelayLines(link, lines(&[life])));
+        }
+        answered(&mut reducer, now, Event::Time);
+    }
+    let kept = [
+        reducer.names.count(),
+        reducer.list.count(),
+        reducer.forgotten.len(),
+        reducer.taken.count(),
+        reducer.wakes.len(),
+    ];
+    assert!(kept.iter().all(|many| *many < 50), "{kept:?}");
+    assert!(reducer.out.counters.hosts_forgotten > 900 && reducer.out.counters.orders_taken > 1000);
+    let gone = br#"{"msg":"outcomes","az":"a","host":"h3","n":1,"bad":0,"avg":1.0,"window":1.0}"#;
+    let conn = ConnId(999);
+    reducer.reduce(1000.0, Event::Heard(conn, [&gone[..], b"\n"].concat()));
+    assert!(reducer.out.inputs.is_empty(), "what is late for a host that went changes nothing");
+}
+
 #[test]
 fn no_part_of_a_message_does_harm() {
     let mut reducer = reducer();
--- a/crates/settings/src/names.rs
+++ b/crates/settings/src/names.rs
@@ -34,9 +34,11 @@
     zones: Vec<String>,
     kinds: Vec<String>,
     routes: Vec<String>,
-    /// Names by number, and numbers by name.
-    hosts: Vec<String>,
+    /// Names by number, and numbers by name. No number is used again, so what is late to name a host that was
+    /// forgotten names nobody.
+    hosts: BTreeMap<api::HostId, String>,
     numbers: BTreeMap<String, api::HostId>,
+    next: u32,
 }
 
 fn place(list: &[String], name: &str, what: &str) -> Result<u16, String> {
@@ -51,8 +53,9 @@
             zones: names(&boot.top.zones),
             kinds: names(&boot.top.kinds),
             routes: boot.classes.iter().map(|class| class.name.clone().unwrap_or_default()).collect(),
-            hosts: Vec::new(),
+            hosts: BTreeMap::new(),
             numbers: BTreeMap::new(),
+            next: 0,
         }
     }
 
@@ -61,8 +64,9 @@
         if let Some(host) = self.numbers.get(name) {
             return *host;
         }
-        let host = api::HostId(self.hosts.len() as u32);
-        self.hosts.push(name.to_string());
+        let host = api::HostId(self.next);
+        self.next += 1;
+        self.hosts.insert(host, name.to_string());
         self.numbers.insert(name.to_string(), host);
         host
     }
@@ -72,7 +76,16 @@
     }
 
     pub fn host_name(&self, host: api::HostId) -> &str {
-        &self.hosts[host.0 as usize]
+        self.hosts.get(&host).map_or("(forgotten)", String::as_str)
+    }
+
+    /// Gives a host's name back.
+    pub fn forget(&mut self, host: api::HostId) {
+        self.hosts.remove(&host).into_iter().for_each(|name| _ = self.numbers.remove(&name));
+    }
+
+    pub fn count(&self) -> usize {
+        self.hosts.len()
     }
 
     /// What a log line says, with the names of the hosts that it is about.
@@ -132,4 +145,17 @@
         assert_eq!(names.host("10.0.0.1:80"), first, "once numbered, always the same");
         assert_eq!((names.host_name(second), names.known_host("h")), ("10.0.0.2:80", None));
     }
+
+    #[test]
+    fn a_name_that_was_given_back_gets_another_number() {
+        let mut names = Names::new(&Boot::default());
+        let first = names.host("10.0.0.1:80");
+        names.forget(first);
+        assert_eq!((names.count(), names.known_host("10.0.0.1:80")), (0, None));
+        assert_ne!(
+            names.host("10.0.0.1:80"),
+            first,
+            "what is late for the old one must not meet the new one"
+        );
+    }
 }
--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -106,7 +106,7 @@
 fn act(who: u64, instance: &mut Instance, clock_ns: u64, inputs: &[Input], orders: &mut Vec<Order>) {
     let now = instance.names.clock.seconds(clock_ns);
     match catch_unwind(AssertUnwindSafe(|| instance.director.handle(now, inputs))) {
-        Ok(given) => orders.extend(given.into_iter().map(|order| instance.names.order(who, order))),
+        Ok(given) => orders.extend(given.into_iter().filter_map(|order| instance.names.order(who, order))),
         Err(panic) => {
             let text = panic.downcast_ref::<&str>().map(|text| text.to_string());
             let text = text.or_else(|| panic.downcast_ref::<String>().cloned());
--- a/crates/wirehost/src/names.rs
+++ b/crates/wirehost/src/names.rs
@@ -22,6 +22,11 @@
         self.names.host(address)
     }
 
+    /// A host that was listed or stands in a table; news of others concern nobody and would keep their names.
+    fn known(&self, address: &str) -> Result<api::HostId, Misfit> {
+        self.names.known_host(address).ok_or(("host", "a host that was listed".to_string()))
+    }
+
     fn address(&self, host: api::HostId) -> String {
         self.names.host_name(host).to_string()
     }
@@ -84,7 +89,7 @@
                 api::Input::Heard { from: api::PeerId(*src), bytes: octets.0.clone() }
             }
             E::Pong { host, outcome, time_taken_ns, telemetry, .. } => api::Input::Probed {
-                host: self.host(host),
+                host: self.known(host)?,
                 outcome: outcome_of(*outcome),
                 took: span(*time_taken_ns),
                 load: load(telemetry),
@@ -104,7 +109,7 @@
             },
             E::Roundup { time_taken_ns, zone, covers_ns, host, many, bad, telemetry, .. } => {
                 api::Input::Tries {
-                    host: self.host(host),
+                    host: self.known(host)?,
                     zone: self.zone(zone)?,
                     span: span(*covers_ns),
                     tries: *many,
@@ -116,10 +121,15 @@
         }))
     }
 
-    pub fn order(&self, who: u64, order: api::Order) -> wire::Order {
+    /// The order as it stands on the wire; forgetting a host concerns only its name here.
+    pub fn order(&mut self, who: u64, order: api::Order) -> Option<wire::Order> {
         use wire::Order as O;
         let mask = |routes: Vec<api::RouteId>| routes.iter().fold(0u64, |mask, route| mask | 1 << route.0);
-        match order {
+        Some(match order {
+            api::Order::Forget(host) => {
+                self.names.forget(host);
+                return None;
+            }
             api::Order::Line { slice, host, weight } => {
                 O::SetLine { who, host: self.address(host), table: slice.0, w: weight }
             }
@@ -158,7 +168,7 @@
             api::Order::Log { text, hosts } => {
                 O::Trace { who, reason: wire::Text(self.names.said(&text, &hosts)) }
             }
-        }
+        })
     }
 }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -1,7 +1,8 @@
 //! What goes into a director and what comes out. Plain types, no behaviour; times are seconds with fractions on
 //! the caller's clock, spans are seconds.
 
-/// A host that answers calls, numbered by the caller as it first names them; addresses stay with the caller.
+/// A host that answers calls, numbered by the caller as it first names them; addresses stay with the caller. A number
+/// stands for one host for good, also after `Order::Forget`.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct HostId(pub u32);
 
@@ -225,6 +226,8 @@
         wake: WakeId,
         at: f64,
     },
+    /// The host is gone and is not referred to any more; its number and name may be given back.
+    Forget(HostId),
     /// What was decided and why, and the hosts that it is about.
     Log {
         text: String,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -7,7 +7,7 @@
 
 use crate::figures::Figures;
 use crate::interface::*;
-use crate::measure::{Chance, Histogram};
+use crate::measure::{median, Chance, Histogram};
 use crate::notes::{add, Item, Note, Plan, Post, Seat, Sums, To, View};
 use crate::state::{Channel, Gate, Host, Slice, Tables, Watch};
 use std::cmp::Ordering;
@@ -26,11 +26,6 @@
 pub(crate) type Times = Histogram<30, 140>;
 
 impl Host {
-    fn new(id: HostId, phase: f64, proven: bool) -> Self {
-        let view = View { weight: 1.0, ramp: 1.0, ease: 1.0, proven, ..View::default() };
-        Host { id, view, probe_at: Some(phase), ..Host::default() }
-    }
-
     fn work(&mut self, now: f64, f: &Figures, note: Note, post: &mut Post) {
         match note {
             Note::Listed(l, place) => {
@@ -41,7 +36,7 @@
                     (self.born, self.times, self.view.ease) = (l.born, Times::default(), 1.0);
                     self.view.restarted = self.met.then_some(now);
                 }
-                self.unlisted = false;
+                (self.unlisted, self.listed, self.gone_at) = (false, true, None);
                 self.view = View { ready, senior, weight: l.weight, zone: l.zone, ..self.view.clone() };
             }
             // Where gone is advice a list may be wrong: a host that answers stays until it is suspected.
@@ -72,6 +67,10 @@
                 let factor = if slow > 1.0 { slow.powf(-0.7) } else { 1.2 };
                 self.view.ease = (self.view.ease * factor).clamp(0.05, 1.0);
             }
+            // As long as its withdrawal is told to who joins. What only a store's table names is not listed.
+            Note::Tick if !self.listed && now - *self.gone_at.get_or_insert(now) > 10.0 => {
+                post.note(To::Channel, Note::Over(self.id));
+            }
             // Two seconds: long enough for a few reports, short enough to forget a trouble that is over.
             Note::Tick if now - self.halved > 2.0 => {
                 self.times.halve();
@@ -91,7 +90,8 @@
     }
 
     fn lose(&mut self) {
-        (self.view.ready, self.view.suspect, self.misses, self.unlisted) = (false, false, 0, false);
+        (self.view.ready, self.view.suspect, self.misses) = (false, false, 0);
+        (self.unlisted, self.listed) = (false, false);
     }
 
     fn reported(&mut self, load: Load) {
@@ -153,6 +153,10 @@
         match note {
             Note::View(host, view) => drop(self.views.insert(host, view)),
             Note::Back(host) => _ = self.withdrawn.remove(&host),
+            Note::Over(host) => {
+                _ = (self.withdrawn.remove(&host), self.views.remove(&host));
+                post.note(To::Host(host), Note::Over(host));
+            }
             Note::In(Input::Given(id)) => {
                 let demand = vec![0.0; f.importance.len()];
                 self.slices.insert(id, Slice { demand, ..Slice::default() });
@@ -202,13 +206,9 @@
     }
 
     fn compare(&mut self, post: &mut Post) {
-        let median = |figures: &mut Vec<f64>| {
-            figures.sort_by(f64::total_cmp);
-            figures.get(figures.len() / 2).copied().unwrap_or(0.0)
-        };
         let heard = || self.views.values().filter(|v| v.ready && v.answered >= 1.0);
-        self.rt = median(&mut heard().map(|v| v.rt).collect());
-        let (rt, busy) = (self.rt, median(&mut heard().filter_map(|v| v.busy).collect()));
+        self.rt = median(heard().map(|v| v.rt).collect());
+        let (rt, busy) = (self.rt, median(heard().filter_map(|v| v.busy).collect()));
         let hosts = self.views.keys().map(|host| To::Host(*host));
         hosts.chain([To::Gate]).for_each(|to| post.note(to, Note::Fleet { rt, busy }));
     }
@@ -221,12 +221,6 @@
         self.views.get(&host).is_some_and(|v| v.ready && v.proven) && !self.withdrawn.contains_key(&host)
     }
 
-    fn counts(&self) -> Sums {
-        let mut counts: Sums = self.views.keys().map(|host| (*host, 0.0)).collect();
-        self.slices.values().for_each(|slice| add(&mut counts, slice.owner, 1.0));
-        counts
-    }
-
     /// The weight by which counts are reckoned: as listed, less what a young host can't carry yet.
     fn unit(&self, host: HostId) -> f64 {
         self.views.get(&host).map_or(1.0, |v| (v.weight / self.weight).max(0.01) * v.ramp)
@@ -362,9 +356,7 @@
     }
 
     fn suspects(&mut self, now: f64, post: &mut Post) {
-        let speeds = || self.views.values().filter(|v| v.ready).filter_map(|v| v.speed);
-        self.speed = speeds().sum::<f64>() / speeds().count().max(1) as f64;
-        self.weight = self.views.values().map(|v| v.weight).sum::<f64>() / self.views.len().max(1) as f64;
+        self.means();
         let ready = || self.views.values().filter(|v| v.ready && v.proven);
         let (many, doubtful) = (ready().count(), ready().filter(|v| v.suspect).count());
         // A director that starts in the middle of a loss finds the lost hosts in the store's tables.
@@ -565,23 +557,22 @@
             }
             // A host that is to be shut is shut before it may return: only then are its lines looked at.
             Note::Tell(Order::Withdraw { host, out: false }) if self.shuts.get(&host) == Some(&true) => {}
-            Note::Tell(Order::Withdraw { host, out }) => _ = self.shuts.insert(host, out),
+            Note::Tell(Order::Withdraw { host, out }) => self.shut(host, out),
             Note::Tell(order) => self.levels.push(order),
             Note::In(Input::Taken(id) | Input::Given(id)) => {
                 _ = (self.wanted.remove(&id), self.told.remove(&id))
             }
-            Note::In(Input::Joined { proxy, .. }) => _ = self.proxies.insert(proxy),
-            Note::In(Input::Left(proxy)) => {
-                self.proxies.remove(&proxy);
-                self.unanswered.iter_mut().for_each(|(.., lines, part)| *lines = (*lines - *part).max(0.0));
-            }
-            Note::In(Input::Applied { mark, .. }) => {
-                let many = self.unanswered.iter().position(|(sent, ..)| *sent == mark).unwrap_or(0);
-                self.unanswered.drain(..many);
-                // A receipt stands for its proxy's part, as does one that left; earlier rounds are over.
-                let first = self.unanswered.front_mut().filter(|(sent, ..)| *sent == mark);
-                first.into_iter().for_each(|(.., lines, part)| *lines = (*lines - *part).max(0.0));
+            // It is over when no table names it. Proxies that shut it out are told to let it in before it is
+            // forgotten: should its name come back, they and we must agree.
+            Note::Over(host) if self.names(host) => {}
+            Note::Over(h) if self.out.contains(&h) && !self.told.is_empty() => _ = self.over.insert(h),
+            Note::Over(host) => {
+                _ = (self.shuts.remove(&host), self.out.remove(&host));
+                post.note(To::Tables, Note::Over(host));
             }
+            Note::In(Input::Joined { proxy, .. }) => _ = self.proxies.insert(proxy),
+            Note::In(Input::Left(proxy)) => self.left(proxy),
+            Note::In(Input::Applied { mark, .. }) => self.received(mark),
             Note::Tick => self.flush(now, f, post),
             _ => {}
         }
@@ -617,6 +608,7 @@
         items.extend(due.map(|shut| (if *shut.1 { 0 } else { 4 }, 0.0, vec![withdraw(shut)])));
         items.extend(self.levels.iter().map(|order| (2, 0.0, vec![order.clone()])));
         items.retain(|(_, _, orders)| !orders.is_empty());
+        items.extend(self.over.iter().map(|host| (8, 0.0, vec![withdraw((host, &false))])));
         items.sort_by(|a, b| (a.0, a.1).partial_cmp(&(b.0, b.1)).unwrap_or(Ordering::Equal));
         items
     }
@@ -634,7 +626,7 @@
                 self.out.remove(&host);
                 self.out.extend(out.then_some(host));
                 if !out {
-                    post.note(To::Tables, Note::Back(host));
+                    post.note(To::Tables, self.let_in(host));
                 }
             }
             _ => drop(self.levels.remove(0)),
@@ -650,7 +642,8 @@
         self.unanswered.retain(|(_, at, ..)| now - at < 10.0);
         let out: f64 = self.unanswered.iter().map(|(.., lines, _)| lines).sum();
         let items = self.items(f);
-        let Some((first, ..)) = items.first() else { return };
+        // Letting in a host that is gone is worth no message of its own.
+        let Some((first, ..)) = items.first().filter(|(rank, ..)| *rank < 8) else { return };
         let urgent = *first < 6;
         let proxies = self.proxies.len() as f64;
         let fixed = proxies * (f.overhead + 1.0);
@@ -721,8 +714,7 @@
 impl Director {
     pub fn new(settings: Settings, seed: u64) -> Self {
         let figures = Figures::new(&settings);
-        let (demand, levels) = (vec![0.0; figures.importance.len()], vec![1.0; figures.importance.len()]);
-        let gate = Gate { demand, levels, ..Gate::default() };
+        let gate = Gate::new(figures.importance.len());
         let (tables, channel, watch) = (Tables::default(), Channel::default(), Watch::default());
         let (hosts, chance, tick_at) = (BTreeMap::new(), Chance::new(seed), f64::NEG_INFINITY);
         Director { figures, chance, hosts, tables, gate, channel, watch, version: None, listed: 0, tick_at }
@@ -793,6 +785,11 @@
         while let Some((to, notes)) = post.collect() {
             for note in notes {
                 match &to {
+                    // One that is listed again meanwhile is as one that is back.
+                    To::Host(id) if note == Note::Over(*id) => {
+                        let gone = self.hosts.extract_if(*id..=*id, |_, host| !host.listed);
+                        post.orders.extend(gone.map(|(id, _)| Order::Forget(id)));
+                    }
                     To::Host(id) => _ = self.hosts.get_mut(id).map(|host| host.work(now, f, note, post)),
                     To::Tables => self.tables.work(now, f, note, post),
                     To::Gate => self.gate.work(now, f, note, post),
--- a/src/measure.rs
+++ b/src/measure.rs
@@ -15,6 +15,11 @@
     }
 }
 
+pub(crate) fn median(mut figures: Vec<f64>) -> f64 {
+    figures.sort_by(f64::total_cmp);
+    figures.get(figures.len() / 2).copied().unwrap_or(0.0)
+}
+
 /// Times of answered tries in 16 bins, and a count of dropped ones. The first bin stands for `FIRST` milliseconds,
 /// each further one for `STEP` percent of the one before.
 #[derive(Clone, Debug, Default)]
--- a/src/notes.rs
+++ b/src/notes.rs
@@ -66,6 +66,9 @@
     View(HostId, View),
     /// To the tables: the proxies have been told to use the host again.
     Back(HostId),
+    /// The host is long gone: from it to the channel, which lets it go on to the tables when no table names it; they
+    /// tell the host's place that nothing refers to it any more.
+    Over(HostId),
     /// To the gate: how tries at a sound host went.
     Tries {
         rt: f64,
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,8 +1,8 @@
-//! What each actor of the module remembers. No behaviour: what is made of it is in `logic`.
+//! What each actor of the module remembers, and what can be read off it. What is made of it is in `logic`.
 
 use crate::interface::*;
 use crate::logic::Times;
-use crate::notes::{Seat, Sums, View};
+use crate::notes::{add, Note, Seat, Sums, View};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 #[derive(Clone, Default)]
@@ -40,6 +40,16 @@
     pub met: bool,
     /// The list has dropped it, but it serves.
     pub unlisted: bool,
+    /// The list names it; else since when that is known.
+    pub listed: bool,
+    pub gone_at: Option<f64>,
+}
+
+impl Host {
+    pub fn new(id: HostId, phase: f64, proven: bool) -> Self {
+        let view = View { weight: 1.0, ramp: 1.0, ease: 1.0, proven, ..View::default() };
+        Host { id, view, probe_at: Some(phase), ..Host::default() }
+    }
 }
 
 #[derive(Default)]
@@ -65,6 +75,22 @@
     pub compared_at: f64,
 }
 
+impl Tables {
+    /// Slices that each host owns.
+    pub fn counts(&self) -> Sums {
+        let mut counts: Sums = self.views.keys().map(|host| (*host, 0.0)).collect();
+        self.slices.values().for_each(|slice| add(&mut counts, slice.owner, 1.0));
+        counts
+    }
+
+    /// The mean weight, and the mean speed of the hosts that report one.
+    pub fn means(&mut self) {
+        let speeds = || self.views.values().filter(|v| v.ready).filter_map(|v| v.speed);
+        self.speed = speeds().sum::<f64>() / speeds().count().max(1) as f64;
+        self.weight = self.views.values().map(|v| v.weight).sum::<f64>() / self.views.len().max(1) as f64;
+    }
+}
+
 #[derive(Default)]
 pub(crate) struct Gate {
     /// Calls a second that are to be let in; none: all.
@@ -83,6 +109,12 @@
     pub limit: f64,
 }
 
+impl Gate {
+    pub fn new(routes: usize) -> Self {
+        Gate { demand: vec![0.0; routes], levels: vec![1.0; routes], ..Gate::default() }
+    }
+}
+
 #[derive(Default)]
 pub(crate) struct Channel {
     pub proxies: BTreeSet<ProxyId>,
@@ -92,6 +124,8 @@
     /// Hosts that are shut out as told; withdrawals and levels to be told.
     pub out: BTreeSet<HostId>,
     pub shuts: BTreeMap<HostId, bool>,
+    /// Hosts that are gone and in no table, to be let in with other orders and then forgotten.
+    pub over: BTreeSet<HostId>,
     pub levels: Vec<Order>,
     /// Rounds of messages not yet received: mark, time, lines, each proxy's; and the next mark.
     pub unanswered: VecDeque<(MarkId, f64, f64, f64)>,
@@ -102,6 +136,41 @@
     pub sent: VecDeque<f64>,
 }
 
+impl Channel {
+    /// Whether a table names the host, or should.
+    pub fn names(&self, host: HostId) -> bool {
+        let wanted = self.wanted.values().map(|(_, lines)| lines);
+        self.told.values().chain(wanted).any(|lines| lines.contains_key(&host))
+    }
+
+    pub fn shut(&mut self, host: HostId, out: bool) {
+        self.over.remove(&host);
+        self.shuts.insert(host, out);
+    }
+
+    /// What the tables hear when the proxies have been told to let a host in.
+    pub fn let_in(&mut self, host: HostId) -> Note {
+        if self.over.remove(&host) {
+            Note::Over(host)
+        } else {
+            Note::Back(host)
+        }
+    }
+
+    /// A receipt stands for its proxy's part, as does one that left; earlier rounds are over.
+    pub fn received(&mut self, mark: MarkId) {
+        let many = self.unanswered.iter().position(|(sent, ..)| *sent == mark).unwrap_or(0);
+        self.unanswered.drain(..many);
+        let first = self.unanswered.front_mut().filter(|(sent, ..)| *sent == mark);
+        first.into_iter().for_each(|(.., lines, part)| *lines = (*lines - *part).max(0.0));
+    }
+
+    pub fn left(&mut self, proxy: ProxyId) {
+        self.proxies.remove(&proxy);
+        self.unanswered.iter_mut().for_each(|(.., lines, part)| *lines = (*lines - *part).max(0.0));
+    }
+}
+
 #[derive(Default)]
 pub(crate) struct Watch {
     pub following: bool,
