A host's service time may be far past its callers' time limit

The bound of a mean time, twice the longest time limit, also met service times in load reports; a host goes on with calls whose callers have given up (ranges.rs load()).

--- a/crates/director/src/reducer/ranges.rs
+++ b/crates/director/src/reducer/ranges.rs
@@ -46,9 +46,10 @@
         in_range(dropped as f64, most, "bad").map(|_| ())
     }
 
-    /// The figures of a load report that can be; `odd` others were none at all.
+    /// The figures of a load report that can be; `odd` others were none at all. A host goes on with calls whose
+    /// callers have given up, so its service times may be far longer than theirs.
     pub fn load(&mut self, now: f64, load: Load, odd: u64, out: &mut Out) -> Load {
-        let (mut spoilt, rt) = (odd, self.rt);
+        let (mut spoilt, service_most) = (odd, SLACK * self.rt);
         let mut sound = |figure: Option<f64>, most: f64| {
             spoilt += figure.is_some_and(|figure| figure > most) as u64;
             figure.filter(|figure| *figure <= most)
@@ -58,7 +59,7 @@
             waiting: sound(load.waiting, CALLS_MOST),
             // A share, with the noise of its measurement.
             busy: sound(load.busy, 2.0),
-            service_time: sound(load.service_time, rt),
+            service_time: sound(load.service_time, service_most),
             answered_per_s: sound(load.answered_per_s, CALLS_MOST),
             errors_per_s: sound(load.errors_per_s, CALLS_MOST),
         };
