--- a/crates/director/src/reducer/tests.rs
+++ b/crates/director/src/reducer/tests.rs
@@ -783,6 +783,82 @@
     assert!(reducer.out.inputs.is_empty(), "what is late for a host that went changes nothing");
 }
 
+/// All proxies of a large deployment join one director, which holds every slice, while a host drains.
+#[test]
+fn with_many_proxies_at_one_director_the_queue_stays_short() {
+    let (proxies, slices, lines_per_s, backlog, overhead) = (400.0, 190, 60_000.0, 120_000.0, 12.0);
+    let text = CONFIG.replace("\"slices\":1,\"proxy-count\":2", &format!(
+        "\"slices\":{slices},\"proxy-count\":400,\"lines-per-s\":{lines_per_s:?},\"backlog\":{backlog:?},\"overhead\":{overhead:?}"
+    ));
+    let mut reducer = Reducer::new(&Config::parse(text.as_bytes()).unwrap(), 0).unwrap();
+    let entry = |n: usize, state: &str| {
+        format!(
+            r#"{{"id":"h{n}","addr":"127.0.0.1:9","zone":"a","kind":"m2","cell":0,"state":"{state}","weight":1.0,"started_ms":0}}"#
+        )
+    };
+    let hosts: Vec<String> = (0..30).map(|n| entry(n, "in_service")).collect();
+    let list = format!(r#"{{"version":1,"full":true,"servers":[{}]}}"#, hosts.join(","));
+    let drain = format!(r#"{{"version":2,"full":false,"servers":[{}]}}"#, entry(3, "terminating"));
+    let mut news = vec!["OK".to_string()];
+    news.extend((0..400).map(|proxy| format!("* hello {proxy} a 1.5 0")));
+    news.extend((0..slices).flat_map(|n| [format!("* lease {n} 1"), format!("* line {n} h{} 1.0", n % 30)]));
+    news.push("*".to_string());
+    let news: Vec<&str> = news.iter().map(String::as_str).collect();
+    reducer.reduce(0.0, Event::Settle);
+    reducer.reduce(0.0, Event::WatchLines(LinkId(1), lines(&[&list])));
+    let (mut waiting, mut most, mut shut) = (0.0, 0.0f64, None);
+    for beat in 0..200 {
+        let now = f64::from(beat) / 20.0;
+        waiting = f64::max(waiting - lines_per_s / 20.0, 0.0);
+        let mut events = std::collections::VecDeque::from([Event::Time, Event::Settle]);
+        events.push_front(Event::WatchLines(LinkId(1), lines(&[""])));
+        if beat == 0 {
+            events.push_front(Event::RelayUp(NEWS));
+        }
+        if beat == 100 {
+            events.push_front(Event::WatchLines(LinkId(1), lines(&[&drain])));
+        }
+        events.extend(
+            (1..=reducer.out.links)
+                .map(LinkId)
+                .filter(|link| reducer.news.owns(*link))
+                .map(|link| Event::RelayLines(link, lines(&["*"]))),
+        );
+        while let Some(event) = events.pop_front() {
+            for effect in reducer.reduce(now, event) {
+                match effect {
+                    Effect::Dial(link, _) => events.extend([Event::RelayUp(link), Event::Settle]),
+                    Effect::Send(link, bytes) if bytes.starts_with(b"txn ") => {
+                        let many = bytes.iter().filter(|byte| **byte == b';').count() + 1;
+                        waiting += proxies * (overhead + many as f64);
+                        most = most.max(waiting);
+                        if bytes.windows(6).any(|part| part == b"OUT,h3") {
+                            shut.get_or_insert(now);
+                        }
+                        let text = String::from_utf8(bytes).unwrap();
+                        let mark = text
+                            .split_once("SYNC,")
+                            .and_then(|(_, rest)| rest.split(',').next())
+                            .unwrap_or("0");
+                        let acks: Vec<String> =
+                            (0..400).map(|proxy| format!("* ack {proxy} {mark} 90.0")).collect();
+                        let acks: Vec<&str> = acks.iter().map(String::as_str).collect();
+                        events.extend([
+                            Event::RelayLines(link, lines(&[&format!("OK {many}")])),
+                            Event::Settle,
+                        ]);
+                        events.push_back(Event::RelayLines(NEWS, lines(&acks)));
+                    }
+                    Effect::Send(link, _) => events.push_back(Event::RelayLines(link, lines(&news))),
+                    _ => {}
+                }
+            }
+        }
+    }
+    assert!(reducer.out.counters.proxies_joined == 400 && most > 0.1 * backlog && most < backlog, "{most}");
+    assert!(shut.is_some_and(|at| at < 5.5), "a drain is told at once all the same: {shut:?}");
+}
+
 #[test]
 fn no_part_of_a_message_does_harm() {
     let mut reducer = reducer();
