Tidy: one place gives news connections back, one deadline for each taken connection

News::down closed a connection beside leave(), now it calls it. Taken kept the same deadlines twice, in over() and wake_at(); Peer::ends has them once, so that a wake-up asked for is never found too early by rounding. Framer::begun was line().len(). The remembered list was parsed twice at a start; checked() hands it on. Work taken off hot paths: the bytes that others have begun are summed for collectors only, the proxies' shares only when one joins. Sparing, which three parts use, stands beside Out.

--- a/crates/director/src/framing.rs
+++ b/crates/director/src/framing.rs
@@ -60,11 +60,6 @@
         &self.buffer
     }
 
-    /// Bytes kept of it.
-    pub fn begun(&self) -> usize {
-        self.buffer.len()
-    }
-
     /// It was longer than allowed, and goes on.
     pub fn passing(&self) -> bool {
         self.passing
--- a/crates/director/src/reducer/list.rs
+++ b/crates/director/src/reducer/list.rs
@@ -103,11 +103,10 @@
     }
 
     /// The list that the configuration remembers, maybe old.
-    pub fn remembered(&mut self, known: &[u8], names: &mut Names, out: &mut Out) -> Result<Input, Fault> {
-        let list = discovery::List::parse(known)?;
-        let entries = self.entries(&list, names, out);
-        self.version = Some(list.version);
-        Ok(Input::Hosts { scope: ListScope::Remembered, version: list.version, entries })
+    pub fn remembered(&mut self, known: &discovery::List<'_>, names: &mut Names, out: &mut Out) -> Input {
+        let entries = self.entries(known, names, out);
+        self.version = Some(known.version);
+        Input::Hosts { scope: ListScope::Remembered, version: known.version, entries }
     }
 
     pub fn pump(&mut self, now: f64, out: &mut Out) {
--- a/crates/director/src/reducer/mod.rs
+++ b/crates/director/src/reducer/mod.rs
@@ -29,7 +29,7 @@
 use ranges::Ranges;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
-use taken::{Sender, Sparing, Taken};
+use taken::{Sender, Taken};
 
 /// A connection that was taken, numbered by the listener.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -103,12 +103,13 @@
     found.map_err(|expected| Fault(format!("field {field}: expected {expected}")))
 }
 
-/// The settings of a configuration that can be used in every field.
-fn checked(config: &Config) -> Result<Boot, String> {
+/// The settings of a configuration that can be used in every field, and the list that it remembers.
+fn checked(config: &Config) -> Result<(Boot, Option<discovery::List<'_>>), String> {
     let paths = config.settings.iter().map(|(path, value)| (path.as_str(), value.as_str())).collect();
+    let boot = Boot::read(&paths)
+        .map_err(|bad| format!("field settings.{}: expected {}", bad.field, bad.expected))?;
     let known = config.known.as_deref().map(discovery::List::parse).transpose();
-    known.map_err(|fault| format!("field known: {fault}"))?;
-    Boot::read(&paths).map_err(|bad| format!("field settings.{}: expected {}", bad.field, bad.expected))
+    Ok((boot, known.map_err(|fault| format!("field known: {fault}"))?))
 }
 
 /// What the parts give: effects, inputs for the decisions, counts.
@@ -136,6 +137,30 @@
     }
 }
 
+/// Between log lines of a kind that may come in floods.
+const LOG_PAUSE: f64 = 1.0;
+
+/// A log line now and then; the next one says how many were left out.
+#[derive(Default)]
+struct Sparing {
+    until: f64,
+    left_out: u64,
+}
+
+impl Sparing {
+    fn warn(&mut self, now: f64, text: String, out: &mut Out) {
+        if now < self.until {
+            self.left_out += 1;
+            return;
+        }
+        self.until = now + LOG_PAUSE;
+        match std::mem::take(&mut self.left_out) {
+            0 => out.warn(text),
+            more => out.warn(format!("{text}; {more} more like it before")),
+        }
+    }
+}
+
 pub struct Reducer {
     director: Director,
     names: Names,
@@ -164,7 +189,7 @@
 impl Reducer {
     /// `wall_ns`: what the wall clock shows at the zero of all further times.
     pub fn new(config: &Config, wall_ns: u64) -> Result<Self, String> {
-        let boot = checked(config)?;
+        let (boot, known) = checked(config)?;
         let told = settings(&boot);
         let reports = boot.top.report_columns.as_ref().is_some_and(|columns| !columns.0.is_empty());
         let pace = Pace {
@@ -194,9 +219,9 @@
             fixed: config.fixed(),
             out: Out::default(),
         };
-        if let Some(known) = &config.known {
-            let remembered = reducer.list.remembered(known, &mut reducer.names, &mut reducer.out);
-            reducer.out.inputs.push(remembered.map_err(|fault| format!("field known: {fault}"))?);
+        if let Some(known) = known {
+            let remembered = reducer.list.remembered(&known, &mut reducer.names, &mut reducer.out);
+            reducer.out.inputs.push(remembered);
         }
         Ok(reducer)
     }
@@ -253,7 +278,10 @@
 
     /// A new configuration is used whole or not at all. What is connected stays so until the new addresses serve.
     fn reload(&mut self, now: f64, config: Result<Config, String>) {
-        let sound = config.and_then(|config| checked(&config).map(|_| config));
+        let sound = config.and_then(|config| {
+            checked(&config).map(drop)?;
+            Ok(config)
+        });
         let config = match sound {
             Ok(config) => config,
             Err(wrong) => {
@@ -435,6 +463,9 @@
         if !self.out.inputs.is_empty() || !std::mem::replace(&mut self.started, true) {
             let inputs = std::mem::take(&mut self.out.inputs);
             self.counters_of(&inputs);
+            if inputs.iter().any(|input| matches!(input, api::Input::Joined { .. })) {
+                self.ranges.proxies(self.news.known.proxies.values().map(|(_, joined)| joined));
+            }
             for input in &inputs {
                 match input {
                     api::Input::Given(slice) | api::Input::Taken(slice) => self.calls.forget(*slice),
@@ -454,7 +485,6 @@
         if std::mem::replace(&mut self.told, told) != told {
             self.calls.blind(now, !told);
         }
-        self.ranges.proxies(self.news.known.proxies.values().map(|(_, joined)| joined));
         self.calls.proxies = self.news.known.proxies.len();
         self.calls.pump(now, &mut self.out);
         self.news.under_way = self.calls.under_way();
--- a/crates/director/src/reducer/news.rs
+++ b/crates/director/src/reducer/news.rs
@@ -77,6 +77,7 @@
         }
     }
 
+    /// The one place where connections are given back.
     fn leave(&mut self, which: impl Fn(&Feed) -> bool, out: &mut Out) {
         for feed in self.feeds.iter().filter(|feed| which(feed)) {
             out.effects.push(Effect::HangUp(feed.link));
@@ -121,15 +122,15 @@
 
     pub fn down(&mut self, now: f64, id: LinkId, why: &str, out: &mut Out) {
         let Some(at) = self.feeds.iter().position(|feed| feed.link == id) else { return };
-        let feed = self.feeds.remove(at);
-        out.effects.push(Effect::HangUp(id));
-        out.counters.news_lost += feed.up as u64;
+        let (up, whole) = (self.feeds[at].up, self.feeds[at].whole);
+        self.leave(|feed| feed.link == id, out);
+        out.counters.news_lost += up as u64;
         // One line for an outage, however often the relay is dialled in vain.
         if !std::mem::replace(&mut self.lost, true) {
             out.warn(format!("relay: news lost, {why}"));
         }
         // A relay that takes connections only to reset them is not to be dialled in a tight loop.
-        if !feed.whole {
+        if !whole {
             self.dial_at = now + PAUSE;
         }
         if at == 0 {
--- a/crates/director/src/reducer/ranges.rs
+++ b/crates/director/src/reducer/ranges.rs
@@ -27,7 +27,7 @@
         Ranges { rt, calls_per_s: 0.0, log: Sparing::default() }
     }
 
-    /// The proxies that have joined, as they were told.
+    /// The proxies that have joined, as they were told; asked when one joins.
     pub fn proxies<'a>(&mut self, joined: impl Iterator<Item = &'a Input>) {
         let share =
             |input: &Input| if let Input::Joined { calls_per_s, .. } = input { *calls_per_s } else { 0.0 };
--- a/crates/director/src/reducer/taken.rs
+++ b/crates/director/src/reducer/taken.rs
@@ -2,7 +2,7 @@
 //! then it is a collector's. What a new one may say is a joining or a `probe`, in a short line; for anything else
 //! it is closed at once. A collector's spoilt line costs only itself, but a stream that goes on unreadable is closed.
 
-use super::{ConnId, Effect, Out};
+use super::{ConnId, Effect, Out, Sparing};
 use crate::framing::{Framed, Framer};
 use coppersail::interface::ZoneId;
 use coppersail_protocol::collector::{hopeless, MOST};
@@ -21,8 +21,6 @@
 const HOPELESS_BYTES_MOST: usize = 1 << 14;
 /// Another has joined for the zone of a collector that was silent so long: it has returned on a new connection.
 const STALE: f64 = 10.0;
-/// Between log lines of a kind that may come in floods.
-const LOG_PAUSE: f64 = 1.0;
 
 struct Peer {
     since: f64,
@@ -45,27 +43,6 @@
     Joined,
 }
 
-/// A log line now and then; the next one says how many were left out.
-#[derive(Default)]
-pub struct Sparing {
-    until: f64,
-    left_out: u64,
-}
-
-impl Sparing {
-    pub fn warn(&mut self, now: f64, text: String, out: &mut Out) {
-        if now < self.until {
-            self.left_out += 1;
-            return;
-        }
-        self.until = now + LOG_PAUSE;
-        match std::mem::take(&mut self.left_out) {
-            0 => out.warn(text),
-            more => out.warn(format!("{text}; {more} more like it before")),
-        }
-    }
-}
-
 pub struct Taken {
     most: usize,
     /// Bytes of lines begun, of all together.
@@ -96,12 +73,12 @@
         bytes: &mut &[u8],
         out: &mut Out,
     ) -> Option<(Sender, Framed)> {
-        // Whatever one has begun, all together stay within their part of the memory.
-        let begun: usize = self.peers.values().map(|peer| peer.framer.begun()).sum();
+        let most = match self.peers.get(&conn)?.zone {
+            Some(_) => MOST.min(self.room(conn)),
+            None => NEW_LINE_MOST,
+        };
         let peer = self.peers.get_mut(&conn)?;
-        peer.heard = now;
-        let room = self.begun_most.saturating_sub(begun - peer.framer.begun());
-        peer.framer.most = if peer.zone.is_some() { MOST.min(room) } else { NEW_LINE_MOST };
+        (peer.heard, peer.framer.most) = (now, most);
         let piece = bytes.rsplit(|byte| *byte == b'\n').next().unwrap_or_default();
         if let Some(line) = peer.framer.next(bytes) {
             out.counters.lines_in += 1;
@@ -121,6 +98,14 @@
         None
     }
 
+    /// Bytes that a line of this connection may have: whatever the others have begun, all together stay within their
+    /// part of the memory.
+    fn room(&self, conn: ConnId) -> usize {
+        let others = self.peers.iter().filter(|(other, _)| **other != conn);
+        let begun: usize = others.map(|(_, peer)| peer.framer.line().len()).sum();
+        self.begun_most.saturating_sub(begun)
+    }
+
     pub fn joined(&mut self, now: f64, conn: ConnId, zone: ZoneId, out: &mut Out) {
         out.counters.zones_named += 1;
         let stale = |(_, peer): &(&ConnId, &Peer)| peer.zone == Some(zone) && now - peer.heard > STALE;
@@ -174,9 +159,8 @@
 
     /// Closes who has not joined in time, and makes room for one more.
     pub fn pump(&mut self, now: f64, out: &mut Out) {
-        for (conn, why) in
-            self.peers.iter().filter_map(|(conn, peer)| Some((*conn, peer.over(now)?))).collect::<Vec<_>>()
-        {
+        let ends = self.peers.iter().filter_map(|(conn, peer)| Some((*conn, peer.ends()?)));
+        for (conn, (_, why)) in ends.filter(|(_, (at, _))| now >= *at).collect::<Vec<_>>() {
             self.drop(now, conn, why, out);
         }
         while self.peers.len() >= self.most {
@@ -206,12 +190,10 @@
 
     /// When `pump` may have something to do by itself.
     pub fn wake_at(&self) -> f64 {
-        let at = |peer: &Peer| match (peer.zone, peer.hopeless) {
-            (Some(_), Some((since, _))) => since + HOPELESS_MOST,
-            (Some(_), None) => f64::INFINITY,
-            (None, _) => peer.since + if self.accepting { JOIN_MOST } else { HEAR_MOST },
-        };
-        self.peers.values().map(at).fold(f64::INFINITY, f64::min)
+        let ends = self.peers.values().filter_map(Peer::ends).map(|(at, _)| at);
+        // While none is taken, the first one that may make room.
+        let new = self.peers.values().filter(|peer| peer.zone.is_none() && !self.accepting);
+        ends.chain(new.map(|peer| peer.since + HEAR_MOST)).fold(f64::INFINITY, f64::min)
     }
 
     #[cfg(test)]
@@ -221,14 +203,14 @@
 }
 
 impl Peer {
-    /// Why its time is over.
-    fn over(&self, now: f64) -> Option<&'static str> {
+    /// When its time is over, if it goes on like this, and why.
+    fn ends(&self) -> Option<(f64, &'static str)> {
         match (self.zone, self.hopeless) {
-            (None, _) if now - self.since >= JOIN_MOST => Some("not joined in time"),
-            (Some(_), Some((since, _))) if now - since >= HOPELESS_MOST => {
-                Some("a line that cannot be read goes on")
+            (None, _) => Some((self.since + JOIN_MOST, "not joined in time")),
+            (Some(_), Some((since, _))) => {
+                Some((since + HOPELESS_MOST, "a line that cannot be read goes on"))
             }
-            _ => None,
+            (Some(_), None) => None,
         }
     }
 }
