The module takes operators' wishes: weights, drains, ceilings, tries, slices kept apart

Input::Wishes carries all that is set. A host made smaller gives up what is past its part at once; one drained by hand keeps no slice but serves while no other warm host is open; what was moved by hand goes home when the wish is taken back. Ceilings bound levels; tries never let a call run twice.

The circle between logic and state is gone: bins are named by who uses them.

--- a/src/figures.rs
+++ b/src/figures.rs
@@ -17,6 +17,10 @@
     pub importance: Vec<f64>,
     pub slo_times: Vec<f64>,
     pub tightest_slo: f64,
+    /// Its calls may run twice.
+    pub repeatable: Vec<bool>,
+    /// What proxies do about further tries unless they are told.
+    pub again: Retry,
     /// Levels are shares of the calls.
     pub admits: bool,
     pub overhead: f64,
@@ -46,6 +50,8 @@
             importance: s.routes.iter().map(|r| r.importance).collect(),
             tightest_slo: slo_times.iter().copied().fold(f64::INFINITY, f64::min),
             slo_times,
+            repeatable: s.routes.iter().map(|r| r.semantics == Semantics::Repeatable).collect(),
+            again: s.retry_default,
             admits: s.admission == Admission::Share,
             overhead: s.message_overhead,
             slices: s.slices > 0,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -1,6 +1,8 @@
 //! What goes into a director and what comes out. Plain types, no behaviour; times are seconds with fractions on
 //! the caller's clock, spans are seconds.
 
+use std::collections::{BTreeMap, BTreeSet};
+
 /// A host that answers calls, numbered by the caller as it first names them; addresses stay with the caller. A number
 /// stands for one host for good, also after `Order::Forget`.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
@@ -165,6 +167,28 @@
         bytes: Vec<u8>,
     },
     Wake(WakeId),
+    /// What operators want over what would be decided; all of it, each time.
+    Wishes(Wishes),
+}
+
+/// What operators set by hand. What is absent is as decided.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Wishes {
+    /// Factors of hosts' and, by their place in the settings, of zones' weights.
+    pub hosts: BTreeMap<HostId, f64>,
+    pub zones: Vec<f64>,
+    /// Hosts that are to get no lines, as long as others can.
+    pub drained: BTreeSet<HostId>,
+    /// Slices and the hosts that they are to be kept away from, as long as there are others.
+    pub apart: BTreeSet<(SliceId, HostId)>,
+    pub routes: BTreeMap<RouteId, RouteWish>,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct RouteWish {
+    /// The most that is let in.
+    pub ceiling: Option<f64>,
+    pub again: Option<Retry>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -7,7 +7,7 @@
 
 use crate::figures::Figures;
 use crate::interface::*;
-use crate::measure::{median, Chance, Histogram};
+use crate::measure::{median, Bins, Chance, Histogram};
 use crate::notes::{add, Item, Note, Plan, Post, Seat, Sums, To, View};
 use crate::state::{Channel, Gate, Host, Slice, Tables, Watch};
 use std::cmp::Ordering;
@@ -23,7 +23,7 @@
 }
 
 // From 30 ms by steps of 1.4 the bins reach 5 s, past any time that could still please a caller.
-pub(crate) type Times = Histogram<30, 140>;
+const BINS: Bins = Bins { first: 0.03, step: 1.4 };
 
 impl Host {
     fn work(&mut self, now: f64, f: &Figures, note: Note, post: &mut Post) {
@@ -33,7 +33,7 @@
                 let senior = if self.view.ready { self.view.senior } else { (now, place) };
                 if l.born > self.born {
                     // A new process: what was measured of the old one is void.
-                    (self.born, self.times, self.view.ease) = (l.born, Times::default(), 1.0);
+                    (self.born, self.times, self.view.ease) = (l.born, Histogram::default(), 1.0);
                     self.view.restarted = self.met.then_some(now);
                 }
                 (self.unlisted, self.listed, self.gone_at) = (false, true, None);
@@ -48,7 +48,7 @@
             Note::In(Input::Tries { tries, dropped, rt, load, .. }) => {
                 self.reported(load);
                 let (tries, dropped) = (tries as f64, dropped.min(tries) as f64);
-                self.times.add(rt, tries, dropped);
+                self.times.add(BINS, rt, tries, dropped);
                 if tries > dropped {
                     (self.answered_at, self.met, self.view.proven) = (now, true, true);
                 }
@@ -63,7 +63,7 @@
             }
             Note::Fleet { rt, .. } => {
                 // What slows all condemns none: slow is past 1.6 times the median. The power damps late sums.
-                let slow = self.times.mean() / (1.6 * rt).max(0.4 * f.tightest_slo);
+                let slow = self.times.mean(BINS) / (1.6 * rt).max(0.4 * f.tightest_slo);
                 let factor = if slow > 1.0 { slow.powf(-0.7) } else { 1.2 };
                 self.view.ease = (self.view.ease * factor).clamp(0.05, 1.0);
             }
@@ -84,7 +84,7 @@
         }
         let age = self.born.map_or(f64::INFINITY, |born| (now - born).max(0.0));
         self.view.ramp = (f.cold_from + (1.0 - f.cold_from) * age / f.ramp_time.max(1e-9)).clamp(0.05, 1.0);
-        self.view.rt = self.times.mean();
+        self.view.rt = self.times.mean(BINS);
         self.view.answered = self.times.answered();
         post.note(To::Tables, Note::View(self.id, self.view.clone()));
     }
@@ -163,6 +163,8 @@
                 (self.given_at, self.again) = (now, true);
             }
             Note::In(Input::Joined { .. }) => self.again = true,
+            // Weights set by hand must show: balancing goes on until the gap is under 2, not past 8 only.
+            Note::In(Input::Wishes(wishes)) => (self.wishes, self.balancing) = (wishes, true),
             Note::In(Input::Taken(id)) => drop(self.slices.remove(&id)),
             Note::In(Input::StoredLine { slice, host, weight }) => {
                 self.slices.entry(slice).and_modify(|slice| add(&mut slice.lines, Some(host), weight));
@@ -193,6 +195,11 @@
         if now - self.given_at < 0.2 || !self.views.values().any(|v| v.ready) {
             return;
         }
+        // Rule 1 comes before a wish: while no other warm host is open, those drained by hand serve.
+        let other = |(host, v): (&HostId, &View)| {
+            v.ready && v.proven && !v.suspect && v.ramp >= 1.0 && !self.wishes.drained.contains(host)
+        };
+        self.alone = !self.views.iter().any(other);
         self.suspects(now, post);
         self.lay(f, post);
         self.rescue(now, f);
@@ -218,12 +225,29 @@
     }
     /// A stranger on the list, which has answered nobody yet, is none of ours to use.
     fn is_open(&self, host: HostId) -> bool {
-        self.views.get(&host).is_some_and(|v| v.ready && v.proven) && !self.withdrawn.contains_key(&host)
+        let fit = self.views.get(&host).is_some_and(|v| v.ready && v.proven);
+        fit && !self.withdrawn.contains_key(&host) && !self.drained(host)
+    }
+
+    fn drained(&self, host: HostId) -> bool {
+        !self.alone && self.wishes.drained.contains(&host)
+    }
+
+    /// A slice is kept away from a host by hand, as long as another warm one could have it.
+    fn apart(&self, id: SliceId, host: HostId) -> bool {
+        let apart = |host: HostId| self.wishes.apart.contains(&(id, host));
+        apart(host) && self.open().into_iter().any(|host| !apart(host) && self.views[&host].ramp >= 1.0)
+    }
+
+    /// What operators make of a host's weight.
+    fn wish(&self, host: HostId) -> f64 {
+        let zone = self.views.get(&host).and_then(|v| self.wishes.zones.get(v.zone.0 as usize));
+        self.wishes.hosts.get(&host).unwrap_or(&1.0) * zone.unwrap_or(&1.0)
     }
 
     /// The weight by which counts are reckoned: as listed, less what a young host can't carry yet.
     fn unit(&self, host: HostId) -> f64 {
-        self.views.get(&host).map_or(1.0, |v| (v.weight / self.weight).max(0.01) * v.ramp)
+        self.views.get(&host).map_or(1.0, |v| (v.weight / self.weight).max(0.01) * v.ramp) * self.wish(host)
     }
 
     /// The paper's score; a slice without counted calls scores as the average one.
@@ -261,7 +285,7 @@
 
     /// The open host with room that would hold fewest slices per unit of weight, the longest listed. For a
     /// standby the least loaded, young ones late; the owner's zone counts as two, each shared one as 0.7.
-    fn emptiest(&self, (counts, rooms): &Plan, score: f64, owner: Seat) -> Seat {
+    fn emptiest(&self, (counts, rooms): &Plan, (id, score): (SliceId, f64), owner: Seat) -> Seat {
         let zone = owner.and_then(|owner| self.views.get(&owner)).map(|v| v.zone);
         let mut shared = Sums::new();
         let mine = self.slices.values().filter(|s| owner.is_some() && s.owner == owner);
@@ -273,18 +297,19 @@
             let unit = if owner.is_some() { self.able(host) * view.ramp.sqrt() } else { self.unit(host) };
             (rooms[&host] < score, (counts[&host] + 1.0 + zone + 0.7 * shared) / unit, view.senior)
         };
-        let fits = |host: &HostId| Some(*host) != owner && (owner.is_none() || rooms[host] >= score);
+        let room = |host: &HostId| owner.is_none() || rooms[host] >= score;
+        let fits = |host: &HostId| Some(*host) != owner && room(host) && !self.apart(id, *host);
         let keys = self.open().into_iter().filter(fits).map(|host| (key(host), host));
         keys.min_by(|a, b| a.partial_cmp(b).unwrap_or(Ordering::Equal)).map(|(_, host)| host)
     }
 
     /// Takes a slice from a host and gives it to the emptiest one, in a plan of counts and rooms.
-    fn reseat(&self, plan: &mut Plan, old: Seat, score: f64, owner: Seat) -> Seat {
+    fn reseat(&self, plan: &mut Plan, old: Seat, slice: (SliceId, f64), owner: Seat) -> Seat {
         add(&mut plan.0, old, -1.0);
-        add(&mut plan.1, old, score);
-        let new = self.emptiest(plan, score, owner);
+        add(&mut plan.1, old, slice.1);
+        let new = self.emptiest(plan, slice, owner);
         add(&mut plan.0, new, 1.0);
-        add(&mut plan.1, new, -score);
+        add(&mut plan.1, new, -slice.1);
         new
     }
 
@@ -298,8 +323,8 @@
         let units: f64 = self.open().into_iter().map(|host| self.unit(host)).sum();
         let (mut counts, mut slices) = (self.counts(), std::mem::take(&mut self.slices));
         let all = slices.len() as f64;
-        for slice in slices.values_mut().filter(|slice| slice.owner.is_none()) {
-            let open = slice.lines.iter().filter(|(host, _)| self.is_open(**host));
+        for (id, slice) in slices.iter_mut().filter(|(_, slice)| slice.owner.is_none()) {
+            let open = slice.lines.iter().filter(|(h, _)| self.is_open(**h) && !self.apart(*id, **h));
             let holder = open.max_by(|a, b| a.1.total_cmp(b.1)).map(|(host, _)| *host);
             slice.owner = holder.filter(|host| counts[host] < (all * self.unit(*host) / units).ceil() + 2.0);
             add(&mut counts, slice.owner, 1.0);
@@ -309,22 +334,46 @@
         post.log(format!("{fresh} slices laid"), vec![]);
     }
 
-    /// Moves slices of gone and draining hosts, of those withdrawn a while, and those beyond a host's room.
+    /// Moves slices of gone and draining hosts, of those withdrawn a while, and those beyond a host's room;
+    /// and what operators want moved, which goes home when they want it no more and home can have it.
     fn rescue(&mut self, now: f64, f: &Figures) {
         let mut plan = (self.counts(), self.rooms(f));
         // Two seconds: past a passing fault, and before the list would tell.
         let ready = self.views.iter().filter(|(_, v)| v.ready).map(|(host, _)| *host);
         let stays = |host: &HostId| self.withdrawn.get(host).is_none_or(|since| now - since <= 2.0);
         let kept: BTreeSet<HostId> = ready.filter(stays).collect();
+        // Past its part, a host that operators made smaller gives slices up at once, not by and by.
+        let units: f64 = self.open().into_iter().map(|host| self.unit(host)).sum();
+        let part = |host: HostId| (self.slices.len() as f64 * self.unit(host) / units.max(1e-9)).ceil();
+        let over = |host: HostId, many: f64| self.wish(host) < 1.0 && many > part(host);
         let mut ranked: Vec<(f64, SliceId)> = self.slices.iter().map(|(id, s)| (s.score, *id)).collect();
         ranked.sort_by(|a, b| b.0.total_cmp(&a.0));
+        let mut moved = Vec::new();
         for (score, id) in ranked {
-            let old = self.slices[&id].owner;
-            if !old.is_some_and(|old| kept.contains(&old) && plan.1[&old] >= 0.0) {
-                let new = self.reseat(&mut plan, old, score, None).or(old);
-                self.slices.entry(id).and_modify(|slice| slice.owner = new);
+            let (old, home) = (self.slices[&id].owner, self.slices[&id].home);
+            let sound = old.is_some_and(|old| kept.contains(&old) && plan.1[&old] >= 0.0);
+            let wished = |host: HostId| self.drained(host) || self.apart(id, host);
+            let unwanted = |old: HostId| wished(old) || over(old, plan.0[&old]);
+            // Had it stayed at home, it would now go where the slices of hosts that went go.
+            let homeless = home.is_some_and(|h| !wished(h) && !self.views.get(&h).is_some_and(|v| v.ready));
+            if !sound || homeless || old.is_some_and(unwanted) {
+                let new = self.reseat(&mut plan, old, (id, score), None).or(old);
+                moved.push((id, new, home.or(old).filter(|_| sound && !homeless && new != old)));
+                continue;
+            }
+            let fits = |home: HostId| plan.1[&home] >= score && !over(home, plan.0[&home] + 1.0);
+            let back = |home: &HostId| self.is_open(*home) && !self.apart(id, *home) && fits(*home);
+            if let Some(home) = home.filter(back) {
+                [(old, -1.0), (Some(home), 1.0)].iter().for_each(|(host, sign)| {
+                    add(&mut plan.0, *host, *sign);
+                    add(&mut plan.1, *host, -sign * score);
+                });
+                moved.push((id, Some(home), None));
             }
         }
+        for (id, owner, home) in moved {
+            self.slices.entry(id).and_modify(|slice| (slice.owner, slice.home) = (owner, home));
+        }
     }
 
     /// The paper's balancing: past a gap of 8 slices until it is under 2, fullest to emptiest.
@@ -347,12 +396,14 @@
         let new = listed > 0.0 && now - listed < f.ramp_time;
         let hottest = !new && scores.get(&from) > scores.get(&to);
         let key = |(_, slice): &(&SliceId, &Slice)| if hottest { -slice.score } else { slice.score };
-        let held = self.slices.iter().filter(|(_, slice)| slice.owner == Some(from));
+        let held =
+            self.slices.iter().filter(|(id, slice)| slice.owner == Some(from) && !self.apart(**id, to));
         let pick = held.min_by(|a, b| key(a).total_cmp(&key(b)));
         let pick = pick.filter(|(_, slice)| balancing && after < gap && rooms[&to] >= slice.score);
         let pick = pick.map(|(id, _)| *id);
         self.balancing = balancing;
-        pick.into_iter().for_each(|id| _ = self.slices.get_mut(&id).map(|s| s.owner = Some(to)));
+        pick.into_iter()
+            .for_each(|id| _ = self.slices.get_mut(&id).map(|s| (s.owner, s.home) = (Some(to), None)));
     }
 
     fn suspects(&mut self, now: f64, post: &mut Post) {
@@ -394,11 +445,12 @@
         for id in self.slices.keys().copied().collect::<Vec<_>>() {
             let slice = &self.slices[&id];
             let Some(owner) = slice.owner else { continue };
-            let fit = |h: HostId| owner != h && self.is_open(h) && plan.1[&h] >= 0.0 && !stuck(&owner, &h);
+            let open = |h: HostId| owner != h && self.is_open(h) && !self.apart(id, h);
+            let fit = |h: HostId| open(h) && plan.1[&h] >= 0.0 && !stuck(&owner, &h);
             if slice.standby.is_some_and(fit) {
                 continue;
             }
-            let standby = self.reseat(&mut plan, slice.standby, slice.score, Some(owner));
+            let standby = self.reseat(&mut plan, slice.standby, (id, slice.score), Some(owner));
             self.slices.entry(id).and_modify(|slice| (slice.standby, slice.notch) = (standby, 0));
         }
     }
@@ -413,7 +465,7 @@
             None => 1.0,
         };
         // Between half and one and a half: the spread of machines; more is a fault, for which ease is there.
-        view.ramp * view.ease * against.clamp(0.5, 1.5)
+        view.ramp * view.ease * against.clamp(0.5, 1.5) * self.wish(host)
     }
 
     /// What each host's lines bring it, in slices of the average score.
@@ -487,14 +539,38 @@
             Note::In(Input::Demand { route, calls, .. } | Input::Intake { route, calls, .. }) => {
                 self.demand.get_mut(route.0 as usize).into_iter().for_each(|sum| *sum += calls as f64);
             }
-            Note::Tries { rt, tries, dropped } => self.times.add(rt, tries, dropped),
+            Note::Tries { rt, tries, dropped } => self.times.add(BINS, rt, tries, dropped),
             Note::Fleet { busy, .. } => self.busy = busy,
             Note::In(Input::Given(_) | Input::Joined { .. }) => self.again = true,
+            Note::In(Input::Wishes(wishes)) if f.admits => {
+                self.wished.extend(wishes.routes.keys());
+                self.wishes = wishes.routes;
+                // For every route of which anything is or was set: what is over must be told as well.
+                for route in self.wished.clone() {
+                    self.tell(f, route, self.levels.get(route.0 as usize).copied().unwrap_or(1.0), post);
+                }
+            }
             Note::Tick if f.admits && now - self.weighed_at >= pace(f) => self.weigh(now, f, post),
             _ => {}
         }
     }
 
+    /// A route's level, under its ceiling. Further tries are as operators want them, but none while calls
+    /// are cut for a jam, and none that could make a call run twice.
+    fn tell(&mut self, f: &Figures, route: RouteId, level: f64, post: &mut Post) {
+        let Some(old) = self.levels.get_mut(route.0 as usize) else { return };
+        *old = level;
+        let wish = self.wishes.get(&route).copied().unwrap_or_default();
+        let retry = match wish.again.unwrap_or(f.again) {
+            _ if level < 1.0 || !self.wished.contains(&route) => Retry::Never,
+            Retry::Once | Retry::Twice if !f.repeatable[route.0 as usize] => Retry::IfNeverRan,
+            again => again,
+        };
+        let level = level.min(wish.ceiling.unwrap_or(1.0));
+        let order = Order::Admit { scope: Scope::Everywhere, routes: vec![route], level, retry };
+        post.note(To::Channel, Note::Tell(order));
+    }
+
     fn weigh(&mut self, now: f64, f: &Figures, post: &mut Post) {
         let span = now - std::mem::replace(&mut self.weighed_at, now);
         let times = std::mem::take(&mut self.times);
@@ -505,10 +581,14 @@
         if offered < 0.5 * self.offered {
             return;
         }
-        let admitted: f64 = demand.iter().zip(&self.levels).map(|(calls, level)| calls * level).sum();
+        let ceiling =
+            |r: usize| self.wishes.get(&RouteId(r as u16)).and_then(|wish| wish.ceiling).unwrap_or(1.0);
+        let admitted = |(r, calls): (usize, &f64)| calls * self.levels[r].min(ceiling(r));
+        let admitted: f64 = demand.iter().enumerate().map(admitted).sum();
+        let allowed: Vec<f64> = demand.iter().enumerate().map(|(r, calls)| calls * ceiling(r)).collect();
         // Medians past 0.43 of the tightest SLO time: 0.4 cut too soon, 0.5 too late. Or two in ten dropped,
         // unless hosts are idle or quick meanwhile: then a route fails, or connections can't be made.
-        let rt = times.median() / f.tightest_slo;
+        let rt = times.median(BINS) / f.tightest_slo;
         let strain = if self.busy > 0.0 { self.busy / 0.8 } else { rt / 0.3 };
         let pressure = (rt / 0.43).max(strain.min(times.dropped_share() / 0.2));
         if pressure > 1.0 && (self.target.is_none() || now - self.cut_at > 2.9 * pace(f)) {
@@ -522,23 +602,22 @@
             self.target = self.target.map(step).filter(|target| *target < 1.3 * offered);
         }
         let again = std::mem::take(&mut self.again);
-        let mut excess = self.target.map_or(0.0, |target| (offered - target).max(0.0));
+        let allows: f64 = allowed.iter().sum();
+        let mut excess = self.target.map_or(0.0, |target| (allows - target).max(0.0));
         let mut order: Vec<usize> = (0..demand.len()).collect();
         order.sort_by(|a, b| f.importance[*a].total_cmp(&f.importance[*b]));
         for route in order {
-            let cut = excess.min(0.95 * demand[route]);
+            let cut = excess.min(0.95 * allowed[route]);
             excess -= cut;
-            let level = if cut > 0.0 { 1.0 - cut / demand[route] } else { 1.0 };
+            let level = if cut > 0.0 { (allowed[route] - cut) / demand[route] } else { 1.0 };
             let old = self.levels[route];
             // A twentieth is worth a line to each proxy; full admission is always told.
-            if (level - old).abs() > 0.05 || (level == 1.0) != (old == 1.0) || (again && level < 1.0) {
-                let (rt, dropped) = (times.median(), times.dropped_share());
+            let missed = again && (level < 1.0 || self.wishes.contains_key(&RouteId(route as u16)));
+            if (level - old).abs() > 0.05 || (level == 1.0) != (old == 1.0) || missed {
+                let (rt, dropped) = (times.median(BINS), times.dropped_share());
                 let text = format!("route {route} let in at {level:.2}: rt {rt:.2} s, {dropped:.2} dropped");
                 post.log(text, vec![]);
-                self.levels[route] = level;
-                let (routes, retry) = (vec![RouteId(route as u16)], Retry::Never);
-                let order = Order::Admit { scope: Scope::Everywhere, routes, level, retry };
-                post.note(To::Channel, Note::Tell(order));
+                self.tell(f, RouteId(route as u16), level, post);
             }
         }
     }
--- a/src/logic_tests.rs
+++ b/src/logic_tests.rs
@@ -347,7 +347,7 @@
 #[test_case(0.2, 0.05, false ; "under comfort nobody is slow")]
 fn easing(rt: f64, fleet: f64, eased: bool) {
     let mut host = Host::new(id(0), 0.0, true);
-    host.times.add(rt, 10.0, 0.0);
+    host.times.add(BINS, rt, 10.0, 0.0);
     host.work(1.0, &figures(), Note::Fleet { rt: fleet, busy: 0.0 }, &mut Post::default());
     assert_eq!(host.view.ease < 1.0, eased);
 }
@@ -363,7 +363,7 @@
 
 fn gate(demand: [f64; 2], rt: f64, answered: f64) -> Gate {
     let mut gate = Gate { demand: demand.to_vec(), levels: vec![1.0; 2], ..Gate::default() };
-    gate.times.add(rt, answered, 0.0);
+    gate.times.add(BINS, rt, answered, 0.0);
     gate
 }
 
@@ -384,7 +384,7 @@
     (gate.demand, gate.levels[0]) = (vec![60.0, 40.0], 0.5);
     (3..30).step_by(2).for_each(|at| {
         gate.demand = vec![120.0, 80.0];
-        gate.times.add(0.1, 160.0, 0.0);
+        gate.times.add(BINS, 0.1, 160.0, 0.0);
         gate.weigh(at as f64, &figures(), &mut Post::default());
     });
     assert_eq!(gate.levels, [1.0, 1.0], "while answers are quick all come back");
@@ -756,3 +756,107 @@
     director.settle(21.0, &mut post);
     assert_eq!((orders.contains(&Order::Forget(id(3))), director.hosts.is_empty()), (forgotten, forgotten));
 }
+
+fn wished(tables: &mut Tables, wishes: Wishes) {
+    tables.work(1.0, &figures(), Note::In(Input::Wishes(wishes)), &mut Post::default());
+    tables.tick(1.0, &figures(), &mut Post::default());
+}
+
+#[test_case(&[0], [0.0, 6.0, 6.0] ; "it keeps no slice, others take them at once")]
+#[test_case(&[0, 1, 2], [4.0, 4.0, 4.0] ; "with all drained somebody must serve")]
+fn drained_by_hand(hosts: &[usize], owned: [f64; 3]) {
+    let mut tables = tables(&[4, 4, 4]);
+    let drained = hosts.iter().map(|host| id(*host)).collect();
+    wished(&mut tables, Wishes { drained, ..Wishes::default() });
+    assert_eq!([0, 1, 2].map(|host| held(&tables, host)), owned);
+    let named = |slice: &Slice| slice.lines.keys().any(|host| hosts == [0] && *host == id(0));
+    assert!(!tables.slices.values().any(named), "nor stands by for one");
+    wished(&mut tables, Wishes::default());
+    assert!(tables.is_open(id(0)), "open again when the wish is taken back");
+}
+
+#[test]
+fn one_drained_by_hand_that_is_gone_stays_out_when_the_wish_is_taken_back() {
+    let mut tables = tables(&[4, 4, 4]);
+    wished(&mut tables, Wishes { drained: [id(0)].into(), ..Wishes::default() });
+    tables.views.get_mut(&id(0)).unwrap().ready = false;
+    wished(&mut tables, Wishes::default());
+    assert_eq!((held(&tables, 0), tables.is_open(id(0))), (0.0, false));
+}
+
+#[test_case(0.5, 1, 2.0 ; "half of it")]
+#[test_case(0.1, 1, 1.0 ; "a trickle")]
+fn a_weight_set_by_hand_shows_at_once(weight: f64, host: usize, most: f64) {
+    let mut tables = tables(&[4, 4, 4]);
+    wished(&mut tables, Wishes { hosts: [(id(host), weight)].into(), ..Wishes::default() });
+    assert!(held(&tables, host) <= most, "{}", held(&tables, host));
+}
+
+#[test]
+fn a_zone_made_heavier_by_hand_draws_slices() {
+    let mut tables = tables(&[4, 4, 4, 4]);
+    wished(&mut tables, Wishes { zones: vec![1.0, 3.0], ..Wishes::default() });
+    (2..40).for_each(|at| tables.tick(at as f64, &figures(), &mut Post::default()));
+    assert!(held(&tables, 1) + held(&tables, 3) >= 10.0, "until the gap per unit of weight is under two");
+}
+
+#[test]
+fn a_slice_is_kept_away_from_hosts_as_long_as_there_are_others() {
+    let mut tables = tables(&[2, 2, 2]);
+    let apart = |hosts: &[usize]| hosts.iter().map(|host| (SliceId(0), id(*host))).collect();
+    wished(&mut tables, Wishes { apart: apart(&[0, 1]), ..Wishes::default() });
+    let slice = &tables.slices[&SliceId(0)];
+    assert_eq!((slice.owner, slice.standby), (Some(id(2)), None), "nor does one of them stand by");
+    wished(&mut tables, Wishes { apart: apart(&[0, 1, 2]), ..Wishes::default() });
+    assert!(tables.slices[&SliceId(0)].owner.is_some());
+}
+
+fn told(gate: &mut Gate, note: Note) -> Vec<(u16, f64, Retry)> {
+    let mut post = Post::default();
+    gate.work(1.0, &Figures { repeatable: vec![true, false], ..figures() }, note, &mut post);
+    let level = |note| match note {
+        Note::Tell(Order::Admit { routes, level, retry, .. }) => (routes[0].0, level, retry),
+        note => panic!("{note:?}"),
+    };
+    std::iter::from_fn(|| post.collect()).flat_map(|(_, notes)| notes).map(level).collect()
+}
+
+fn route(route: u16, ceiling: Option<f64>, again: Option<Retry>) -> Note {
+    let routes = [(RouteId(route), RouteWish { ceiling, again })].into();
+    Note::In(Input::Wishes(Wishes { routes, ..Wishes::default() }))
+}
+
+#[test_case(0, Retry::Twice, Retry::Twice ; "as often as asked")]
+#[test_case(1, Retry::Twice, Retry::IfNeverRan ; "but never so that a call may run twice")]
+fn ceilings_and_tries_set_by_hand(of: u16, asked: Retry, expected: Retry) {
+    let mut gate = gate([60.0, 40.0], 0.1, 100.0);
+    assert_eq!(told(&mut gate, route(of, Some(0.6), Some(asked))), [(of, 0.6, expected)]);
+    let undone = told(&mut gate, Note::In(Input::Wishes(Wishes::default())));
+    assert_eq!(undone, [(of, 1.0, Retry::IfNeverRan)], "taken back, it is as the settings have it");
+}
+
+#[test]
+fn a_jam_cuts_below_a_ceiling_and_tries_nothing_again() {
+    let mut gate = gate([60.0, 40.0], 0.9, 70.0);
+    told(&mut gate, route(0, Some(0.9), Some(Retry::Twice)));
+    let mut post = Post::default();
+    gate.weigh(1.0, &figures(), &mut post);
+    assert!(gate.levels[0] < 0.9 && gate.levels[1] == 1.0, "{:?}", gate.levels);
+    let note =
+        post.collect().unwrap().1.into_iter().find(|note| matches!(note, Note::Tell(Order::Admit { .. })));
+    assert!(matches!(note, Some(Note::Tell(Order::Admit { retry: Retry::Never, .. }))), "{note:?}");
+}
+
+#[test_case(true, 2.0 ; "home, when home is open")]
+#[test_case(false, 0.0 ; "to any host but home, when home drains meanwhile")]
+fn what_was_moved_by_hand_goes_home_when_the_wish_is_taken_back(open: bool, at_home: f64) {
+    let mut tables = tables(&[2, 2, 2]);
+    let apart = [(SliceId(0), id(0)), (SliceId(0), id(1))].into();
+    wished(&mut tables, Wishes { apart, ..Wishes::default() });
+    assert_eq!(tables.slices[&SliceId(0)].owner, Some(id(2)));
+    tables.views.get_mut(&id(0)).unwrap().ready = open;
+    wished(&mut tables, Wishes::default());
+    assert_eq!((tables.slices[&SliceId(0)].owner == Some(id(0)), held(&tables, 0) >= at_home), (open, true));
+    assert!(open || held(&tables, 0) == 0.0, "one that drains stays out");
+    assert_eq!(tables.slices[&SliceId(0)].home, None, "either way it is at home where it is");
+}
--- a/src/measure.rs
+++ b/src/measure.rs
@@ -20,21 +20,29 @@
     figures.get(figures.len() / 2).copied().unwrap_or(0.0)
 }
 
-/// Times of answered tries in 16 bins, and a count of dropped ones. The first bin stands for `FIRST` milliseconds,
-/// each further one for `STEP` percent of the one before.
+/// The time for which the first bin stands, in seconds, and by how much each further one is longer.
+#[derive(Clone, Copy)]
+pub(crate) struct Bins {
+    pub first: f64,
+    pub step: f64,
+}
+
+impl Bins {
+    fn time(self, bin: usize) -> f64 {
+        self.first * self.step.powi(bin as i32)
+    }
+}
+
+/// Times of answered tries in 16 bins, and a count of dropped ones. Who uses it says what its bins stand for.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct Histogram<const FIRST: u32, const STEP: u32> {
+pub(crate) struct Histogram {
     bins: [f64; 16],
     pub dropped: f64,
 }
 
-impl<const FIRST: u32, const STEP: u32> Histogram<FIRST, STEP> {
-    fn time(bin: usize) -> f64 {
-        FIRST as f64 / 1e3 * (STEP as f64 / 100.0).powi(bin as i32)
-    }
-
-    pub fn add(&mut self, time: f64, tries: f64, dropped: f64) {
-        let bin = (time / Self::time(0)).max(1.0).ln() / (STEP as f64 / 100.0).ln();
+impl Histogram {
+    pub fn add(&mut self, bins: Bins, time: f64, tries: f64, dropped: f64) {
+        let bin = (time / bins.first).max(1.0).ln() / bins.step.ln();
         self.bins[(bin.round() as usize).min(15)] += tries - dropped;
         self.dropped += dropped;
     }
@@ -43,14 +51,14 @@
         self.bins.iter().sum()
     }
 
-    pub fn mean(&self) -> f64 {
-        let sum: f64 = self.bins.iter().enumerate().map(|(bin, many)| many * Self::time(bin)).sum();
+    pub fn mean(&self, bins: Bins) -> f64 {
+        let sum: f64 = self.bins.iter().enumerate().map(|(bin, many)| many * bins.time(bin)).sum();
         sum / self.answered().max(1e-9)
     }
 
-    pub fn median(&self) -> f64 {
+    pub fn median(&self, bins: Bins) -> f64 {
         let reached = |bin: &usize| self.bins[..=*bin].iter().sum::<f64>() * 2.0 > self.answered();
-        (0..16).find(reached).map_or(0.0, Self::time)
+        (0..16).find(reached).map_or(0.0, |bin| bins.time(bin))
     }
 
     pub fn dropped_share(&self) -> f64 {
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,7 +1,7 @@
 //! What each actor of the module remembers, and what can be read off it. What is made of it is in `logic`.
 
 use crate::interface::*;
-use crate::logic::Times;
+use crate::measure::Histogram;
 use crate::notes::{add, Note, Seat, Sums, View};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -9,6 +9,8 @@
 pub(crate) struct Slice {
     pub owner: Seat,
     pub standby: Seat,
+    /// Whose it was before operators had it moved.
+    pub home: Seat,
     /// The table as ordered so far, or as found in the store.
     pub lines: Sums,
     /// Calls by route, halved from time to time.
@@ -24,7 +26,7 @@
     pub view: View,
     /// When it started, as listed or as guessed from its silence; none: long ago.
     pub born: Option<f64>,
-    pub times: Times,
+    pub times: Histogram,
     pub answered_at: f64,
     /// What load reports say was done, and in how much work.
     pub done: f64,
@@ -73,6 +75,9 @@
     pub halved: f64,
     pub moved_at: f64,
     pub compared_at: f64,
+    /// What operators set; while nobody else could serve, no host counts as drained by them.
+    pub wishes: Wishes,
+    pub alone: bool,
 }
 
 impl Tables {
@@ -97,7 +102,7 @@
     pub target: Option<f64>,
     /// What came since the last weighing: calls by route, and how tries went.
     pub demand: Vec<f64>,
-    pub times: Times,
+    pub times: Histogram,
     pub levels: Vec<f64>,
     /// How busy the median host is, where that is reported.
     pub busy: f64,
@@ -107,6 +112,9 @@
     pub cut_at: f64,
     pub offered: f64,
     pub limit: f64,
+    /// What operators set of routes; and routes of which they ever set something.
+    pub wishes: BTreeMap<RouteId, RouteWish>,
+    pub wished: BTreeSet<RouteId>,
 }
 
 impl Gate {
