--- /dev/null
+++ b/crates/judge/src/lib.rs
@@ -0,0 +1,260 @@
+//! Whether service has dropped because of a change. From late sums alone: what a change touches is compared with the
+//! time before it, and with what it does not touch at the same time, so that a trouble of the whole fleet is not
+//! blamed on the change and does not hide it either.
+//!
+//! The test is sequential: it looks each time sums come, and however often it looks, it condemns a harmless change
+//! with a chance of at most `ERROR` as long as its model of the noise holds. `docs/changes.md` has the reasons and
+//! the measured shares.
+
+mod evidence;
+mod past;
+mod view;
+
+pub use past::Period;
+pub use view::Part;
+
+use coppersail::interface::{HostId, RouteId, SliceId};
+use evidence::Evidence;
+use past::Past;
+use std::collections::{BTreeMap, BTreeSet};
+use view::{Ground, Sides, View};
+
+/// A harmless change is undone with this chance at most. An undoing that was not needed costs an operator a second
+/// try and callers nothing, a harm that stays costs callers: one in two hundred is rare enough.
+pub const ERROR: f64 = 0.005;
+/// Periods of the time before, without which nothing can be compared.
+const BASELINE: usize = 12;
+/// Where a change touches more of the hosts than this, what it does not touch has to carry what it sheds, and is no
+/// measure any more.
+const WIDE: f64 = 1.0 / 3.0;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct TrialId(pub u64);
+
+/// What a change has to do with.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Touch {
+    pub slices: BTreeSet<SliceId>,
+    pub routes: BTreeSet<RouteId>,
+    pub hosts: BTreeSet<HostId>,
+}
+
+/// What was found against a change.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Found {
+    pub part: Part,
+    /// Of 100 calls in what it touches: lost now, and to be expected.
+    pub lost: f64,
+    pub expected: f64,
+    /// Lost of 100 in what it does not touch, now and before; none: there is nothing to compare with.
+    pub untouched: Option<(f64, f64)>,
+    pub calls: f64,
+    /// How many times likelier the sums are with harm than without.
+    pub odds: f64,
+}
+
+struct Trial {
+    touch: Touch,
+    expected_loss: f64,
+    /// Periods that had ended when it began.
+    from: u64,
+    /// Periods with calls since then.
+    heard: usize,
+    views: Vec<View>,
+    evidence: Vec<Evidence>,
+}
+
+pub struct Judge {
+    period: f64,
+    importance: Vec<f64>,
+    /// The tightest SLO time: an answer past it counts as lost for hosts.
+    slo: f64,
+    past: Past,
+    ends_at: f64,
+    trials: BTreeMap<TrialId, Trial>,
+}
+
+impl Judge {
+    /// `period`: between reports, seconds; `importance`: by route; `slo`: the tightest SLO time, seconds.
+    pub fn new(period: f64, importance: Vec<f64>, slo: f64) -> Self {
+        let period = period.max(0.1);
+        Judge { period, importance, slo, past: Past::default(), ends_at: period, trials: BTreeMap::new() }
+    }
+
+    /// What all proxies were asked for a slice in a route, as it comes in.
+    pub fn demand(&mut self, slice: SliceId, route: RouteId, calls: u64, dropped: u64) {
+        if (route.0 as usize) < self.importance.len() {
+            self.past.now.cell(slice, route, calls, dropped);
+        }
+    }
+
+    /// What proxies met at a host.
+    pub fn tries(&mut self, host: HostId, tries: u64, dropped: u64, rt: f64) {
+        // Of times that scatter as waiting does, so many are past a bound whose mean is `rt`.
+        let late = if rt > 0.0 { (-self.slo / rt).exp() } else { 0.0 };
+        let dropped = dropped.min(tries);
+        let lost = dropped as f64 + (tries - dropped) as f64 * late;
+        self.past.now.host(host, tries as f64, lost);
+    }
+
+    /// When `close` has something to do.
+    pub fn next(&self) -> f64 {
+        self.ends_at
+    }
+
+    /// There is enough of the time until now to compare with.
+    pub fn baseline(&self) -> bool {
+        self.past.periods().filter(|period| period.calls() > 0.0).count() >= BASELINE
+    }
+
+    /// So many periods with calls have been heard since the change went out.
+    pub fn heard(&self, trial: TrialId) -> usize {
+        self.trials.get(&trial).map_or(0, |trial| trial.heard)
+    }
+
+    /// Whether a trial of so many seconds has been heard well enough to be believed: half of it, at least.
+    pub fn believed(&self, trial: TrialId, seconds: f64) -> bool {
+        self.heard(trial) as f64 >= (0.5 * seconds / self.period).max(3.0)
+    }
+
+    /// From now on the change's effects come in.
+    pub fn watch(&mut self, id: TrialId, touch: Touch, expected_loss: f64) {
+        let (from, heard) = (self.past.ended(), 0);
+        let trial = Trial {
+            touch,
+            expected_loss: expected_loss / 100.0,
+            from,
+            heard,
+            views: vec![],
+            evidence: vec![],
+        };
+        self.trials.insert(id, trial);
+        self.ground();
+    }
+
+    /// Its orders are out: it touches these slices as well.
+    pub fn touches(&mut self, id: TrialId, slices: impl IntoIterator<Item = SliceId>) {
+        let Some(trial) = self.trials.get_mut(&id) else { return };
+        let before = trial.touch.slices.len();
+        trial.touch.slices.extend(slices);
+        if trial.touch.slices.len() > before {
+            self.ground();
+        }
+    }
+
+    pub fn unwatch(&mut self, id: TrialId) {
+        if self.trials.remove(&id).is_some() {
+            self.ground();
+        }
+    }
+
+    /// Slices, routes and hosts are as many as were met.
+    fn wide(&self, touch: &Touch) -> bool {
+        let hosts: BTreeSet<HostId> = self.past.periods().flat_map(|period| period.hosts()).collect();
+        touch.hosts.len() as f64 > WIDE * hosts.len().max(1) as f64
+    }
+
+    /// Each trial's parts, with what they were like before. Anew when trials come, go or grow: what one touches is no
+    /// measure for another.
+    fn ground(&mut self) {
+        let ids: Vec<TrialId> = self.trials.keys().copied().collect();
+        for id in &ids {
+            let others: Vec<&Touch> =
+                self.trials.iter().filter(|(other, _)| *other != id).map(|(_, trial)| &trial.touch).collect();
+            let trial = &self.trials[id];
+            let alone = self.wide(&trial.touch);
+            let mut parts: Vec<Part> =
+                (0..self.importance.len()).map(|r| Part::Route(RouteId(r as u16))).collect();
+            parts.extend([Part::All, Part::Calls]);
+            if !trial.touch.hosts.is_empty() {
+                parts.push(Part::Hosts);
+            }
+            let before = || self.past.before(trial.from);
+            let view = |part: Part| {
+                let sides = Sides::new(part, &trial.touch, &others, &self.importance, alone);
+                Ground::of(&sides, before()).map(|ground| View::new(sides, ground))
+            };
+            let views: Vec<View> = parts.into_iter().filter_map(view).collect();
+            // What was found so far stays found: only the parts that are new begin anew.
+            let old = &trial.views;
+            let evidence = views
+                .iter()
+                .map(|view| {
+                    let same = old.iter().position(|old| old.sides == view.sides);
+                    same.map_or_else(Evidence::default, |at| trial.evidence[at].clone())
+                })
+                .collect();
+            let trial = self.trials.entry(*id);
+            trial.and_modify(|trial| (trial.views, trial.evidence) = (views, evidence));
+        }
+    }
+
+    /// Ends the periods that are over. Gives the trials that have turned out harmful, once each.
+    pub fn close(&mut self, now: f64) -> Vec<(TrialId, Found)> {
+        let mut found: BTreeMap<TrialId, Found> = BTreeMap::new();
+        while now >= self.ends_at {
+            self.ends_at += self.period;
+            // After a long stand-still the clock is taken up where it is.
+            if now - self.ends_at > 10.0 * self.period {
+                self.ends_at = now + self.period;
+            }
+            let period = self.past.end();
+            for (id, trial) in &mut self.trials {
+                trial.heard += (period.calls() > 0.0) as usize;
+                let many = trial.views.len() as f64;
+                let mut odds = 0.0;
+                let mut worst: Option<(f64, Found)> = None;
+                for (view, evidence) in trial.views.iter_mut().zip(&mut trial.evidence) {
+                    if let Some(seen) = view.take(&period, trial.expected_loss) {
+                        evidence.add(&seen);
+                        evidence.last = Some(view.found(&seen));
+                    }
+                    // The mean of such odds is again one, whatever ties the parts together.
+                    odds += evidence.odds() / many;
+                    if let Some(last) =
+                        evidence.last.clone().filter(|_| worst.as_ref().is_none_or(|w| evidence.odds() > w.0))
+                    {
+                        worst = Some((evidence.odds(), last));
+                    }
+                }
+                if odds >= 1.0 / ERROR {
+                    found.extend(worst.map(|(_, worst)| (*id, Found { odds, ..worst })));
+                }
+            }
+        }
+        self.one_of_each(found)
+    }
+
+    /// Of two that touch the same and both look harmful the later one goes first; what is left is looked at anew.
+    fn one_of_each(&mut self, found: BTreeMap<TrialId, Found>) -> Vec<(TrialId, Found)> {
+        let meets = |a: &Touch, b: &Touch| {
+            !a.slices.is_disjoint(&b.slices)
+                || !a.routes.is_disjoint(&b.routes)
+                || !a.hosts.is_disjoint(&b.hosts)
+        };
+        let mut taken: Vec<(TrialId, Found)> = Vec::new();
+        for (id, found) in found.into_iter().rev() {
+            let mine = &self.trials[&id].touch;
+            if taken.iter().any(|(other, _)| meets(mine, &self.trials[other].touch)) {
+                let evidence =
+                    self.trials.get_mut(&id).into_iter().flat_map(|trial| trial.evidence.iter_mut());
+                evidence.for_each(|evidence| *evidence = Evidence::default());
+            } else {
+                taken.push((id, found));
+            }
+        }
+        taken
+    }
+}
+
+impl std::fmt::Display for Found {
+    fn fmt(&self, out: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let Found { part, lost, expected, untouched, calls, odds } = self;
+        write!(out, "{part}: {lost:.1} of 100 calls lost where {expected:.1} were to be expected")?;
+        match untouched {
+            Some((now, before)) => write!(out, ", untouched {now:.1} after {before:.1}")?,
+            None => write!(out, ", nothing untouched to compare with")?,
+        }
+        write!(out, ", {calls:.0} calls, odds {odds:.0}")
+    }
+}
--- /dev/null
+++ b/crates/judge/src/past.rs
@@ -0,0 +1,98 @@
+//! What was heard, by period of arrival. Only what came is kept, so it costs by the lines and not by the fleet.
+
+use coppersail::interface::{HostId, RouteId, SliceId};
+use std::collections::{BTreeMap, VecDeque};
+
+/// Periods that are remembered: those of a trial's length before the change.
+const KEPT: usize = 60;
+
+/// Calls and lost ones of one slice in one route.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Cell {
+    pub slice: SliceId,
+    pub route: RouteId,
+    pub calls: f32,
+    pub lost: f32,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct AtHost {
+    pub host: HostId,
+    pub tries: f32,
+    pub lost: f32,
+}
+
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Period {
+    pub cells: Vec<Cell>,
+    pub at_hosts: Vec<AtHost>,
+}
+
+/// One that has not ended: what comes for the same adds up.
+#[derive(Clone, Debug, Default)]
+pub struct Open {
+    cells: BTreeMap<(SliceId, RouteId), (f32, f32)>,
+    hosts: BTreeMap<HostId, (f32, f32)>,
+}
+
+impl Open {
+    pub fn cell(&mut self, slice: SliceId, route: RouteId, calls: u64, lost: u64) {
+        let sum = self.cells.entry((slice, route)).or_default();
+        *sum = (sum.0 + calls as f32, sum.1 + lost.min(calls) as f32);
+    }
+
+    pub fn host(&mut self, host: HostId, tries: f64, lost: f64) {
+        let sum = self.hosts.entry(host).or_default();
+        *sum = (sum.0 + tries as f32, sum.1 + lost as f32);
+    }
+}
+
+impl Period {
+    pub fn calls(&self) -> f64 {
+        self.cells.iter().map(|cell| f64::from(cell.calls)).sum()
+    }
+
+    pub fn hosts(&self) -> impl Iterator<Item = HostId> + '_ {
+        self.at_hosts.iter().map(|at| at.host)
+    }
+}
+
+#[derive(Default)]
+pub struct Past {
+    pub now: Open,
+    ended: u64,
+    kept: VecDeque<std::rc::Rc<Period>>,
+}
+
+impl Past {
+    /// So many periods have ended.
+    pub fn ended(&self) -> u64 {
+        self.ended
+    }
+
+    pub fn periods(&self) -> impl Iterator<Item = &Period> {
+        self.kept.iter().map(|period| &**period)
+    }
+
+    /// Those of the kept that had ended when so many had.
+    pub fn before(&self, ended: u64) -> impl Iterator<Item = &Period> {
+        let later = (self.ended - ended.min(self.ended)) as usize;
+        self.kept.iter().take(self.kept.len().saturating_sub(later)).map(|period| &**period)
+    }
+
+    pub fn end(&mut self) -> std::rc::Rc<Period> {
+        let open = std::mem::take(&mut self.now);
+        let cells = open.cells.into_iter();
+        let cells = cells.map(|((slice, route), (calls, lost))| Cell { slice, route, calls, lost }).collect();
+        let hosts = open.hosts.into_iter();
+        let at_hosts = hosts.map(|(host, (tries, lost))| AtHost { host, tries, lost }).collect();
+        let period = std::rc::Rc::new(Period { cells, at_hosts });
+        self.ended += 1;
+        self.kept.push_back(period.clone());
+        // A trial may be as long again while its sums are waited for, and what was before must outlast it.
+        if self.kept.len() > 3 * KEPT {
+            self.kept.pop_front();
+        }
+        period
+    }
+}
