Director and command line: changes over a Unix socket and SIGHUP, tried and undone

Need: operators must be able to change what a running director does. The reducer joins book, judge and module; calls are never cut between a slice's lines, and merges keep them together, new ones first. The log is written through tracing, as text or JSON, with the change as a field.

--- a/crates/director/src/counters.rs
+++ b/crates/director/src/counters.rs
@@ -65,4 +65,8 @@
     probes_broken,
     configurations_taken,
     configurations_bad,
+    /// Operators' commands, and those of them that were not done.
+    commands,
+    commands_refused,
+    wishes_given,
 }
--- a/crates/director/src/logger.rs
+++ b/crates/director/src/logger.rs
@@ -1,12 +1,18 @@
-//! The log on standard error: seconds since the start, level, text. A flood of warnings, such as bad input can cause,
-//! is cut to what can be read; what is decided or asked for is always written, as long as somebody takes it. A thread
-//! of its own writes, so that a reader that stalls holds nobody up.
+//! The log on standard error: seconds since the start, level, text, or the same as JSON lines with the change that a
+//! line is about as a field of its own. A flood of warnings, such as bad input can cause, is cut to what can be read;
+//! what is decided or asked for is always written, as long as somebody takes it. A thread of its own writes, so that a
+//! reader that stalls holds nobody up.
 
-use log::{Level, LevelFilter, Log, Metadata, Record};
+use std::fmt::{Debug, Write as _};
 use std::io::Write;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{sync_channel, Receiver, SyncSender};
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
+use tracing::field::{Field, Visit};
+use tracing::{Event, Level, Subscriber};
+use tracing_subscriber::layer::{Context, SubscriberExt};
+use tracing_subscriber::Layer;
 
 /// Warnings in a second; more are counted and left out. Nobody reads more.
 const MOST: u32 = 200;
@@ -27,10 +33,31 @@
     left_out: u32,
 }
 
-struct Logger {
+struct Lines {
     started: Instant,
     budget: Mutex<Budget>,
     lines: SyncSender<Item>,
+    json: Arc<AtomicBool>,
+}
+
+/// What a line says, and the change that it is about.
+#[derive(Default)]
+struct Said {
+    text: String,
+    change: Option<u64>,
+}
+
+impl Visit for Said {
+    fn record_u64(&mut self, field: &Field, value: u64) {
+        if field.name() == "change" {
+            self.change = Some(value);
+        }
+    }
+    fn record_debug(&mut self, field: &Field, value: &dyn Debug) {
+        if field.name() == "message" {
+            let _ = write!(self.text, "{value:?}");
+        }
+    }
 }
 
 impl Budget {
@@ -50,38 +77,38 @@
     }
 }
 
-impl Log for Logger {
-    fn enabled(&self, metadata: &Metadata<'_>) -> bool {
-        metadata.level() <= Level::Info
+fn line(json: bool, at: f64, level: &str, change: Option<u64>, text: &str) -> String {
+    if json {
+        let text = serde_json::Value::from(text);
+        let change = change.map_or(String::new(), |change| format!(",\"change\":{change}"));
+        return format!("{{\"at\":{at:.3},\"level\":\"{level}\"{change},\"text\":{text}}}");
     }
+    format!("{at:.3} {level} {}", text.replace(['\n', '\r'], " "))
+}
 
-    fn log(&self, record: &Record<'_>) {
-        if !self.enabled(record.metadata()) {
+impl<S: Subscriber> Layer<S> for Lines {
+    fn on_event(&self, event: &Event<'_>, _: Context<'_, S>) {
+        let level = *event.metadata().level();
+        // Libraries may have their own words; the log is the director's.
+        if level > Level::INFO || !event.metadata().target().starts_with("coppersail") {
             return;
         }
         let at = self.started.elapsed();
+        let json = self.json.load(Ordering::Relaxed);
         let Ok(mut budget) = self.budget.lock() else { return };
-        let warning = record.level() < Level::Info;
-        let left_out = if warning { budget.take(at.as_secs()) } else { Some(0) };
+        let left_out = if level < Level::INFO { budget.take(at.as_secs()) } else { Some(0) };
         let Some(left_out) = left_out else { return };
         if left_out > 0 {
-            let text = format!("{:.3} WARN {left_out} warnings left out", at.as_secs_f64());
-            let _ = self.lines.try_send(Item::Line(text));
+            let text = format!("{left_out} warnings left out");
+            let _ = self.lines.try_send(Item::Line(line(json, at.as_secs_f64(), "WARN", None, &text)));
         }
-        let text = record.args().to_string().replace(['\n', '\r'], " ");
-        let line = format!("{:.3} {} {text}", at.as_secs_f64(), record.level());
+        let mut said = Said::default();
+        event.record(&mut said);
+        let line = line(json, at.as_secs_f64(), level.as_str(), said.change, &said.text);
         if self.lines.try_send(Item::Line(line)).is_err() {
             budget.left_out += 1;
         }
     }
-
-    /// Waits a moment for what has been logged to be written.
-    fn flush(&self) {
-        let (written, done) = sync_channel(1);
-        if self.lines.try_send(Item::Written(written)).is_ok() {
-            let _ = done.recv_timeout(FINISH_MOST);
-        }
-    }
 }
 
 fn write(items: Receiver<Item>) {
@@ -94,14 +121,35 @@
     }
 }
 
-/// From here on `log` writes; a second call changes nothing.
-pub fn start(started: Instant) {
+/// The log from outside: its form may still be chosen, and its end be waited for.
+pub struct Handle {
+    json: Arc<AtomicBool>,
+    lines: SyncSender<Item>,
+}
+
+impl Handle {
+    pub fn json(&self, json: bool) {
+        self.json.store(json, Ordering::Relaxed);
+    }
+
+    /// Waits a moment for what has been logged to be written.
+    pub fn flush(&self) {
+        let (written, done) = sync_channel(1);
+        if self.lines.try_send(Item::Written(written)).is_ok() {
+            let _ = done.recv_timeout(FINISH_MOST);
+        }
+    }
+}
+
+/// From here on events are written; a second call has no effect but a log that nobody writes to.
+pub fn start(started: Instant) -> Handle {
     let budget = Mutex::new(Budget { second: 0, written: 0, left_out: 0 });
     let (lines, items) = sync_channel(WAITING_MOST);
     std::thread::spawn(move || write(items));
-    if log::set_boxed_logger(Box::new(Logger { started, budget, lines })).is_ok() {
-        log::set_max_level(LevelFilter::Info);
-    }
+    let json = Arc::new(AtomicBool::new(false));
+    let layer = Lines { started, budget, lines: lines.clone(), json: json.clone() };
+    let _ = tracing::subscriber::set_global_default(tracing_subscriber::registry().with(layer));
+    Handle { json, lines }
 }
 
 #[cfg(test)]
@@ -114,4 +162,13 @@
         let written = (0..MOST + 7).filter(|_| budget.take(3).is_some()).count();
         assert_eq!((written as u32, budget.take(4)), (MOST, Some(7)));
     }
+
+    #[test]
+    fn a_line_is_text_or_json() {
+        assert_eq!(line(false, 1.5, "WARN", Some(7), "a\nb"), "1.500 WARN a b");
+        assert_eq!(
+            line(true, 1.5, "INFO", Some(7), "a\"b"),
+            r#"{"at":1.500,"level":"INFO","change":7,"text":"a\"b"}"#
+        );
+    }
 }
--- a/crates/director/src/main.rs
+++ b/crates/director/src/main.rs
@@ -2,9 +2,11 @@
 //! the effects that it asks for.
 
 mod bounds;
+mod control;
 mod counters;
 mod discovery;
 mod framing;
+mod history;
 mod http;
 mod listener;
 mod logger;
@@ -12,15 +14,19 @@
 mod probes;
 mod reducer;
 mod relay;
+mod sheets;
 mod timers;
 
 use bounds::Bounds;
+use coppersail_changes::Version;
+use coppersail_operator::LogForm;
 use coppersail_protocol::config::Config;
 use reducer::{Effect, Event, Reducer};
 use std::process::ExitCode;
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::mpsc::channel;
+use tracing::Level;
 
 /// Events under way to the reducer; when they are as many, readers wait and so do their peers.
 const EVENTS_MOST: usize = 64;
@@ -32,6 +38,18 @@
     probes: probes::Probes,
     alarm: timers::Alarm,
     accepting: bool,
+    /// Where operators' changes are on, and as far as their file asks for these.
+    control: Option<control::Control>,
+    history: Option<history::Keeper>,
+}
+
+fn log(level: Level, about: Option<Version>, text: &str) {
+    let change = about.map(|number| number.0);
+    match level {
+        Level::ERROR => tracing::error!(change, "{text}"),
+        Level::WARN => tracing::warn!(change, "{text}"),
+        _ => tracing::info!(change, "{text}"),
+    }
 }
 
 impl Io {
@@ -48,7 +66,17 @@
             Effect::Unwatch(link) => self.discovery.unwatch(link),
             Effect::Probe { host, address, path } => self.probes.start(host, address, path),
             Effect::Wake(at) => self.alarm.set(at),
-            Effect::Log(level, text) => log::log!(level, "{text}"),
+            Effect::Record(record) => {
+                if let Some(history) = &self.history {
+                    history.keep(record);
+                }
+            }
+            Effect::Answer(who, answer) => {
+                if let Some(control) = &self.control {
+                    control.answer(who, answer);
+                }
+            }
+            Effect::Log(level, about, text) => log(level, about, &text),
             Effect::Exit => return false,
         }
         true
@@ -63,7 +91,7 @@
 }
 
 /// `wall_ns`: what the wall clock showed at the start.
-async fn serve(started: Instant, wall_ns: u64) -> Result<(), String> {
+async fn serve(started: Instant, wall_ns: u64, logger: &logger::Handle) -> Result<(), String> {
     // First of all, as a signal without its handler ends the program.
     let handlers = [SignalKind::user_defined1(), SignalKind::terminate(), SignalKind::hangup()].map(signal);
     let [Ok(mut print), Ok(mut stop), Ok(mut reload)] = handlers else {
@@ -74,16 +102,47 @@
     let mut reducer = Reducer::new(&config, wall_ns).map_err(in_configuration)?;
     let bounds = Bounds::of(&config.limits);
     let (sender, mut events) = channel(EVENTS_MOST);
+    let events_of = sender.clone();
     let bound = listener::Listener::bind(config.listen, sender.clone()).await;
     let mut io = Io {
         listener: bound.map_err(|wrong| format!("configuration: field listen: {wrong}"))?,
         relay: relay::Relay::new(sender.clone()),
         discovery: discovery::Discovery::new(sender.clone(), bounds.list),
-        probes: probes::Probes::new(sender, bounds.probes),
+        probes: probes::Probes::new(sender.clone(), bounds.probes),
         alarm: timers::Alarm::new(started),
         accepting: true,
+        control: None,
+        history: None,
     };
-    log::info!("{} serves", config.name);
+    let operators = std::env::var("EDGE_OPERATOR").ok();
+    if let Some(path) = &operators {
+        let sheet = sheets::read(path, reducer.known()).await?;
+        logger.json(sheet.start.log == LogForm::Json);
+        let mut records = None;
+        if let Some(path) = &sheet.start.history {
+            let started = history::start(path, events_of.clone())?;
+            if started.torn > 0 {
+                log(
+                    Level::WARN,
+                    None,
+                    &format!("history: {} bytes of a write that was cut off are given up", started.torn),
+                );
+            }
+            (io.history, records) = (Some(started.keeper), Some(started.records));
+        }
+        if let Some(path) = &sheet.start.socket {
+            let bound = control::Control::bind(path, events_of.clone());
+            io.control =
+                Some(bound.map_err(|wrong| format!("operators' file: field control.socket: {wrong}"))?);
+        }
+        let effects = reducer
+            .operate(&config, wall_ns, &sheet, records)
+            .map_err(|wrong| format!("history: {wrong}"))?;
+        effects.into_iter().for_each(|effect| _ = io.carry_out(effect));
+    }
+    tracing::info!("{} serves", config.name);
+    // Dropped when another one takes its place: the file is read as it is last.
+    let mut _reading = None;
     let mut batch = vec![Event::Time];
     loop {
         // One batch is one moment: what has come meanwhile is decided on together.
@@ -103,7 +162,18 @@
             Some(event) = events.recv() => batch.push(event),
             _ = io.alarm.rung() => batch.push(Event::Time),
             _ = print.recv() => batch.push(Event::Count),
-            _ = reload.recv() => batch.push(Event::Reload(Box::new(configured()))),
+            _ = reload.recv() => {
+                batch.push(Event::Reload(Box::new(configured())));
+                if let Some(path) = operators.clone() {
+                    // A template takes its time, and the director must not wait for it. One that is read again
+                    // meanwhile is read anew.
+                    let (known, events) = (reducer.known().clone(), events_of.clone());
+                    _reading = Some(net::Task::spawn(async move {
+                        let sheet = sheets::read(&path, &known).await;
+                        let _ = events.send(Event::Sheet(Box::new(sheet))).await;
+                    }));
+                }
+            }
             _ = stop.recv() => batch.push(Event::Stop),
         }
     }
@@ -112,10 +182,10 @@
 fn run() -> Result<(), String> {
     let (started, wall) = (Instant::now(), SystemTime::now());
     let wall_ns = wall.duration_since(UNIX_EPOCH).map_or(0, |wall| wall.as_nanos() as u64);
-    logger::start(started);
+    let logger = logger::start(started);
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let served = runtime.map_err(|wrong| wrong.to_string())?.block_on(serve(started, wall_ns));
-    log::logger().flush();
+    let served = runtime.map_err(|wrong| wrong.to_string())?.block_on(serve(started, wall_ns, &logger));
+    logger.flush();
     served
 }
 
--- a/crates/director/src/reducer/calls.rs
+++ b/crates/director/src/reducer/calls.rs
@@ -4,9 +4,9 @@
 use super::{Effect, LinkId, Out};
 use coppersail::interface::{HostId, RouteId, SliceId};
 use coppersail_protocol::relay::{self, Answer};
-use log::Level;
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
+use tracing::Level;
 
 /// The relay answers within 50 ms or never; twice that, as the director's own machine may be slow.
 const ANSWER_MOST: f64 = 0.1;
@@ -43,6 +43,16 @@
     pub text: String,
 }
 
+impl Told {
+    /// The slice whose table it changes.
+    fn slice(&self) -> Option<SliceId> {
+        match self.aim {
+            Aim::Line(slice, _) | Aim::Clear(slice) => Some(slice),
+            _ => None,
+        }
+    }
+}
+
 /// The channel's figures, by which repeats are counted against the short queue.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Pace {
@@ -109,17 +119,26 @@
         }
     }
 
-    /// Orders given together go out as one call, or as several if it would be too long.
+    /// Orders given together go out as one call, or as several if it would be too long. A slice's lines that stand
+    /// together stay together: a proxy must never hold half of what a table becomes.
     pub fn give(&mut self, orders: Vec<Told>) {
         let mut bytes = 0;
-        let mut call = Vec::new();
-        for order in orders {
-            if bytes + order.text.len() + 1 > relay::MOST {
+        let mut call: Vec<Told> = Vec::new();
+        let cost = |orders: &[Told]| orders.iter().map(|told| told.text.len() + 1).sum::<usize>();
+        for group in orders.chunk_by(|a, b| a.slice().is_some() && a.slice() == b.slice()) {
+            if bytes + cost(group) > relay::MOST && !call.is_empty() {
                 self.waiting.push_back(std::mem::take(&mut call));
                 bytes = 0;
             }
-            bytes += order.text.len() + 1;
-            call.push(order);
+            // No table is so long that it fills a call alone; should one be, it is cut, as it could never go out.
+            for order in group {
+                if bytes + order.text.len() + 1 > relay::MOST {
+                    self.waiting.push_back(std::mem::take(&mut call));
+                    bytes = 0;
+                }
+                bytes += order.text.len() + 1;
+                call.push(order.clone());
+            }
         }
         if !call.is_empty() {
             self.waiting.push_back(call);
@@ -138,7 +157,7 @@
         }
         kept.reverse();
         self.waiting.extend(first);
-        self.give(kept);
+        self.give(by_slice(kept));
         out.counters.calls_merged += 1;
     }
 
@@ -168,11 +187,12 @@
     /// The slices of which the call that is out sets lines.
     pub fn under_way(&self) -> BTreeSet<SliceId> {
         let out = self.waiting.front().filter(|_| self.unsettled());
-        let slice = |told: &Told| match told.aim {
-            Aim::Line(slice, _) | Aim::Clear(slice) => Some(slice),
-            _ => None,
-        };
-        out.into_iter().flatten().filter_map(slice).collect()
+        out.into_iter().flatten().filter_map(Told::slice).collect()
+    }
+
+    /// Nothing is out and nothing waits.
+    pub fn idle(&self) -> bool {
+        self.waiting.is_empty()
     }
 
     /// Whether an order that waits names the host.
@@ -363,7 +383,11 @@
                 // It would be turned away for ever, and all others behind it.
                 self.refused = false;
                 out.counters.calls_invalid += 1;
-                out.effects.push(Effect::Log(Level::Error, "relay: call dropped, not valid".to_string()));
+                out.effects.push(Effect::Log(
+                    Level::ERROR,
+                    None,
+                    "relay: call dropped, not valid".to_string(),
+                ));
                 self.waiting.pop_front();
                 self.settled(now, link, out);
                 Vec::new()
@@ -387,6 +411,30 @@
     }
 }
 
+/// Merged orders of one slice stand where the first of them did, new lines before those that go, so that the rest of a
+/// call that is cut short never leaves a table with the old lines gone and the new ones not there yet.
+fn by_slice(orders: Vec<Told>) -> Vec<Told> {
+    let mut groups: Vec<Vec<Told>> = Vec::new();
+    let mut places: BTreeMap<SliceId, usize> = BTreeMap::new();
+    for told in orders {
+        match told.slice() {
+            Some(slice) => {
+                let at = *places.entry(slice).or_insert(groups.len());
+                if at == groups.len() {
+                    groups.push(Vec::new());
+                }
+                groups[at].push(told);
+            }
+            None => groups.push(vec![told]),
+        }
+    }
+    for group in &mut groups {
+        // A table that is cleared is cleared first.
+        group.sort_by_key(|told| (!matches!(told.aim, Aim::Clear(_)), told.weight <= 0.0));
+    }
+    groups.into_iter().flatten().collect()
+}
+
 fn is(link: &Link, id: LinkId) -> bool {
     matches!(link, Link::Dialled(of) | Link::Up(of, _) if *of == id)
 }
--- a/crates/director/src/reducer/mod.rs
+++ b/crates/director/src/reducer/mod.rs
@@ -5,6 +5,7 @@
 mod calls;
 mod list;
 mod news;
+mod operators;
 mod ranges;
 mod taken;
 #[cfg(test)]
@@ -16,20 +17,24 @@
 use calls::{Aim, Calls, Pace, Told};
 use coppersail::interface as api;
 use coppersail::Director;
+use coppersail_changes::{Record, Version};
+use coppersail_control::{Answer, Request};
+use coppersail_operator::{Known, Sheet};
 use coppersail_protocol::collector::{readable, Line, ALIVE};
 use coppersail_protocol::config::Config;
 use coppersail_protocol::discovery;
 use coppersail_protocol::load::{Report, HEALTH, LOAD};
 use coppersail_protocol::relay::{Again, News as NewsLine, Order};
 use coppersail_protocol::Fault;
-use coppersail_settings::{load, settings, Boot, Clock, Names};
+use coppersail_settings::{known as known_by, load, settings, Boot, Clock, Names};
 use list::List;
-use log::Level;
 use news::{Item, News};
+use operators::{Around, Operators};
 use ranges::Ranges;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use taken::{Sender, Taken};
+use tracing::Level;
 
 /// A connection that was taken, numbered by the listener.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -39,6 +44,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct LinkId(pub u64);
 
+/// A request of an operator's command that is owed an answer, numbered by who takes them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ControlId(pub u64);
+
 /// How a probe ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ProbeEnd {
@@ -66,6 +75,14 @@
         took: f64,
         body: Vec<u8>,
     },
+    /// An operator's command.
+    Asked(ControlId, Box<Request>),
+    /// The history holds the change.
+    Written(Version),
+    /// It does not, or something else of it is not there.
+    Unwritten(Option<Version>, String),
+    /// The operators' file was read anew.
+    Sheet(Box<Result<Sheet, String>>),
     /// The configuration is to be taken anew: what the file holds, or what is wrong with it.
     Reload(Box<Result<Config, String>>),
     /// The moment asked for has come.
@@ -94,7 +111,11 @@
         path: &'static str,
     },
     Wake(f64),
-    Log(Level, String),
+    /// To be put into the history; `Written` or `Unwritten` follows for a change that was accepted.
+    Record(Record),
+    Answer(ControlId, Answer),
+    /// The change that it is about, if any.
+    Log(Level, Option<Version>, String),
     Exit,
 }
 
@@ -129,11 +150,11 @@
     }
 
     fn warn(&mut self, text: String) {
-        self.effects.push(Effect::Log(Level::Warn, text));
+        self.effects.push(Effect::Log(Level::WARN, None, text));
     }
 
     fn tell(&mut self, text: String) {
-        self.effects.push(Effect::Log(Level::Info, text));
+        self.effects.push(Effect::Log(Level::INFO, None, text));
     }
 }
 
@@ -175,6 +196,9 @@
     calls: Calls,
     news: News,
     list: List,
+    /// None: operators' changes are off.
+    operators: Option<Operators>,
+    known: Known,
     /// Hosts that the decisions have forgotten; their names are given back when nothing here refers to them.
     forgotten: BTreeSet<api::HostId>,
     wakes: Vec<(f64, api::WakeId)>,
@@ -186,6 +210,13 @@
     out: Out,
 }
 
+/// What stands now, as operators' changes need it.
+fn with_around<R>(reducer: &mut Reducer, act: impl FnOnce(&Around, &mut Out) -> R) -> R {
+    let standing = &reducer.news.known;
+    let around = Around { names: &reducer.names, standing, calls_idle: reducer.calls.idle() };
+    act(&around, &mut reducer.out)
+}
+
 impl Reducer {
     /// `wall_ns`: what the wall clock shows at the zero of all further times.
     pub fn new(config: &Config, wall_ns: u64) -> Result<Self, String> {
@@ -212,6 +243,8 @@
             calls: Calls::new(pace, config.relay),
             news: News::new(config.relay),
             list: List::new(Clock::starting(wall_ns), config.discovery),
+            operators: None,
+            known: known_by(&boot),
             forgotten: BTreeSet::new(),
             wakes: Vec::new(),
             started: false,
@@ -226,6 +259,36 @@
         Ok(reducer)
     }
 
+    /// What the settings name, against which an operators' file is checked.
+    pub fn known(&self) -> &Known {
+        &self.known
+    }
+
+    /// Takes operators' changes from now on: from their history, if one is kept, and their file.
+    pub fn operate(
+        &mut self,
+        config: &Config,
+        wall_ns: u64,
+        sheet: &Sheet,
+        history: Option<Vec<Record>>,
+    ) -> Result<Vec<Effect>, String> {
+        let (boot, _) = checked(config)?;
+        let mut operators = Operators::new(&config.name, &settings(&boot), self.known.clone(), wall_ns);
+        // The list as remembered is all that is known of hosts yet.
+        operators.heard(&self.out.inputs);
+        let done = with_around(self, |around, out| operators.begin(sheet, history, around, out));
+        self.operators = Some(operators);
+        done?;
+        Ok(std::mem::take(&mut self.out.effects))
+    }
+
+    fn operated(&mut self, act: impl FnOnce(&mut Operators, &Around, &mut Out)) {
+        if let Some(mut operators) = self.operators.take() {
+            with_around(self, |around, out| act(&mut operators, around, out));
+            self.operators = Some(operators);
+        }
+    }
+
     pub fn reduce(&mut self, now: f64, event: Event) -> Vec<Effect> {
         match event {
             Event::Accepted(conn) => self.taken.accepted(now, conn, &mut self.out),
@@ -260,6 +323,18 @@
             Event::WatchLines(..) | Event::WatchDown(..) => {}
             Event::Probed { host, end, took, body } => self.probed(now, host, end, took, &body),
             Event::Reload(config) => self.reload(now, *config),
+            Event::Asked(who, request) => {
+                self.operated(|operators, around, out| operators.asked(now, who, *request, around, out));
+            }
+            Event::Written(number) => {
+                self.operated(|operators, around, out| operators.written(now, number, around, out));
+            }
+            Event::Unwritten(number, why) => {
+                self.operated(|operators, around, out| operators.unwritten(now, number, &why, around, out));
+            }
+            Event::Sheet(sheet) => {
+                self.operated(|operators, around, out| operators.take_file(now, *sheet, around, out));
+            }
             Event::Time => {}
             Event::Settle => self.settle(now),
             Event::Count => self.count(),
@@ -460,6 +535,15 @@
         let (due, later) = std::mem::take(&mut self.wakes).into_iter().partition::<Vec<_>, _>(due);
         self.wakes = later;
         self.out.inputs.extend(due.into_iter().map(|(_, wake)| api::Input::Wake(wake)));
+        if let Some(operators) = &mut self.operators {
+            operators.heard(&self.out.inputs);
+        }
+        let mut wishes = None;
+        self.operated(|operators, around, out| wishes = operators.pump(now, around, out));
+        if let Some(wishes) = wishes {
+            self.out.counters.wishes_given += 1;
+            self.out.inputs.push(api::Input::Wishes(wishes));
+        }
         if !self.out.inputs.is_empty() || !std::mem::replace(&mut self.started, true) {
             let inputs = std::mem::take(&mut self.out.inputs);
             self.counters_of(&inputs);
@@ -491,7 +575,8 @@
         self.give_back_names();
         let wake = self.wakes.iter().map(|(at, _)| *at).fold(f64::INFINITY, f64::min);
         let parts = [self.calls.next(), self.news.next(), self.list.next(), self.taken.wake_at()];
-        let wake = parts.into_iter().fold(wake, f64::min);
+        let operators = self.operators.as_ref().map_or(f64::INFINITY, Operators::next);
+        let wake = parts.into_iter().fold(wake, f64::min).min(operators);
         self.out.effects.push(Effect::Wake(wake));
     }
 
@@ -535,7 +620,12 @@
                 api::Order::Forget(host) => _ = self.forgotten.insert(host),
                 api::Order::FetchList => self.list.ask_whole(now, &mut self.out),
                 api::Order::Bind { .. } | api::Order::Tell { .. } => self.out.counters.orders_unknown += 1,
-                order => call.extend(self.told(order)),
+                order => {
+                    if let (Some(operators), api::Order::Line { slice, .. }) = (&mut self.operators, &order) {
+                        operators.ordered(now, *slice);
+                    }
+                    call.extend(self.told(order));
+                }
             }
         }
         self.out.counters.orders_given += call.len() as u64;
--- /dev/null
+++ b/crates/director/tests/director/changes.rs
@@ -0,0 +1,256 @@
+//! Operators' changes with the binary among stand-ins: over its Unix socket, into the relay's tables, and back again
+//! when callers lose by them.
+
+use crate::stand_ins::{Collector, Deal, RelayState, Watched, World};
+use std::os::unix::fs::PermissionsExt;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use test_case::test_case;
+
+const FILE: &str = r#"{"form":1,"changes":{"trial":5},"control":{"socket":"DIR/control.sock"}}"#;
+const DURABLE: &str =
+    r#"{"form":1,"changes":{"trial":5,"history":"DIR/changes.log"},"control":{"socket":"DIR/control.sock"}}"#;
+
+fn two_lines_each(world: &World) {
+    world.relay.wait("every slice has two lines", |state| {
+        state.slices.values().all(|lines| lines.len() == 2).then_some(())
+    });
+}
+
+/// Reports ten times a second what callers of each slice meet, as tables stand.
+struct Callers(Arc<AtomicBool>);
+
+impl Callers {
+    fn call(world: &World, lost: fn(&RelayState, u16) -> u64) -> Self {
+        let (going, relay) = (Arc::new(AtomicBool::new(true)), world.relay.clone());
+        let (mut collector, state) = (world.joined(), going.clone());
+        std::thread::spawn(move || report(&mut collector, &relay, &state, lost));
+        Callers(going)
+    }
+
+    /// No sums come any more.
+    fn fall_silent(&self) {
+        self.0.store(false, Ordering::Relaxed);
+    }
+}
+
+impl Drop for Callers {
+    fn drop(&mut self) {
+        self.fall_silent();
+    }
+}
+
+fn report(
+    collector: &mut Collector,
+    relay: &Watched<RelayState>,
+    going: &AtomicBool,
+    lost: fn(&RelayState, u16) -> u64,
+) {
+    while going.load(Ordering::Relaxed) {
+        let lines = relay.change(|state| {
+            let slices: Vec<u16> = state.slices.keys().copied().collect();
+            slices.into_iter().map(|slice| (slice, lost(state, slice))).collect::<Vec<_>>()
+        });
+        for (slice, lost) in lines {
+            let line = format!(
+                r#"{{"msg":"hot","partition":{slice},"kind":"lookup","n":20,"bad":{lost},"window":100.0}}"#
+            );
+            if !collector.bytes(format!("{line}\n").as_bytes()) {
+                return;
+            }
+        }
+        std::thread::park_timeout(std::time::Duration::from_millis(100));
+    }
+}
+
+/// Whose line is the heaviest.
+fn owner(state: &RelayState, slice: u16) -> &str {
+    let heaviest = state.slices.get(&slice).and_then(|lines| lines.iter().max_by(|a, b| a.1.total_cmp(b.1)));
+    heaviest.map_or("", |(host, _)| host)
+}
+
+fn bad_on_s3(state: &RelayState, slice: u16) -> u64 {
+    if slice == 0 && owner(state, 0) == "s-3" {
+        12
+    } else {
+        0
+    }
+}
+
+const TO_S3: &str = r#"{"apart.0.s-1":true,"apart.0.s-2":true}"#;
+
+#[test_case(&[] ; "in calls that go well")]
+#[test_case(&[Deal::Silent(true), Deal::Unreadable(false)] ; "in calls whose results are unknown")]
+#[test_case(&[Deal::Throttle, Deal::Break(true)] ; "in calls that are turned away and broken")]
+fn no_table_is_ever_half_of_a_change(deals: &[Deal]) {
+    let world = World::operated(4000, FILE);
+    two_lines_each(&world);
+    let before = world.relay.change(|state| {
+        state.deals.extend(deals);
+        state.lines_seen = None;
+        state.calls.len()
+    });
+    let number = world.submit(0, 0.0, r#"{"hosts.s-2.drained":true}"#).unwrap();
+    world.staged(number, "kept");
+    world.relay.wait("s-2 is in no table", |state| {
+        state.slices.values().all(|lines| !lines.contains_key("s-2") && lines.len() == 2).then_some(())
+    });
+    world.relay.change(|state| {
+        assert!(state.calls.len() > before + 1, "more than one call, lest nothing is shown");
+        assert_eq!(state.lines_seen, Some((2, 2)), "an old line with a new one, or one alone");
+    });
+}
+
+#[test]
+fn a_call_cut_short_in_the_middle_of_a_table_leaves_no_slice_bare_and_is_completed() {
+    let world = World::operated(60, FILE);
+    two_lines_each(&world);
+    world.relay.change(|state| {
+        state.deals.extend([Deal::Refuse(7), Deal::Refuse(2), Deal::Refuse(1)]);
+        state.lines_seen = None;
+    });
+    let number = world.submit(0, 0.0, r#"{"hosts.s-2.drained":true}"#).unwrap();
+    world.staged(number, "kept");
+    world.relay.change(|state| {
+        assert!(state.slices.values().all(|lines| !lines.contains_key("s-2") && lines.len() == 2));
+        // New lines come before the old ones go: a table that is cut in two by the relay has more, never fewer.
+        assert!(state.lines_seen.is_some_and(|(least, _)| least == 2), "{:?}", state.lines_seen);
+    });
+}
+
+#[test]
+fn a_harmful_change_is_undone_within_thirty_seconds_and_a_harmless_one_kept() {
+    let world = World::operated(6, FILE);
+    two_lines_each(&world);
+    let _callers = Callers::call(&world, bad_on_s3);
+    let harmless = world.submit(0, 5.0, r#"{"apart.5.s-1":true}"#).unwrap();
+    world.staged(harmless, "kept");
+    let begun = std::time::Instant::now();
+    let harmful = world.submit(harmless, 30.0, TO_S3).unwrap();
+    world.relay.wait("slice 0 goes to s-3", |state| (owner(state, 0) == "s-3").then_some(()));
+    let why = world.staged(harmful, "undone")["stage"].to_string();
+    assert!(why.contains("harm") && why.contains("untouched"), "{why}");
+    world.relay.wait("slice 0 leaves s-3", |state| (owner(state, 0) != "s-3").then_some(()));
+    assert!(begun.elapsed().as_secs() < 30);
+    world.logged(&format!("WARN change {harmful}: undone by change {}", harmful + 1));
+    assert_eq!(world.ask(r#"{"do":"status"}"#)["in_force"].as_array().unwrap().len(), 2);
+}
+
+#[test]
+fn an_undoing_while_a_drain_is_under_way_does_not_bring_the_host_back() {
+    let world = World::operated(6, FILE);
+    two_lines_each(&world);
+    let _callers = Callers::call(&world, bad_on_s3);
+    // Slice 0 leaves s-1 for s-3, and s-1 begins to drain while the change is on trial.
+    let harmful = world.submit(0, 30.0, TO_S3).unwrap();
+    world.relay.wait("slice 0 goes to s-3", |state| (owner(state, 0) == "s-3").then_some(()));
+    world.list_change(2, "s-1", "terminating");
+    world.staged(harmful, "undone");
+    let moved = world.submit(harmful + 1, 0.0, r#"{"hosts.s-3.weight":0.5}"#).unwrap();
+    world.staged(moved, "kept");
+    world.relay.change(|state| {
+        assert!(state.out.contains("s-1"), "it stays shut out");
+        assert!(state.slices.values().all(|lines| !lines.contains_key("s-1")), "{:?}", state.slices);
+    });
+}
+
+#[test]
+fn sums_that_stop_end_a_trial_by_undoing_it() {
+    let world = World::operated(6, FILE);
+    two_lines_each(&world);
+    let callers = Callers::call(&world, |_, _| 0);
+    let number = world.submit(0, 5.0, r#"{"hosts.s-2.weight":0.5}"#).unwrap();
+    world.staged(number, "trial");
+    callers.fall_silent();
+    let why = world.staged(number, "undone")["stage"]["undone"].to_string();
+    assert!(why.contains("unjudged"), "{why}");
+}
+
+#[test]
+fn two_operators_conflict_by_field_and_the_second_is_told_whose_it_is() {
+    let world = World::operated(6, FILE);
+    let first = world.submit(0, 0.0, r#"{"hosts.s-1.weight":2}"#).unwrap();
+    world.staged(first, "kept");
+    let refused = world.submit(0, 0.0, r#"{"hosts.s-1.weight":3}"#).unwrap_err();
+    assert!(refused.contains("hosts.s-1.weight: held by change 1 of op"), "{refused}");
+    let other = world.submit(0, 0.0, r#"{"hosts.s-2.weight":3}"#).unwrap();
+    world.staged(other, "kept");
+    world.ask(r#"{"do":"freeze","who":"op","why":"the holiday"}"#);
+    assert!(world.submit(other, 0.0, r#"{"hosts.s-2.weight":1}"#).unwrap_err().contains("frozen by op"));
+}
+
+#[test]
+fn a_change_that_would_leave_no_host_is_refused() {
+    let world = World::operated(6, FILE);
+    world.logged("serves");
+    let all = r#"{"hosts.s-1.drained":true,"hosts.s-2.drained":true,"hosts.s-3.drained":true}"#;
+    assert!(world.submit(0, 0.0, all).unwrap_err().contains("no open, warm host"));
+}
+
+#[test]
+fn a_file_swapped_half_written_changes_nothing_and_a_whole_one_is_a_change() {
+    let world = World::operated(6, FILE);
+    two_lines_each(&world);
+    let _callers = Callers::call(&world, |_, _| 0);
+    let whole = FILE.replace("\"form\":1,", "\"form\":1,\"hosts\":{\"s-2\":{\"drained\":true}},");
+    world.operators_file(&whole[..whole.len() / 2]);
+    world.logged("operators' file: all stays as it was");
+    assert_eq!(world.ask(r#"{"do":"status"}"#)["version"], 0);
+    world.operators_file(&whole);
+    world.relay.wait("s-2 has no line", |state| {
+        state.slices.values().all(|lines| !lines.contains_key("s-2")).then_some(())
+    });
+}
+
+#[test]
+fn a_director_killed_in_a_trial_undoes_it_and_keeps_what_was_kept() {
+    let mut world = World::operated(6, DURABLE);
+    two_lines_each(&world);
+    let kept = world.submit(0, 0.0, r#"{"hosts.s-2.weight":2}"#).unwrap();
+    world.staged(kept, "kept");
+    let tried = world.submit(kept, 60.0, r#"{"hosts.s-3.drained":true}"#).unwrap();
+    // Nothing is reported, so it waits for a time to compare with, and then goes on without.
+    world.staged(tried, "trial");
+    world.restart();
+    let why = world.staged(tried, "undone")["stage"].to_string();
+    assert!(why.contains("restarted"), "{why}");
+    let status = world.ask(r#"{"do":"status"}"#);
+    assert_eq!(
+        (&status["durable"], status["in_force"].to_string()),
+        (&true.into(), r#"[["hosts.s-2.weight",2.0],["changes.trial",5.0]]"#.into())
+    );
+    world.relay.wait("s-3 has lines again", |state| {
+        state.slices.values().any(|lines| lines.contains_key("s-3")).then_some(())
+    });
+}
+
+#[test]
+fn a_start_with_an_unsound_file_names_every_fault_and_ends() {
+    let mut world = World::operated(6, r#"{"form":1,"log":"loud","zones":{"q":{"weight":2}}}"#);
+    assert_eq!(world.exit(), Some(2));
+    world.logged("operator.json:1: field log: expected text or json");
+    world.logged("field zones.q.weight: expected a zone of the settings, one of a");
+}
+
+#[test]
+fn the_socket_is_its_owners_alone_and_bad_requests_cost_only_themselves() {
+    let world = World::operated(6, FILE);
+    assert_eq!(world.ask("{\"do\":\"everything\"}")["is"], "unreadable");
+    assert_eq!(world.ask("}{")["is"], "unreadable");
+    let mode = std::fs::metadata(world.folder().join("control.sock")).unwrap().permissions().mode();
+    assert_eq!(mode & 0o777, 0o600);
+    assert_eq!(world.ask(r#"{"do":"show","number":99}"#)["why"], "change 99: there is none of that number");
+    let held: Vec<_> = (0..20)
+        .map(|_| std::os::unix::net::UnixStream::connect(world.folder().join("control.sock")).unwrap())
+        .collect();
+    assert!(world.descriptors() < 40, "who connects and says nothing holds a few places at most");
+    drop(held);
+    assert_eq!(world.ask(r#"{"do":"status"}"#)["hosts"], 3);
+}
+
+#[test]
+fn log_lines_may_be_json_with_the_change_as_a_field() {
+    let world = World::operated(6, &FILE.replace("\"form\":1", "\"form\":1,\"log\":\"json\""));
+    let number = world.submit(0, 0.0, r#"{"hosts.s-2.weight":2}"#).unwrap();
+    world.logged(&format!("\"level\":\"INFO\",\"change\":{number},\"text\":\"change {number}: checked"));
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -10,6 +10,7 @@
 
 use boot::{Admission, Class, Discovery, Flag, Group, List, Semantics, WeightSource};
 use coppersail::interface as api;
+use coppersail_operator::{Known, KnownRoute};
 
 pub fn span(ns: u64) -> f64 {
     ns as f64 / 1e9
@@ -99,6 +100,21 @@
     }
 }
 
+/// What the settings name, against which an operators' file is checked.
+pub fn known(boot: &Boot) -> Known {
+    let settings = settings(boot);
+    let route = |(class, route): (&Class, &api::Route)| KnownRoute {
+        name: class.name.clone().unwrap_or_default(),
+        repeatable: route.semantics == api::Semantics::Repeatable,
+    };
+    Known {
+        routes: boot.classes.iter().zip(&settings.routes).map(route).collect(),
+        admits: settings.admission == api::Admission::Share,
+        slices: settings.slices,
+        zones: settings.zones,
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
