Judge: the minute before is what a change is compared with; its table and costs

Cause for the change: splitting the time before went over 180 periods and took 4 to 16 ms when a trial began; the last 60 are what a trial is compared with.

--- a/crates/judge/src/past.rs
+++ b/crates/judge/src/past.rs
@@ -74,10 +74,11 @@
         self.kept.iter().map(|period| &**period)
     }
 
-    /// Those of the kept that had ended when so many had.
+    /// The last of those that had ended when so many had.
     pub fn before(&self, ended: u64) -> impl Iterator<Item = &Period> {
         let later = (self.ended - ended.min(self.ended)) as usize;
-        self.kept.iter().take(self.kept.len().saturating_sub(later)).map(|period| &**period)
+        let before = self.kept.len().saturating_sub(later);
+        self.kept.range(before.saturating_sub(KEPT)..before).map(|period| &**period)
     }
 
     pub fn end(&mut self) -> std::rc::Rc<Period> {
