--- a/crates/changes/src/book.rs
+++ b/crates/changes/src/book.rs
@@ -208,10 +208,10 @@
         if self.preview(&wanted.edits).is_empty() {
             return Err(Refusal::Empty);
         }
-        let emptied = |document: &Document| pool.emptied_by(document);
-        match emptied(&self.with(&wanted.edits)) {
-            // What is bare already is not made so by this one.
-            Some(what) if emptied(&self.document).as_ref() != Some(&what) => Err(Refusal::Pool(what)),
+        // What is as bad already is not made so by this one.
+        let bad_now = pool.emptied_by(&self.document).map_or(0.0, |(much, _)| much);
+        match pool.emptied_by(&self.with(&wanted.edits)) {
+            Some((much, what)) if much > bad_now => Err(Refusal::Pool(what)),
             _ => Ok(()),
         }
     }
--- a/crates/changes/src/book_tests.rs
+++ b/crates/changes/src/book_tests.rs
@@ -12,8 +12,8 @@
 }
 
 fn pool(hosts: usize) -> Pool {
-    let host = |k| (format!("h{k}"), PoolHost { ready: true, warm: true });
-    Pool { hosts: (0..hosts).map(host).collect() }
+    let host = |k| (format!("h{k}"), PoolHost { ready: true, warm: true, carries: 10.0 });
+    Pool { hosts: (0..hosts).map(host).collect(), calls: 0.0 }
 }
 
 fn edits(fields: &[(&str, &str)]) -> Edits {
@@ -168,6 +168,14 @@
     assert_eq!(submit(&mut book, &all[..3]), Ok(()));
 }
 
+#[test_case(29.0, true ; "that can")]
+#[test_case(31.0, false ; "that cannot")]
+fn a_drain_leaves_hosts_that_carry_what_comes(calls: f64, expected: bool) {
+    let drain = wish(0, "a", &[("hosts.h0.drained", "true")]);
+    let pool = Pool { calls, ..pool(4) };
+    assert_eq!(Book::default().submit(0.0, 0.0, drain, &known(), &pool).is_ok(), expected);
+}
+
 #[test_case(Ready { baseline: true, heard: false }, Why::Unjudged ; "sums that stop")]
 fn a_trial_that_nobody_can_judge_is_undone_in_the_end(ready: Ready, why: Why) {
     let mut book = Book::default();
--- a/crates/changes/src/pool.rs
+++ b/crates/changes/src/pool.rs
@@ -3,18 +3,22 @@
 use coppersail_operator::{Document, Field, Value};
 use std::collections::{BTreeMap, BTreeSet};
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PoolHost {
     /// Listed, and neither draining nor gone.
     pub ready: bool,
     /// Old enough to carry what it carries when warm.
     pub warm: bool,
+    /// Calls a second that it is taken to carry, at the cautious end; infinite where nobody knows or asks.
+    pub carries: f64,
 }
 
 /// The hosts as the director knows them now.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Pool {
     pub hosts: BTreeMap<String, PoolHost>,
+    /// Calls a second that come; 0 where nothing was heard of them.
+    pub calls: f64,
 }
 
 impl Pool {
@@ -32,15 +36,23 @@
         open.map(|(name, _)| name.as_str()).collect()
     }
 
-    /// What the document would leave without a host, if it would. A pool that has no ready host at all is nobody's
-    /// doing.
-    pub fn emptied_by(&self, document: &Document) -> Option<String> {
+    /// What the document would leave without a host, or with too few, if it would; and how bad that is, to be compared
+    /// with how bad it is without. A pool that has no ready host at all is nobody's doing.
+    pub fn emptied_by(&self, document: &Document) -> Option<(f64, String)> {
         if self.open(&Document::new()).is_empty() {
             return None;
         }
         let open = self.open(document);
         if open.is_empty() {
-            return Some("it would leave no open, warm host to any slice".to_string());
+            return Some((f64::INFINITY, "it would leave no open, warm host to any slice".to_string()));
+        }
+        let carries: f64 = open.iter().map(|host| self.hosts[*host].carries).sum();
+        if carries < self.calls {
+            let (calls, many) = (self.calls, open.len());
+            let text = format!(
+                "it would leave {many} hosts that carry {carries:.0} calls a second, and {calls:.0} come"
+            );
+            return Some((self.calls / carries.max(1e-9), text));
         }
         let mut apart: BTreeMap<u16, usize> = BTreeMap::new();
         for field in document.keys() {
@@ -52,6 +64,6 @@
             }
         }
         let bare = apart.iter().find(|(_, many)| **many == open.len());
-        bare.map(|(slice, _)| format!("it would leave slice {slice} without an open, warm host"))
+        bare.map(|(slice, _)| (f64::MAX, format!("it would leave slice {slice} without an open, warm host")))
     }
 }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,6 +2,7 @@
 //! nobody can be asked.
 
 mod evaluate;
+mod offline;
 mod show;
 mod talk;
 
@@ -49,6 +50,24 @@
     /// Changes: submitted, looked at, confirmed, undone
     #[command(subcommand)]
     Change(Change),
+    /// Judges tables as a director's guard does: 0 accepted, 1 refused with every reason and the smallest repair found
+    Guard {
+        /// Hosts, and what they can do
+        #[arg(long)]
+        pool: PathBuf,
+        /// Slices: what is asked of them, and their lines as they stand
+        #[arg(long)]
+        tables: PathBuf,
+        /// What is to be told, call by call; without it the tables are judged as they stand
+        #[arg(long)]
+        orders: Option<PathBuf>,
+        /// What is known to happen to hosts
+        #[arg(long)]
+        pending: Option<PathBuf>,
+    },
+    /// Plans what takes several steps
+    #[command(subcommand)]
+    Plan(Plan),
     /// What is in force, what is on trial, and what the director has heard
     Status,
     /// Prints a shell's completions
@@ -58,6 +77,26 @@
     Evaluate { file: PathBuf },
 }
 
+#[derive(Subcommand)]
+enum Plan {
+    /// How many hosts at a time, in which order, and how long to wait: 0, or 1 if a step is taken by force
+    Drain {
+        #[arg(long)]
+        pool: PathBuf,
+        #[arg(long)]
+        tables: PathBuf,
+        /// Hosts to drain, with commas between them; `all` for all
+        #[arg(long, value_delimiter = ',', required = true)]
+        hosts: Vec<String>,
+        /// Seconds after which each is back, cold; without it they stay away
+        #[arg(long)]
+        back_after: Option<f64>,
+        /// At most so many at a time
+        #[arg(long)]
+        most: Option<usize>,
+    },
+}
+
 #[derive(Args)]
 struct Wanted {
     /// Sets a field: hosts.NAME.weight=0.5, hosts.NAME.drained=true, zones.NAME.weight=2, routes.NAME.ceiling=0.8,
@@ -355,6 +394,24 @@
             say(&unreadable(evaluate::evaluate(&file))?);
             Ok(())
         }
+        Command::Guard { pool, tables, orders, pending } => {
+            let told = unreadable(offline::judge(&pool, &tables, orders.as_deref(), pending.as_deref()))?;
+            say(&if json { told.json } else { told.text });
+            if told.passes {
+                Ok(())
+            } else {
+                Err(End::Refused(told.short))
+            }
+        }
+        Command::Plan(Plan::Drain { pool, tables, hosts, back_after, most }) => {
+            let told = unreadable(offline::drain(&pool, &tables, &hosts, back_after, most))?;
+            say(&if json { told.json } else { told.text });
+            if told.passes {
+                Ok(())
+            } else {
+                Err(End::Refused(told.short))
+            }
+        }
         Command::Completions { shell } => {
             clap_complete::generate(shell, &mut Cli::command(), "coppersail", &mut std::io::stdout());
             Ok(())
--- a/crates/cli/tests/cli.rs
+++ b/crates/cli/tests/cli.rs
@@ -188,3 +188,53 @@
 fn shells_are_served() {
     assert!(said(&coppersail(&["completions", "bash"])).1.contains("complete"));
 }
+
+const POOL: &str = r#"{"bounds":{"cold_from":0.2,"ramp_time":10,"fall_multiple":2.5,"carries":{"low":8,"middle":10}},
+    "hosts":{"a-1":{"zone":"a"},"a-2":{"zone":"a"},"b-1":{"zone":"b"},"b-2":{"zone":"b","age":0.5}}}"#;
+const TABLES: &str = r#"{"0":{"demand":{"confirm":4},"lines":{"a-1":1,"b-1":0.1}},
+    "1":{"demand":{"confirm":4},"lines":{"a-2":1,"b-1":0.1}}}"#;
+
+#[test_case(r#"[[{"line":{"slice":0,"host":"a-2","weight":0.1}}]]"#, 0, "accepted" ; "a line more")]
+#[test_case(r#"[[{"clear":{"slice":0}}]]"#, 1, "slice 0: no open host, once told" ; "a slice emptied")]
+#[test_case(r#"[[{"clear":{"slice":0}}]]"#, 1, "safe with:\n  slice 0 host" ; "and what would mend it")]
+#[test_case(r#"[[{"line":{"slice":0,"host":"b-2","weight":90}},{"line":{"slice":1,"host":"b-2","weight":90}}]]"#, 1, "cold host b-2" ; "a cold host pushed")]
+#[test_case(r#"[[{"line":{"slice":0,"host":"z","weight":1}}]]"#, 2, "host z: expected one of the pool" ; "a host that is not")]
+#[test_case(r#"[[{"lines":{}}]]"#, 2, "orders.json:1: unknown variant" ; "no order")]
+fn tables_are_judged_offline(orders: &str, status: i32, expected: &str) {
+    let folder = Folder::new(&format!("guard-{}-{}", orders.len(), expected.len()));
+    let files = [
+        folder.file("pool.json", POOL),
+        folder.file("tables.json", TABLES),
+        folder.file("orders.json", orders),
+    ];
+    let output = coppersail(&["guard", "--pool", &files[0], "--tables", &files[1], "--orders", &files[2]]);
+    let (code, out, err) = said(&output);
+    assert!(code == status && (out.clone() + &err).contains(expected), "{code}: {out}{err}");
+}
+
+#[test]
+fn a_pending_drain_counts_and_tables_are_judged_as_they_stand() {
+    let folder = Folder::new("pending");
+    let files = [folder.file("pool.json", POOL), folder.file("tables.json", TABLES)];
+    let orders = folder.file("orders.json", r#"[[{"line":{"slice":0,"host":"b-1","weight":0}}]]"#);
+    let pending = folder.file("pending.json", r#"[{"at":3,"host":"a-1","what":"leaves"}]"#);
+    let judge = ["guard", "--pool", &files[0], "--tables", &files[1]];
+    assert_eq!(said(&coppersail(&judge)).0, 0);
+    let with = [&judge[..], &["--orders", &orders]].concat();
+    assert_eq!(said(&coppersail(&with)).0, 0, "safe now");
+    let (code, out, _) = said(&coppersail(&[&with[..], &["--pending", &pending]].concat()));
+    assert!(code == 1 && out.contains("slice 0: no open host, at 3.0 s"), "{out}");
+}
+
+#[test]
+fn a_drain_is_planned_in_steps() {
+    let folder = Folder::new("plan");
+    let files = [folder.file("pool.json", POOL), folder.file("tables.json", TABLES)];
+    let plan = ["plan", "drain", "--pool", &files[0], "--tables", &files[1]];
+    let (code, out, err) =
+        said(&coppersail(&[&plan[..], &["--hosts", "a-1,b-1", "--back-after", "3"]].concat()));
+    assert!(code == 0 && out.contains("a-1") && out.contains("b-1") && out.contains("% full"), "{out}{err}");
+    let (code, out, _) = said(&coppersail(&[&plan[..], &["--hosts", "all"]].concat()));
+    assert!(code == 1 && out.contains("somebody must serve"), "{out}");
+    assert_eq!(said(&coppersail(&[&plan[..], &["--hosts", "q"]].concat())).0, 2);
+}
--- a/crates/director/src/counters.rs
+++ b/crates/director/src/counters.rs
@@ -69,4 +69,10 @@
     commands,
     commands_refused,
     wishes_given,
+    /// Batches of lines that the guard has judged; those that went out as less bad than what stands, that it refused, and
+    /// that it let through as it had refused them too often.
+    guard_judged,
+    guard_least_bad,
+    guard_refused,
+    guard_overruled,
 }
--- a/crates/director/src/reducer/mod.rs
+++ b/crates/director/src/reducer/mod.rs
@@ -16,9 +16,9 @@
 use crate::framing::Framed;
 use calls::{Aim, Calls, Pace, Told};
 use coppersail::interface as api;
-use coppersail::Director;
 use coppersail_changes::{Record, Version};
 use coppersail_control::{Answer, Request};
+use coppersail_guard::{Guarded, Mode};
 use coppersail_operator::{Known, Sheet};
 use coppersail_protocol::collector::{readable, Line, ALIVE};
 use coppersail_protocol::config::Config;
@@ -183,7 +183,7 @@
 }
 
 pub struct Reducer {
-    director: Director,
+    director: Guarded,
     names: Names,
     /// Slices and proxies are numbered below these; no figure for proxies: any.
     slices: u64,
@@ -213,7 +213,8 @@
 /// What stands now, as operators' changes need it.
 fn with_around<R>(reducer: &mut Reducer, act: impl FnOnce(&Around, &mut Out) -> R) -> R {
     let standing = &reducer.news.known;
-    let around = Around { names: &reducer.names, standing, calls_idle: reducer.calls.idle() };
+    let (names, calls_idle, director) = (&reducer.names, reducer.calls.idle(), &reducer.director);
+    let around = Around { names, standing, calls_idle, director };
     act(&around, &mut reducer.out)
 }
 
@@ -234,7 +235,7 @@
             slices: told.slices,
             proxies: told.proxies,
             ranges: Ranges::new(&told),
-            director: Director::new(told, config.seed),
+            director: Guarded::plain(told, config.seed),
             names: Names::new(&boot),
             may_follow,
             probe_path: if reports { LOAD } else { HEALTH },
@@ -273,7 +274,10 @@
         history: Option<Vec<Record>>,
     ) -> Result<Vec<Effect>, String> {
         let (boot, _) = checked(config)?;
-        let mut operators = Operators::new(&config.name, &settings(&boot), self.known.clone(), wall_ns);
+        let told = settings(&boot);
+        let mut operators = Operators::new(&config.name, &told, self.known.clone(), wall_ns);
+        // Nothing has been decided yet.
+        self.director = Guarded::new(told, config.seed, Mode::Off);
         // The list as remembered is all that is known of hosts yet.
         operators.heard(&self.out.inputs);
         let done = with_around(self, |around, out| operators.begin(sheet, history, around, out));
@@ -561,7 +565,13 @@
                     _ => {}
                 }
             }
+            self.director.mode(self.operators.as_ref().map_or(Mode::Off, Operators::guard));
             let orders = self.director.handle(now, &inputs);
+            let counts = self.director.counts;
+            self.out.counters.guard_judged = counts.judged;
+            self.out.counters.guard_least_bad = counts.least_bad;
+            self.out.counters.guard_refused = counts.refused;
+            self.out.counters.guard_overruled = counts.overruled;
             self.out.counters.decisions += 1;
             self.carry_out(now, orders);
         }
--- a/crates/director/src/reducer/operators.rs
+++ b/crates/director/src/reducer/operators.rs
@@ -7,8 +7,9 @@
 use coppersail::interface as api;
 use coppersail_changes::{Act, Book, Pool, PoolHost, Ready, Record, Refusal, Submission, Version};
 use coppersail_control::{Answer, Differs, Request, Status, Trial, PAGE};
+use coppersail_guard::{Guarded, Mode};
 use coppersail_judge::{Judge, Touch, TrialId};
-use coppersail_operator::{difference, Again, Field, Known, Sheet, Value};
+use coppersail_operator::{difference, Again, Field, GuardMode, Known, Sheet, Value};
 use coppersail_settings::Names;
 use std::collections::{BTreeMap, BTreeSet};
 use tracing::Level;
@@ -43,6 +44,7 @@
     pub standing: &'a Standing,
     /// No call is out or waits.
     pub calls_idle: bool,
+    pub director: &'a Guarded,
 }
 
 pub struct Operators {
@@ -119,7 +121,7 @@
         }
         out.tell(format!("operators: {} records in the history", records.len()));
         self.book = Book::recover(records)?;
-        let (pool, wall) = (self.pool(0.0, around.names), self.wall);
+        let (pool, wall) = (self.pool(0.0, around), self.wall);
         let acts = self.book.resume(0.0, wall, &pool);
         self.carry_out(0.0, acts, around, out);
         self.take_file(0.0, Ok(sheet.clone()), around, out);
@@ -172,12 +174,27 @@
         }
     }
 
-    fn pool(&self, now: f64, names: &Names) -> Pool {
+    /// How the guard stands.
+    pub fn guard(&self) -> Mode {
+        match self.book.document().get(&Field::Guard) {
+            Some(Value::Guard(GuardMode::Watch)) => Mode::Watch,
+            Some(Value::Guard(GuardMode::On)) => Mode::On,
+            _ => Mode::Off,
+        }
+    }
+
+    fn pool(&self, now: f64, around: &Around) -> Pool {
+        let guarded = (self.guard() == Mode::On).then_some(around.director.guard().pool());
+        let carries = |host: &api::HostId| {
+            let pool = guarded?;
+            Some(pool.hosts.get(host)?.unit(now, &pool.bounds) * pool.bounds.carries?.low)
+        };
         let host = |(host, listed): (&api::HostId, &Listed)| {
             let warm = listed.born.is_none_or(|born| now - born >= self.ramp_time);
-            (names.host_name(*host).to_string(), PoolHost { ready: listed.ready, warm })
+            let carries = carries(host).unwrap_or(f64::INFINITY);
+            (around.names.host_name(*host).to_string(), PoolHost { ready: listed.ready, warm, carries })
         };
-        Pool { hosts: self.listed.iter().map(host).collect() }
+        Pool { hosts: self.listed.iter().map(host).collect(), calls: around.director.asked() }
     }
 
     /// What has become due, and what the decisions are to go by if that has changed.
@@ -186,7 +203,7 @@
             let judged = self.judging();
             for (TrialId(number), found) in self.judge.close(now) {
                 if judged {
-                    let (wall, pool) = (self.wall + now, self.pool(now, around.names));
+                    let (wall, pool) = (self.wall + now, self.pool(now, around));
                     let found = self.said(&found, around.names);
                     let acts = self.book.harmful(now, wall, Version(number), found, &pool);
                     self.carry_out(now, acts, around, out);
@@ -196,7 +213,7 @@
         if !self.book.idle() && now >= self.beat_at {
             self.beat_at = now + BEAT;
             self.settle(now, around, out);
-            let (wall, pool) = (self.wall + now, self.pool(now, around.names));
+            let (wall, pool) = (self.wall + now, self.pool(now, around));
             let (baseline, judged) = (self.judge.baseline(), self.judging());
             let believed =
                 |(number, trial): &(Version, f64)| judged && self.judge.believed(TrialId(number.0), *trial);
@@ -302,7 +319,7 @@
                 Field::RouteCeiling(name) | Field::RouteAgain(name) => {
                     touch.routes.extend(around.names.route(name).ok());
                 }
-                Field::Trial | Field::Judge => {}
+                Field::Trial | Field::Judge | Field::Guard => {}
             }
         }
         let meets = |lines: &BTreeMap<api::HostId, f64>| lines.keys().any(|host| touch.hosts.contains(host));
@@ -414,7 +431,7 @@
         around: &Around,
         out: &mut Out,
     ) -> Result<Version, Refusal> {
-        let pool = self.pool(now, around.names);
+        let pool = self.pool(now, around);
         let (number, acts) = self.book.submit(now, self.wall + now, wanted, &self.known, &pool)?;
         self.carry_out(now, acts, around, out);
         Ok(number)
@@ -423,7 +440,7 @@
     /// Answers an operator's command.
     pub fn asked(&mut self, now: f64, who: ControlId, request: Request, around: &Around, out: &mut Out) {
         out.counters.commands += 1;
-        let (wall, pool) = (self.wall + now, self.pool(now, around.names));
+        let (wall, pool) = (self.wall + now, self.pool(now, around));
         let done = |acts: Vec<Act>| (Answer::Done, acts);
         let answered: Result<(Answer, Vec<Act>), Refusal> = match request {
             Request::Status => Ok((Answer::Status(Box::new(self.status(now, around))), vec![])),
--- a/crates/director/tests/director/changes.rs
+++ b/crates/director/tests/director/changes.rs
@@ -254,3 +254,74 @@
     let number = world.submit(0, 0.0, r#"{"hosts.s-2.weight":2}"#).unwrap();
     world.logged(&format!("\"level\":\"INFO\",\"change\":{number},\"text\":\"change {number}: checked"));
 }
+
+const GUARDED: &str =
+    r#"{"form":1,"guard":{"mode":"on"},"changes":{"trial":5},"control":{"socket":"DIR/control.sock"}}"#;
+
+/// What is met at each host: that many calls in a tenth of a second, and three that wait.
+fn hosts_report(collector: &mut Collector, calls: u64) {
+    for host in ["s-1", "s-2", "s-3"] {
+        let line = format!(
+            r#"{{"msg":"outcomes","az":"a","host":"{host}","n":{calls},"bad":0,"avg":40.0,"window":100.0,"report":{{"q":3.0,"lat_ms":30.0}}}}"#
+        );
+        collector.say(line.as_bytes());
+    }
+}
+
+#[test]
+fn a_drain_that_leaves_too_few_for_what_comes_is_refused_by_what_hosts_carry() {
+    let world = World::operated(6, GUARDED);
+    two_lines_each(&world);
+    // Six slices, 200 calls a second each; a host has been seen to answer 500 at most, with calls that wait.
+    let _callers = Callers::call(&world, |_, _| 0);
+    let mut collector = world.joined();
+    let end = std::time::Instant::now() + std::time::Duration::from_secs(20);
+    let both = r#"{"hosts.s-1.drained":true,"hosts.s-2.drained":true}"#;
+    let refused = loop {
+        hosts_report(&mut collector, 50);
+        let submission =
+            format!(r#"{{"base":0,"who":"op","why":"test","edits":{both},"trial":0,"draft":true}}"#);
+        let answer = world.ask(&format!(r#"{{"do":"submit","submission":{submission}}}"#));
+        if answer["is"] == "refused" {
+            break answer["why"].to_string();
+        }
+        // It takes a few reports until it is known what comes and what hosts carry.
+        assert!(std::time::Instant::now() < end, "not refused");
+        std::thread::park_timeout(std::time::Duration::from_millis(100));
+    };
+    assert!(refused.contains("calls a second") && refused.contains("come"), "{refused}");
+}
+
+#[test]
+fn a_store_that_names_bad_tables_is_judged_with_what_comes_of_it() {
+    let world = World::operated(12, GUARDED);
+    two_lines_each(&world);
+    // A store whose tables pile all on one host: what the director makes of it goes out, as it is less bad.
+    world.relay.change(|state| {
+        for slice in 0..12 {
+            state.slices.insert(slice, [("s-1".to_string(), 1.0)].into());
+        }
+        state.cut_news();
+    });
+    world.relay.wait("all slices have two lines again", |state| {
+        state.slices.values().all(|lines| lines.len() == 2).then_some(())
+    });
+    assert!(world.counter("guard_judged") > 0);
+    world.relay.change(|state| {
+        let owned = |host: &str| (0..12).filter(|slice| owner(state, *slice) == host).count();
+        assert!(owned("s-1") < 12, "the module has spread them, the guard has let it");
+    });
+}
+
+#[test]
+fn the_guard_may_be_switched_on_by_a_change_and_watched_first() {
+    let world = World::operated(6, FILE);
+    two_lines_each(&world);
+    assert_eq!(world.counter("guard_judged"), 0);
+    let watch = world.submit(0, 0.0, r#"{"guard.mode":"watch"}"#).unwrap();
+    world.staged(watch, "kept");
+    let drain = world.submit(watch, 0.0, r#"{"hosts.s-2.drained":true}"#).unwrap();
+    world.staged(drain, "kept");
+    world.counted("guard_judged", 1);
+    assert_eq!(world.counter("guard_refused"), 0, "a sound drain is nothing to refuse");
+}
--- /dev/null
+++ b/crates/guard/benches/guard.rs
@@ -0,0 +1,54 @@
+//! What judging costs: one changed line and a batch of a hundred by size of the fleet, and keeping the index against
+//! reckoning everything anew.
+
+use coppersail::interface::{HostId, Order, SliceId, ZoneId};
+use coppersail_guard::{Bounds, Estimate, Guard, Host, Loads, Pool, Table};
+use criterion::{criterion_group, criterion_main, BatchSize, Criterion};
+use std::collections::BTreeMap;
+
+fn fleet(hosts: u32, slices: u16) -> (Pool, BTreeMap<SliceId, Table>) {
+    let carries = Some(Estimate { low: 80.0, middle: 100.0 });
+    let bounds = Bounds { cold_from: 0.2, ramp_time: 10.0, fall_multiple: 2.5, carries };
+    let host = |n| (HostId(n), Host { zone: ZoneId((n % 3) as u16), ..Host::default() });
+    let table = |n: u16| {
+        let at = u32::from(n) % hosts;
+        let lines = BTreeMap::from([(HostId(at), 1.0), (HostId((at * 7 + 1) % hosts), 0.1)]);
+        (SliceId(n), Table { demand: vec![3.0, 1.0], lines })
+    };
+    (Pool { hosts: (0..hosts).map(host).collect(), bounds }, (0..slices).map(table).collect())
+}
+
+fn line(slice: u16, host: u32) -> Order {
+    Order::Line { slice: SliceId(slice), host: HostId(host), weight: 0.5 }
+}
+
+fn costs(bench: &mut Criterion) {
+    for (proxies, hosts, slices) in [(150, 30, 210), (1600, 120, 840), (10_000, 2000, 14_000)] {
+        let (pool, tables) = fleet(hosts, slices);
+        let mut guard = Guard::new(pool.clone(), &tables, 2);
+        let one = [vec![line(5, 9)]];
+        bench.bench_function(&format!("one line, {proxies} proxies, {hosts} hosts"), |run| {
+            run.iter(|| guard.judge(&one, &[], 100.0));
+        });
+        let batch = [(0..100).map(|n| line(n, (u32::from(n) + 3) % hosts)).collect::<Vec<Order>>()];
+        bench.bench_function(&format!("a batch of 100, {proxies} proxies, {hosts} hosts"), |run| {
+            run.iter(|| guard.judge(&batch, &[], 100.0));
+        });
+    }
+    for lines in [100_u16, 1000, 10_000, 50_000] {
+        let (pool, tables) = fleet((u32::from(lines) / 14).max(8), lines / 2);
+        let mut loads = Loads::of(&pool, &tables, 2);
+        bench.bench_function(&format!("a line kept up, {lines} lines"), |run| {
+            run.iter(|| {
+                loads.line(SliceId(5), HostId(3), 0.5);
+                loads.line(SliceId(5), HostId(3), 0.0);
+            });
+        });
+        bench.bench_function(&format!("all reckoned anew, {lines} lines"), |run| {
+            run.iter_batched(|| (), |()| Loads::of(&pool, &tables, 2), BatchSize::LargeInput);
+        });
+    }
+}
+
+criterion_group!(guard, costs);
+criterion_main!(guard);
--- /dev/null
+++ b/crates/guard/tests/guard.rs
@@ -0,0 +1,282 @@
+//! The hard cases one by one, and a few thousand generated ones against the oracle.
+
+#[path = "../examples/model/mod.rs"]
+mod model;
+
+use coppersail::interface::{HostId, Order, SliceId, ZoneId};
+use coppersail_guard::*;
+use model::{badness, is_unsafe, less, told, Case, World};
+use std::collections::BTreeMap;
+use test_case::test_case;
+
+const NOW: f64 = 100.0;
+
+fn id(n: u32) -> HostId {
+    HostId(n)
+}
+
+fn bounds() -> Bounds {
+    let carries = Some(Estimate { low: 8.0, middle: 10.0 });
+    Bounds { cold_from: 0.2, ramp_time: 10.0, fall_multiple: 2.5, carries }
+}
+
+/// So many warm hosts in two zones, and as many slices of four calls a second, each on its host and the next.
+fn guard(hosts: u32) -> Guard {
+    let host = |n| (id(n), Host { zone: ZoneId((n % 2) as u16), ..Host::default() });
+    let table = |n: u32| {
+        let lines = BTreeMap::from([(id(n), 1.0), (id((n + 1) % hosts), 1.0)]);
+        (SliceId(n as u16), Table { demand: vec![3.0, 1.0], lines })
+    };
+    let pool = Pool { hosts: (0..hosts).map(host).collect(), bounds: bounds() };
+    Guard::new(pool, &(0..hosts).map(table).collect(), 2)
+}
+
+fn line(slice: u16, host: u32, weight: f64) -> Order {
+    Order::Line { slice: SliceId(slice), host: id(host), weight }
+}
+
+fn refused(verdict: Verdict) -> Refused {
+    match verdict {
+        Verdict::Refused(refused) => refused,
+        verdict => panic!("{verdict:?}"),
+    }
+}
+
+fn leaves(host: u32, at: f64) -> Pending {
+    Pending { at, host: id(host), what: Change::Leaves }
+}
+
+#[test]
+fn a_slice_left_bare_is_refused_with_the_one_line_that_mends_it() {
+    let mut guard = guard(6);
+    let refused = refused(guard.judge(&[vec![Order::Clear(SliceId(2))]], &[], NOW));
+    assert_eq!(refused.reasons[0].reason, Reason::Bare { slice: SliceId(2) });
+    let repair = refused.repair.unwrap();
+    assert_eq!((repair.moves.len(), repair.left), (1, Danger::default()));
+}
+
+#[test_case(2.0, true ; "when the drain is complete in two seconds")]
+#[test_case(60.0, false ; "not when it is a minute ahead")]
+fn a_table_that_is_safe_now_is_refused_for_a_pending_drain(ahead: f64, expected: bool) {
+    let mut guard = guard(6);
+    let verdict = guard.judge(&[vec![line(0, 1, 0.0)]], &[leaves(0, NOW + ahead)], NOW);
+    assert_eq!(!verdict.passes(), expected, "{verdict:?}");
+    if expected {
+        let refused = refused(verdict);
+        assert_eq!(refused.reasons[0].when, Moment::At(NOW + ahead));
+        assert!(
+            refused.repair.unwrap().moves.iter().all(|made| made.to != id(0)),
+            "not to the one that leaves"
+        );
+    }
+}
+
+#[test]
+fn a_table_that_is_bare_now_and_safe_after_a_pending_opening_is_refused_all_the_same() {
+    let mut guard = guard(6);
+    guard.host(id(5), Host { state: State::Gone, ..Host::default() });
+    let opens = Pending { at: NOW + 2.0, host: id(5), what: Change::Opens };
+    let calls = [vec![line(0, 5, 1.0), line(0, 0, 0.0), line(0, 1, 0.0)]];
+    let refused = refused(guard.judge(&calls, &[opens], NOW));
+    assert_eq!(refused.reasons[0].when, Moment::Told);
+}
+
+#[test]
+fn a_host_is_not_given_more_than_it_carries() {
+    let mut guard = guard(6);
+    let pile: Vec<Order> = (0..6).flat_map(|n| [line(n, 3, 9.0)]).collect();
+    let refused = refused(guard.judge(&[pile], &[], NOW));
+    assert!(refused
+        .reasons
+        .iter()
+        .any(|found| matches!(found.reason, Reason::Over { host, .. } if host == id(3))));
+    assert!(refused.repair.is_some_and(|repair| repair.left == Danger::default()));
+}
+
+#[test_case(1.0, true ; "just started")]
+#[test_case(9.0, false ; "nearly warm")]
+fn a_cold_host_is_not_pushed_over(age: f64, expected: bool) {
+    let mut guard = guard(6);
+    guard.host(id(3), Host { born: Some(NOW - age), zone: ZoneId(1), ..Host::default() });
+    let calls = [vec![line(0, 3, 1.0), line(5, 3, 1.0)]];
+    let verdict = guard.judge(&calls, &[], NOW);
+    assert_eq!(!verdict.passes(), expected, "{verdict:?}");
+}
+
+#[test]
+fn what_is_unsafe_only_between_two_calls_is_refused() {
+    let mut guard = guard(6);
+    let swap = [vec![line(0, 0, 0.0), line(0, 1, 0.0)], vec![line(0, 2, 1.0), line(0, 3, 1.0)]];
+    let refused = refused(guard.judge(&swap, &[], NOW));
+    assert_eq!(refused.reasons[0].when, Moment::Between(0));
+    let [old, new] = swap;
+    assert_eq!(guard.judge(&[new, old], &[], NOW), Verdict::Accepted, "new lines before old ones go");
+}
+
+#[test]
+fn a_route_piled_on_two_hosts_is_refused_though_they_could_carry_it() {
+    let mut guard = guard(10);
+    guard.bounds().carries = None;
+    let pile: Vec<Order> = (0..10)
+        .flat_map(|n| {
+            let off = [n, (n + 1) % 10].map(|host| line(n, host.into(), 0.0));
+            [line(n, 0, 1.0), line(n, 1, 1.0)].into_iter().chain(
+                off.into_iter().filter(move |order| !matches!(order, Order::Line { host, .. } if host.0 < 2)),
+            )
+        })
+        .collect();
+    let refused = refused(guard.judge(&[pile], &[], NOW));
+    assert!(refused.reasons.iter().any(|found| matches!(found.reason, Reason::Piled { .. })));
+}
+
+#[test]
+fn with_all_hosts_young_after_a_crash_the_fleet_is_not_stopped() {
+    let mut guard = guard(6);
+    (0..6).for_each(|n| guard.host(id(n), Host { born: Some(NOW - 0.5), ..Host::default() }));
+    // One table bare, and every host too cold to take it: somebody must.
+    guard.line(SliceId(0), id(0), 0.0);
+    guard.line(SliceId(0), id(1), 0.0);
+    let verdict = guard.judge(&[vec![line(0, 4, 1.0)]], &[], NOW);
+    assert!(verdict.passes(), "{verdict:?}");
+}
+
+#[test]
+fn one_slice_hotter_than_any_host_stays_where_it_must() {
+    let mut guard = guard(6);
+    guard.demand(SliceId(0), &[60.0, 0.0]);
+    // Half of it each at two warm hosts instead of at none.
+    guard.line(SliceId(0), id(0), 0.0);
+    guard.line(SliceId(0), id(1), 0.0);
+    let verdict = guard.judge(&[vec![line(0, 0, 1.0), line(0, 1, 1.0)]], &[], NOW);
+    assert!(verdict.passes(), "{verdict:?}");
+}
+
+#[test_case(0.0 ; "none")]
+#[test_case(1e-300 ; "tiny")]
+#[test_case(1e300 ; "huge")]
+fn odd_weights_break_no_sum(weight: f64) {
+    let mut guard = guard(6);
+    let _ = guard.judge(&[vec![line(0, 0, weight), line(0, 3, weight)]], &[], NOW);
+    let _ = guard.judge(&[vec![line(0, 99, weight)]], &[], NOW);
+    assert_eq!(guard.judge(&[vec![]], &[], NOW), Verdict::Accepted);
+}
+
+#[test]
+fn hosts_listed_that_are_not_there_hold_no_slice() {
+    let mut guard = guard(6);
+    guard.host(id(7), Host { proven: false, ..Host::default() });
+    let calls = [vec![line(0, 7, 1.0), line(0, 0, 0.0), line(0, 1, 0.0)]];
+    assert!(!guard.judge(&calls, &[], NOW).passes(), "a stranger has answered nobody yet");
+}
+
+#[test]
+fn a_deploy_of_nearly_all_hosts_goes_through_in_steps_that_hold() {
+    let pool = guard(20).pool().clone();
+    let hosts = (0..19).map(id).collect();
+    let wanted = Drain { hosts, back_after: Some(3.0), most: Some(4), calls: 100.0 };
+    let steps = drain(&pool, &wanted, NOW);
+    let out: usize = steps.iter().map(|step| step.hosts.len()).sum();
+    assert_eq!(out, 19);
+    assert!(steps.iter().all(|step| step.hosts.len() <= 4 && !step.forced));
+    assert!(steps.iter().all(|step| step.fill.is_some_and(|fill| fill <= 0.85)), "{steps:?}");
+    // With nobody's word of what they carry, a fifth at a time at most.
+    let pool = Pool { bounds: Bounds { carries: None, ..pool.bounds }, ..pool };
+    let steps = drain(&pool, &Drain { most: None, ..wanted }, NOW);
+    assert!(steps.iter().all(|step| step.hosts.len() <= 4), "{steps:?}");
+}
+
+#[test]
+fn a_fleet_too_full_for_any_step_is_drained_by_force_one_by_one_but_never_empty() {
+    let pool = guard(3).pool().clone();
+    let wanted = Drain { hosts: (0..3).map(id).collect(), back_after: None, most: None, calls: 29.0 };
+    let steps = drain(&pool, &wanted, NOW);
+    assert_eq!(steps.len(), 2, "the last one stays: {steps:?}");
+    assert!(steps.iter().all(|step| step.forced && step.hosts.len() == 1));
+}
+
+#[test]
+fn generated_cases_are_judged_as_the_oracle_does() {
+    for seed in 0..4000 {
+        let case = Case::drawn(seed, 2 + (seed % 7) as usize, 1 + (seed % 9) as usize);
+        let verdict = case.guard().judge(&case.calls, &case.pending, case.now);
+        assert_eq!(verdict != Verdict::Accepted, is_unsafe(&case), "seed {seed}: {verdict:?}");
+        if let Verdict::Refused(Refused { repair: Some(repair), .. })
+        | Verdict::Least(Refused { repair: Some(repair), .. }) = &verdict
+        {
+            let mut world: World = told(&case);
+            let proposed = badness(&world.ahead(&case));
+            repair.orders().iter().for_each(|order| world.apply(order));
+            assert!(less(&badness(&world.ahead(&case)), &proposed), "seed {seed}: a repair makes it better");
+        }
+    }
+}
+
+fn abouts(found: &Refused) -> Vec<(u8, u32, u16)> {
+    found.reasons.iter().map(|found| found.reason.about()).collect()
+}
+
+#[test]
+fn sums_that_are_kept_up_stay_those_of_the_tables() {
+    let mut chance = fastrand::Rng::with_seed(7);
+    let mut kept = guard(6);
+    for _ in 0..300_000 {
+        let (slice, host) = (SliceId(chance.u16(0..6)), id(chance.u32(0..6)));
+        kept.line(slice, host, [0.0, 0.1, 1.0, 7.3][chance.usize(0..4)]);
+        kept.demand(slice, &[chance.f64() * 9.0, chance.f64()]);
+    }
+    let fresh = Loads::of(kept.pool(), kept.loads().tables(), 2);
+    for host in (0..6).map(id) {
+        let calls = |loads: &Loads| loads.brought(host).map_or(0.0, |brought| brought.calls);
+        assert!((calls(kept.loads()) - calls(&fresh)).abs() < 1e-6, "{host:?}");
+    }
+    assert_eq!(kept.loads().bare(), fresh.bare());
+}
+
+#[test]
+fn a_judgement_leaves_everything_as_it_was() {
+    for seed in 0..500 {
+        let case = Case::drawn(seed, 5, 4);
+        let mut judged = case.guard();
+        let first = judged.judge(&case.calls, &case.pending, case.now);
+        let again = judged.judge(&case.calls, &case.pending, case.now);
+        let kinds = |verdict: &Verdict| match verdict {
+            Verdict::Accepted => (0, vec![], 0),
+            Verdict::Least(found) => (1, abouts(found), found.repair.as_ref().map_or(0, |r| r.moves.len())),
+            Verdict::Refused(found) => (2, abouts(found), found.repair.as_ref().map_or(0, |r| r.moves.len())),
+        };
+        assert_eq!(kinds(&again), kinds(&first), "seed {seed}");
+        assert_eq!(judged.pool(), case.guard().pool(), "seed {seed}");
+        let lines = |guard: &Guard| guard.loads().tables().clone();
+        assert_eq!(lines(&judged), lines(&case.guard()), "seed {seed}");
+    }
+}
+
+#[test]
+fn what_hosts_carry_is_learnt_from_what_they_did() {
+    let heard = |spans: &[Span]| {
+        let mut carrying = Carrying::default();
+        (0..5).for_each(|n| {
+            spans.iter().for_each(|span| carrying.heard(id(n), NOW, Span { unit: 1.0, ..*span }))
+        });
+        carrying.estimate()
+    };
+    let span = |answered, failed, busy, waiting| Span { answered, failed, busy, waiting, unit: 1.0 };
+    let both = |low, middle| Some(Estimate { low, middle });
+    assert_eq!(heard(&[]), None);
+    assert_eq!(heard(&[span(5.0, 0.0, Some(0.5), None), span(0.1, 0.0, Some(0.01), None)]), both(10.0, 10.0));
+    assert_eq!(
+        heard(&[span(5.0, 0.0, None, Some(0.0)), span(50.0, 40.0, None, None)]),
+        both(5.0, f64::INFINITY)
+    );
+    assert_eq!(heard(&[span(5.0, 0.0, None, Some(3.0)), span(9.0, 0.0, None, Some(4.0))]), both(9.0, 9.0));
+}
+
+#[test]
+fn a_slice_of_which_nothing_was_heard_counts_as_the_average() {
+    let mut asked = Asked::new(2);
+    let slices = || [0, 1, 2].map(SliceId).into_iter();
+    assert_eq!(asked.demand(slices())[&SliceId(2)], [1.0, 0.0], "with nothing heard at all each alike");
+    asked.heard(NOW, SliceId(0), coppersail::interface::RouteId(0), 10.0, 1.0);
+    asked.heard(NOW, SliceId(1), coppersail::interface::RouteId(0), 2.0, 1.0);
+    assert_eq!(asked.demand(slices())[&SliceId(2)], [6.0, 0.0]);
+}
--- /dev/null
+++ b/crates/guard/tests/guarded.rs
@@ -0,0 +1,191 @@
+//! The decision module with the guard behind it, on fleets of chance: no circle of refusals, no slice left bare, nothing
+//! lost of what both know of the tables.
+
+use coppersail::interface::*;
+use coppersail_guard::{Guarded, Mode};
+use fastrand::Rng;
+use std::collections::BTreeMap;
+
+fn settings() -> Settings {
+    let route = |importance| Route {
+        slo_time: 1.0,
+        time_limit: 3.0,
+        importance,
+        semantics: Semantics::Repeatable,
+        mutating: false,
+        own_zone_only: false,
+    };
+    Settings {
+        me: PeerId(0),
+        directors: 1,
+        zone: None,
+        zones: vec!["a".into(), "b".into()],
+        kinds: vec!["k".into()],
+        routes: vec![route(1.0), route(5.0)],
+        list_is_pushed: true,
+        ask_within: 9.0,
+        listed_weights: false,
+        may_probe: true,
+        may_tell_peers: false,
+        cold_from: 0.2,
+        ramp_time: 10.0,
+        fall_multiple: 2.5,
+        fall_time: 2.0,
+        grace: 2.0,
+        throttled_may_have_run: false,
+        gone_is_advice: false,
+        unserved_most: 5.0,
+        slices: 24,
+        proxies: 4,
+        exclusive: false,
+        admission: Admission::Share,
+        retry_default: Retry::IfNeverRan,
+        ejects_after: 5,
+        message_overhead: 10.0,
+        lines_per_s: 60_000.0,
+        backlog_lines: 120_000.0,
+        messages_most: 0,
+        messages_span: 10.0,
+        transit: 0.3,
+        transit_most: 1.0,
+        report_interval: 1.0,
+        in_flight_most: 5.0,
+        warm_keys: true,
+    }
+}
+
+fn listing(host: u32, state: HostState, born: Option<f64>) -> Listing {
+    let (zone, cell, kind) = (ZoneId((host % 2) as u16), CellId(0), KindId(0));
+    Listing { host: HostId(host), state, born, weight: 1.0, zone, cell, kind }
+}
+
+/// What proxies hold, as told.
+#[derive(Default)]
+struct Proxies {
+    tables: BTreeMap<SliceId, BTreeMap<HostId, f64>>,
+    out: BTreeMap<HostId, bool>,
+    lines: usize,
+}
+
+impl Proxies {
+    fn take(&mut self, orders: &[Order]) {
+        for order in orders {
+            match order {
+                Order::Line { slice, host, weight } => {
+                    self.lines += 1;
+                    let table = self.tables.entry(*slice).or_default();
+                    _ = if *weight > 0.0 { table.insert(*host, *weight) } else { table.remove(host) };
+                }
+                Order::Withdraw { host, out } => _ = self.out.insert(*host, *out),
+                _ => {}
+            }
+        }
+    }
+}
+
+/// A minute of a fleet in which hosts drain, come back cold, are hot, and say odd things of their load.
+fn minute(seed: u64, mode: Mode) -> (Guarded, Proxies, Vec<u32>) {
+    let mut chance = Rng::with_seed(seed);
+    let (mut guarded, mut proxies) = (Guarded::new(settings(), seed, mode), Proxies::default());
+    let hosts = 6_u32;
+    let mut open: Vec<u32> = (0..hosts).collect();
+    let listed = open.iter().map(|host| listing(*host, HostState::Ready, None)).collect();
+    let mut first = vec![Input::Hosts { scope: ListScope::Remembered, version: 1, entries: listed }];
+    first.extend((0..4).map(|n| Input::Joined {
+        proxy: ProxyId(n),
+        zone: ZoneId(0),
+        calls_per_s: 9.0,
+        fresh: false,
+    }));
+    for slice in (0..24).map(SliceId) {
+        first.extend([
+            Input::Given(slice),
+            Input::StoredLine { slice, host: HostId(slice.0 as u32 % hosts), weight: 1.0 },
+        ]);
+        proxies.tables.insert(slice, [(HostId(slice.0 as u32 % hosts), 1.0)].into());
+    }
+    let mut inputs = first;
+    for tick in 0..600_u64 {
+        let now = tick as f64 / 10.0;
+        if tick % 10 == 0 {
+            for slice in (0..24).map(SliceId) {
+                let calls = if slice.0 == 3 { 200 } else { 2 + chance.u64(0..9) };
+                inputs.push(Input::Demand {
+                    slice,
+                    route: RouteId(slice.0 % 2),
+                    calls,
+                    dropped: 0,
+                    span: 1.0,
+                });
+            }
+            for host in (0..hosts).map(HostId) {
+                let load = Load { waiting: Some(chance.f64() * 4.0), ..Load::default() };
+                let tries = 5 + chance.u64(0..40);
+                inputs.push(Input::Tries {
+                    host,
+                    zone: ZoneId(0),
+                    span: 1.0,
+                    tries,
+                    dropped: 0,
+                    rt: 0.1,
+                    load,
+                });
+                inputs.push(Input::Probed { host, outcome: Outcome::Answered, took: 0.01, load });
+            }
+        }
+        if tick % 37 == 36 {
+            let host = chance.u32(0..hosts);
+            let back = !open.contains(&host);
+            let leaves = !back && open.len() > 2;
+            if back || leaves {
+                let state = if back { HostState::Ready } else { HostState::Draining };
+                open.retain(|open| *open != host);
+                open.extend(back.then_some(host));
+                let entries = vec![listing(host, state, back.then_some(now))];
+                inputs.push(Input::Hosts { scope: ListScope::Changes, version: 2 + tick, entries });
+            }
+        }
+        let orders = guarded.handle(now, &inputs);
+        proxies.take(&orders);
+        let marks = orders.iter().filter_map(|order| match order {
+            Order::Mark { mark, .. } => Some(*mark),
+            _ => None,
+        });
+        let marks: Vec<MarkId> = marks.collect();
+        inputs = vec![Input::Wake(WakeId(1))];
+        for proxy in (0..4).map(ProxyId) {
+            inputs.extend(marks.iter().map(|mark| Input::Applied { proxy, mark: *mark, took: 0.1 }));
+        }
+    }
+    (guarded, proxies, open)
+}
+
+#[test]
+fn refusals_never_go_round_in_a_circle_and_no_slice_is_left_bare() {
+    for seed in 0..60 {
+        let (guarded, proxies, open) = minute(seed, Mode::On);
+        let counts = guarded.counts;
+        // A slice may be refused three times in ten seconds: 24 slices for a minute, far below one a tick.
+        assert!(counts.refused <= 300, "seed {seed}: {counts:?}");
+        assert!(counts.judged <= 2000, "seed {seed}: {counts:?}");
+        assert!(proxies.lines <= 6000, "seed {seed}: {} lines", proxies.lines);
+        for (slice, table) in &proxies.tables {
+            let serves = |host: &HostId| open.contains(&host.0) && proxies.out.get(host) != Some(&true);
+            assert!(table.keys().any(serves), "seed {seed}: {slice:?} has {table:?}, open are {open:?}");
+        }
+        let known = guarded.guard().loads().tables();
+        for (slice, table) in &proxies.tables {
+            assert_eq!(&known[slice].lines, table, "seed {seed}: the guard knows what proxies hold");
+        }
+    }
+}
+
+#[test]
+fn watching_changes_nothing() {
+    for seed in 0..10 {
+        let watched = minute(seed, Mode::Watch);
+        let alone = minute(seed, Mode::Off);
+        assert_eq!(watched.1.tables, alone.1.tables, "seed {seed}");
+        assert_eq!(watched.1.lines, alone.1.lines, "seed {seed}");
+    }
+}
--- a/crates/operator/src/field.rs
+++ b/crates/operator/src/field.rs
@@ -29,6 +29,23 @@
     Trial,
     /// Whether a change on trial is judged by the service that callers get.
     Judge,
+    /// Whether tables that are not safe are kept from the proxies.
+    Guard,
+}
+
+/// What the guard does with a table that is not safe.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum GuardMode {
+    Off,
+    /// It says so in the log, and lets it go.
+    Watch,
+    On,
+}
+
+impl GuardMode {
+    pub const NAMES: [(&'static str, GuardMode); 3] =
+        [("off", GuardMode::Off), ("watch", GuardMode::Watch), ("on", GuardMode::On)];
 }
 
 /// When proxies try again, from least to most.
@@ -63,6 +80,15 @@
     Flag(bool),
     Number(f64),
     Again(Again),
+    Guard(GuardMode),
+}
+
+/// What a word stands for, if it is one of those that fields have.
+pub(crate) fn word(text: &str) -> Option<Value> {
+    let again = Again::NAMES.iter().find(|(name, _)| *name == text).map(|(_, again)| Value::Again(*again));
+    let guard =
+        || GuardMode::NAMES.iter().find(|(name, _)| *name == text).map(|(_, mode)| Value::Guard(*mode));
+    again.or_else(guard)
 }
 
 impl fmt::Display for Value {
@@ -71,6 +97,10 @@
             Value::Flag(flag) => write!(out, "{flag}"),
             Value::Number(number) => write!(out, "{number}"),
             Value::Again(again) => write!(out, "{again}"),
+            Value::Guard(guard) => {
+                let name = GuardMode::NAMES.iter().find(|(_, mode)| mode == guard);
+                out.write_str(name.map_or("", |(name, _)| name))
+            }
         }
     }
 }
@@ -101,6 +131,7 @@
             Field::RouteCeiling(_) => "a share from 0 to 1",
             Field::RouteAgain(_) => "one of never, if-never-ran, once, twice",
             Field::Trial => "seconds from 5 to 3600",
+            Field::Guard => "one of off, watch, on",
         }
     }
 
@@ -112,7 +143,7 @@
             (Field::Trial, Value::Number(n)) => (5.0..=3600.0).contains(n),
             (Field::Apart(..), Value::Flag(apart)) => *apart,
             (Field::HostDrained(_) | Field::Judge, Value::Flag(_)) => true,
-            (Field::RouteAgain(_), Value::Again(_)) => true,
+            (Field::RouteAgain(_), Value::Again(_)) | (Field::Guard, Value::Guard(_)) => true,
             _ => false,
         }
     }
@@ -123,8 +154,8 @@
             "null" => return Ok(None),
             "true" => Value::Flag(true),
             "false" => Value::Flag(false),
-            text => match Again::NAMES.iter().find(|(name, _)| *name == text) {
-                Some((_, again)) => Value::Again(*again),
+            text => match word(text) {
+                Some(value) => value,
                 None => Value::Number(text.parse().map_err(|_| self.expected().to_string())?),
             },
         };
@@ -147,6 +178,7 @@
             Field::Apart(slice, host) => write!(out, "apart.{slice}.{host}"),
             Field::Trial => out.write_str("changes.trial"),
             Field::Judge => out.write_str("changes.judge"),
+            Field::Guard => out.write_str("guard.mode"),
         }
     }
 }
@@ -165,13 +197,14 @@
         let unknown = || {
             format!(
                 "field {path}: expected hosts.NAME.weight, hosts.NAME.drained, zones.NAME.weight, \
-                 routes.NAME.ceiling, routes.NAME.again, apart.SLICE.HOST, changes.trial or changes.judge"
+                 routes.NAME.ceiling, routes.NAME.again, apart.SLICE.HOST, changes.trial, changes.judge or guard.mode"
             )
         };
         let (part, rest) = path.split_once('.').ok_or_else(unknown)?;
         match (part, rest) {
             ("changes", "trial") => return Ok(Field::Trial),
             ("changes", "judge") => return Ok(Field::Judge),
+            ("guard", "mode") => return Ok(Field::Guard),
             _ => {}
         }
         let sound = |name: &str| !name.is_empty() && name.len() <= NAME_MOST;
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -6,7 +6,7 @@
 mod sheet;
 mod tree;
 
-pub use field::{Again, Document, Edits, Field, Value, FIELDS_MOST};
+pub use field::{Again, Document, Edits, Field, GuardMode, Value, FIELDS_MOST};
 pub use locate::line_of;
 pub use sheet::{checked_edit, difference, sheet, Known, KnownRoute, LogForm, Sheet, Start};
 pub use tree::Tree;
--- a/crates/operator/src/sheet.rs
+++ b/crates/operator/src/sheet.rs
@@ -1,6 +1,6 @@
 //! The whole file: read to its end whatever is wrong with it, so that every fault is told in one run.
 
-use crate::field::{Again, Document, Edits, Field, Value, FIELDS_MOST};
+use crate::field::{word, Again, Document, Edits, Field, Value, FIELDS_MOST};
 use crate::locate::line_of;
 use crate::tree::Tree;
 use crate::Fault;
@@ -115,9 +115,7 @@
             Tree::Null => return,
             Tree::Flag(flag) => Some(Value::Flag(*flag)),
             Tree::Number(number) => Some(Value::Number(*number)),
-            Tree::Text(text) => {
-                Again::NAMES.iter().find(|(name, _)| name == text).map(|(_, again)| Value::Again(*again))
-            }
+            Tree::Text(text) => word(text),
             _ => None,
         };
         let Some(value) = read.filter(|value| field.fits(value)) else {
@@ -194,6 +192,14 @@
                     }
                 }
             }
+            "guard" => {
+                for (name, value) in self.object(&["guard"], tree) {
+                    match name.as_str() {
+                        "mode" => self.set(&["guard", name], Field::Guard, value),
+                        _ => self.fault(&["guard", name], "mode"),
+                    }
+                }
+            }
             "control" => {
                 for (name, value) in self.object(&["control"], tree) {
                     match name.as_str() {
@@ -209,7 +215,9 @@
                 Tree::Text(form) if form == "json" => self.sheet.start.log = LogForm::Json,
                 _ => self.fault(&["log"], "text or json"),
             },
-            _ => self.fault(&[name], "one of form, hosts, zones, routes, apart, changes, control, log"),
+            _ => {
+                self.fault(&[name], "one of form, hosts, zones, routes, apart, changes, guard, control, log")
+            }
         }
     }
 }
--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -3,7 +3,7 @@
 
 use crate::names::{scope_of, Names};
 use coppersail::interface::{Input, Listing};
-use coppersail::Director;
+use coppersail_guard::{Guarded, Mode};
 use coppersail_settings::{settings, Clock};
 use coppersail_wire::{Batch, Event, Fault, Order, Text};
 use std::collections::BTreeMap;
@@ -11,7 +11,7 @@
 
 struct Instance {
     names: Names,
-    director: Director,
+    director: Guarded,
     /// What came for it in this batch; none: no event, so it does not act.
     inputs: Option<Vec<Input>>,
 }
@@ -19,6 +19,8 @@
 #[derive(Default)]
 pub struct Fleet {
     instances: BTreeMap<u64, Instance>,
+    /// What stands between the decisions and the wire.
+    guard: Mode,
 }
 
 fn fault(line: u64, message: &str, field: &str, expected: String) -> Fault {
@@ -26,6 +28,10 @@
 }
 
 impl Fleet {
+    pub fn guarded(guard: Mode) -> Self {
+        Fleet { instances: BTreeMap::new(), guard }
+    }
+
     /// Carries out one batch: the orders of all instances, and what was wrong with its lines.
     pub fn batch(&mut self, batch: Batch) -> (Vec<Order>, Vec<Fault>) {
         let mut faults = batch.faults;
@@ -64,7 +70,10 @@
         };
         if let Event::Configure { seed, boot, .. } = event {
             let clock = Clock::starting(clock_ns);
-            let director = Director::new(settings(boot), *seed);
+            let director = match self.guard {
+                Mode::Off => Guarded::plain(settings(boot), *seed),
+                mode => Guarded::new(settings(boot), *seed, mode),
+            };
             let instance = Instance { names: Names::new(boot, clock), director, inputs: Some(Vec::new()) };
             self.instances.insert(who, instance);
             return Ok(());
--- a/crates/wirehost/src/main.rs
+++ b/crates/wirehost/src/main.rs
@@ -3,6 +3,7 @@
 mod host;
 mod names;
 
+use coppersail_guard::Mode;
 use coppersail_wire::{write_reply, Fault, Reader};
 use std::io::{self, Write};
 
@@ -15,7 +16,16 @@
 fn main() -> io::Result<()> {
     let mut input = Reader::new(io::BufReader::with_capacity(1 << 16, io::stdin().lock()));
     let mut output = io::stdout().lock();
-    let mut fleet = host::Fleet::default();
+    let guard = match std::env::args().nth(1).as_deref() {
+        None => Mode::Off,
+        Some("--guard=watch") => Mode::Watch,
+        Some("--guard=on") => Mode::On,
+        Some(_) => {
+            eprintln!("coppersail-wirehost: expected --guard=watch, --guard=on or nothing");
+            std::process::exit(2);
+        }
+    };
+    let mut fleet = host::Fleet::guarded(guard);
     let mut reply = String::new();
     while let Some(batch) = input.next_batch()? {
         match batch {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -167,6 +167,12 @@
         bytes: Vec<u8>,
     },
     Wake(WakeId),
+    /// The guard has refused lines of the slice, which went to the host if one is named. So these still stand.
+    Refused {
+        slice: SliceId,
+        host: Option<HostId>,
+        lines: BTreeMap<HostId, f64>,
+    },
     /// What operators want over what would be decided; all of it, each time.
     Wishes(Wishes),
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -165,6 +165,10 @@
             Note::In(Input::Joined { .. }) => self.again = true,
             // Weights set by hand must show: balancing goes on until the gap is under 2, not past 8 only.
             Note::In(Input::Wishes(wishes)) => (self.wishes, self.balancing) = (wishes, true),
+            Note::In(Input::Refused { slice, host, lines }) => {
+                self.refused.extend(host.map(|host| ((slice, host), now)));
+                self.slices.entry(slice).and_modify(|slice| (slice.lines, slice.owner) = (lines, None));
+            }
             Note::In(Input::Taken(id)) => drop(self.slices.remove(&id)),
             Note::In(Input::StoredLine { slice, host, weight }) => {
                 self.slices.entry(slice).and_modify(|slice| add(&mut slice.lines, Some(host), weight));
@@ -200,6 +204,8 @@
             v.ready && v.proven && !v.suspect && v.ramp >= 1.0 && !self.wishes.drained.contains(host)
         };
         self.alone = !self.views.iter().any(other);
+        // Five seconds: by then sums tell of what was told since, and what a host has room for is another matter.
+        self.refused.retain(|_, at| now - *at < 5.0);
         self.suspects(now, post);
         self.lay(f, post);
         self.rescue(now, f);
@@ -233,9 +239,9 @@
         !self.alone && self.wishes.drained.contains(&host)
     }
 
-    /// A slice is kept away from a host by hand, as long as another warm one could have it.
+    /// A slice is kept away from a host by hand or by the guard, as long as another warm one could have it.
     fn apart(&self, id: SliceId, host: HostId) -> bool {
-        let apart = |host: HostId| self.wishes.apart.contains(&(id, host));
+        let apart = |h: HostId| self.wishes.apart.contains(&(id, h)) || self.refused.contains_key(&(id, h));
         apart(host) && self.open().into_iter().any(|host| !apart(host) && self.views[&host].ramp >= 1.0)
     }
 
@@ -638,6 +644,9 @@
             Note::Tell(Order::Withdraw { host, out: false }) if self.shuts.get(&host) == Some(&true) => {}
             Note::Tell(Order::Withdraw { host, out }) => self.shut(host, out),
             Note::Tell(order) => self.levels.push(order),
+            Note::In(Input::Refused { slice, lines, .. }) => {
+                _ = (self.wanted.remove(&slice), self.told.insert(slice, lines));
+            }
             Note::In(Input::Taken(id) | Input::Given(id)) => {
                 _ = (self.wanted.remove(&id), self.told.remove(&id))
             }
--- a/src/state.rs
+++ b/src/state.rs
@@ -78,6 +78,8 @@
     /// What operators set; while nobody else could serve, no host counts as drained by them.
     pub wishes: Wishes,
     pub alone: bool,
+    /// Where the guard has refused a slice's lines, and when.
+    pub refused: BTreeMap<(SliceId, HostId), f64>,
 }
 
 impl Tables {
