--- /dev/null
+++ b/crates/lab/scenarios/zone-cut.jsonnet
@@ -0,0 +1,1 @@
+{ seconds: 50, faults: [{ at: 12, 'for': 15, what: { cut: { zone: 1 } } }] }
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,14 @@
+//! A world of hosts, proxies, clients, relay, list and collectors, in simulated time and by seed, around the decision
+//! module or another policy; what is measured in it, kept, compared and shrunk. What is modelled how: `docs/lab.md`.
+
+pub mod experiment;
+pub mod kept;
+pub mod measure;
+pub mod policy;
+pub mod rules;
+pub mod scenario;
+pub mod stats;
+pub mod world;
+
+pub use scenario::Scenario;
+pub use world::World;
--- /dev/null
+++ b/crates/lab/src/main.rs
@@ -0,0 +1,214 @@
+//! `coppersail-lab`: plays scenarios, compares, shrinks, hunts, reports. Exit status: 0 done, 1 a check failed, 2 what was
+//! given cannot be read or kept.
+
+use clap::{Parser, Subcommand};
+use coppersail_lab::experiment::{compared, grid, hunt, play, shrunk, table};
+use coppersail_lab::policy::Kind;
+use coppersail_lab::{kept, Scenario};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::time::Instant;
+
+#[derive(Parser)]
+#[command(
+    name = "coppersail-lab",
+    version,
+    about = "Plays a fleet in simulated time and measures what tables do to it"
+)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Plays one scenario, and says what came of it
+    Run {
+        scenario: PathBuf,
+        #[arg(long, default_value = "module")]
+        policy: String,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Keeps everything in this folder, with charts and a page
+        #[arg(long)]
+        out: Option<PathBuf>,
+    },
+    /// Plays every scenario with every policy on many seeds, on all cores; goes on where it was if FILE has results
+    Grid {
+        #[arg(required = true)]
+        scenarios: Vec<PathBuf>,
+        #[arg(long, value_delimiter = ',', default_value = "module")]
+        policies: Vec<String>,
+        #[arg(long, default_value_t = 8)]
+        seeds: u64,
+        #[arg(long)]
+        results: Option<PathBuf>,
+        #[arg(long)]
+        threads: Option<usize>,
+    },
+    /// Compares two policies on the same seeds, with 95% intervals
+    Compare {
+        scenario: PathBuf,
+        a: String,
+        b: String,
+        #[arg(long, default_value_t = 12)]
+        seeds: u64,
+    },
+    /// The smallest part of a scenario's timeline on which it still fails its checks
+    Shrink {
+        scenario: PathBuf,
+        #[arg(long, default_value = "module")]
+        policy: String,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
+    /// Looks for the day on which a policy is furthest behind the one that sees the true state, or breaks most rules
+    Hunt {
+        scenario: PathBuf,
+        #[arg(long, default_value = "module")]
+        policy: String,
+        #[arg(long, default_value_t = 40)]
+        plays: usize,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        #[arg(long)]
+        rules: bool,
+    },
+    /// Makes the page of a kept play anew
+    Report { folder: PathBuf },
+    /// Plays every scenario of a folder once and holds each to its checks
+    Check {
+        folder: PathBuf,
+        #[arg(long, default_value = "module")]
+        policy: String,
+    },
+}
+
+/// Files of a folder, by name.
+fn files(folder: &Path) -> Result<Vec<PathBuf>, String> {
+    let entries = std::fs::read_dir(folder).map_err(|wrong| format!("{}: {wrong}", folder.display()))?;
+    let mut found: Vec<PathBuf> = entries
+        .filter_map(|entry| Some(entry.ok()?.path()))
+        .filter(|path| path.extension().is_some_and(|ending| ending == "jsonnet" || ending == "json"))
+        .collect();
+    found.sort();
+    Ok(found)
+}
+
+fn cores() -> usize {
+    std::thread::available_parallelism().map_or(1, |many| many.get())
+}
+
+/// True: all checks hold.
+fn run(cli: Cli) -> Result<bool, String> {
+    match cli.command {
+        Command::Run { scenario, policy, seed, out } => {
+            let (scenario, kind) = (Scenario::read(&scenario)?, Kind::named(&policy)?);
+            let begun = Instant::now();
+            let (outcome, world) = play(&scenario, kind, seed);
+            let took = begun.elapsed().as_secs_f64();
+            println!("{}", table(std::slice::from_ref(&outcome)));
+            for broken in &world.rules.broken {
+                println!("{:.2} s: rule {}: {}", broken.at, broken.rule, broken.what);
+            }
+            let events = outcome.events as f64;
+            println!(
+                "{} calls, {events:.0} events in {took:.2} s: {:.2} million a second",
+                outcome.calls,
+                events / took / 1e6
+            );
+            if let Some(out) = out {
+                kept::keep(&out, &world, &outcome)?;
+                println!("kept in {}", out.display());
+            }
+            match outcome.failed(&scenario) {
+                Some(why) => println!("failed: {why}"),
+                None => return Ok(true),
+            }
+            Ok(false)
+        }
+        Command::Grid { scenarios, policies, seeds, results, threads } => {
+            let scenarios: Vec<Scenario> =
+                scenarios.iter().map(|path| Scenario::read(path)).collect::<Result<_, _>>()?;
+            let kinds: Vec<Kind> = policies.iter().map(|name| Kind::named(name)).collect::<Result<_, _>>()?;
+            let progress = |done: usize, all: usize| eprint!("\r{done} of {all} ");
+            let outcomes = grid(
+                &scenarios,
+                &kinds,
+                1..1 + seeds,
+                threads.unwrap_or(cores()),
+                results.as_deref(),
+                &progress,
+            )?;
+            eprintln!();
+            println!("{}", table(&outcomes));
+            Ok(true)
+        }
+        Command::Compare { scenario, a, b, seeds } => {
+            let (scenario, kinds) = (Scenario::read(&scenario)?, [Kind::named(&a)?, Kind::named(&b)?]);
+            let outcomes =
+                grid(std::slice::from_ref(&scenario), &kinds, 1..1 + seeds, cores(), None, &|_, _| {})?;
+            println!("{}", table(&outcomes));
+            let (service, worst) = compared(&outcomes, &scenario.name, kinds[0], kinds[1]);
+            println!(
+                "{b} against {a}, {seeds} seeds: service {:+.4} ±{:.4}, worst ten seconds {:+.4} ±{:.4}",
+                service.0, service.1, worst.0, worst.1
+            );
+            Ok(true)
+        }
+        Command::Shrink { scenario, policy, seed } => {
+            let (scenario, kind) = (Scenario::read(&scenario)?, Kind::named(&policy)?);
+            let fails = |scenario: &Scenario| play(scenario, kind, seed).0.failed(scenario).is_some();
+            if !fails(&scenario) {
+                println!("it does not fail its checks with this seed");
+                return Ok(true);
+            }
+            let small = shrunk(&scenario, &fails);
+            println!("{}", serde_json::to_string_pretty(&small).map_err(|wrong| wrong.to_string())?);
+            Ok(false)
+        }
+        Command::Hunt { scenario, policy, plays, seed, rules } => {
+            let (scenario, kind) = (Scenario::read(&scenario)?, Kind::named(&policy)?);
+            let (worst, score) = hunt(&scenario, kind, plays, seed, rules);
+            println!("{}", serde_json::to_string_pretty(&worst).map_err(|wrong| wrong.to_string())?);
+            eprintln!(
+                "{}: {score:.3}",
+                if rules { "breaks of rules" } else { "service behind the true state" }
+            );
+            Ok(!(rules && score > 0.0))
+        }
+        Command::Report { folder } => {
+            let failed = |wrong: std::io::Error| format!("{}: {wrong}", folder.display());
+            let page = kept::page(&folder).map_err(failed)?;
+            std::fs::write(folder.join("report.html"), page).map_err(failed)?;
+            println!("{}", folder.join("report.html").display());
+            Ok(true)
+        }
+        Command::Check { folder, policy } => {
+            let kind = Kind::named(&policy)?;
+            let scenarios: Vec<Scenario> =
+                files(&folder)?.iter().map(|path| Scenario::read(path)).collect::<Result<_, _>>()?;
+            let outcomes = grid(&scenarios, &[kind], 1..2, cores(), None, &|_, _| {})?;
+            println!("{}", table(&outcomes));
+            let mut sound = true;
+            for (scenario, outcome) in scenarios.iter().zip(&outcomes) {
+                if let Some(why) = outcome.failed(scenario) {
+                    println!("failed: {}: {why}", scenario.name);
+                    sound = false;
+                }
+            }
+            Ok(sound)
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    match run(Cli::parse()) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(1),
+        Err(wrong) => {
+            eprintln!("coppersail-lab: {wrong}");
+            ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/tests/scenarios.rs
@@ -0,0 +1,136 @@
+//! A dozen scenarios of the library in simulated time, held to their checks; and what is kept of plays.
+
+use coppersail_lab::experiment::{compared, grid, play, shrunk};
+use coppersail_lab::policy::Kind;
+use coppersail_lab::scenario::{Fault, Scenario, What};
+use coppersail_lab::{kept, World};
+use std::path::{Path, PathBuf};
+use test_case::test_case;
+
+fn scenario(name: &str) -> Scenario {
+    let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("scenarios").join(format!("{name}.jsonnet"));
+    Scenario::read(&file).unwrap()
+}
+
+fn folder(name: &str) -> PathBuf {
+    let folder = std::env::temp_dir().join(format!("coppersail-lab-{}-{name}", std::process::id()));
+    let _ = std::fs::remove_dir_all(&folder);
+    std::fs::create_dir_all(&folder).unwrap();
+    folder
+}
+
+#[test_case("calm")]
+#[test_case("kill-quarter")]
+#[test_case("hang")]
+#[test_case("zone-lost")]
+#[test_case("zone-cut")]
+#[test_case("roll")]
+#[test_case("list-late")]
+#[test_case("store-down")]
+#[test_case("director-killed")]
+#[test_case("reports-lost")]
+#[test_case("hot-slices")]
+#[test_case("slow-channel")]
+fn the_module_keeps_the_rules_and_serves(name: &str) {
+    let scenario = scenario(name);
+    let (outcome, world) = play(&scenario, Kind::Module, 1);
+    assert_eq!(outcome.failed(&scenario), None, "{:?}", world.rules.broken);
+}
+
+#[test]
+fn every_scenario_of_the_library_can_be_read() {
+    let library = std::fs::read_dir(Path::new(env!("CARGO_MANIFEST_DIR")).join("scenarios")).unwrap();
+    let read: Vec<Scenario> = library.map(|file| Scenario::read(&file.unwrap().path()).unwrap()).collect();
+    assert!(read.len() >= 25, "{}", read.len());
+}
+
+#[test_case(r#"{"fleet":{"hosts":0}}"#, "expected some of each" ; "a fleet of none")]
+#[test_case(r#"{"faults":[{"at":1,"for":2,"what":{"cut":{"zone":9}}}]}"#, "that there are" ; "a zone that is not")]
+#[test_case(r#"{"secs":5}"#, "unknown field" ; "a field that is not")]
+#[test_case(r#"{"seconds":0}"#, "more than 0" ; "no time at all")]
+fn a_scenario_that_cannot_be_played_is_told(text: &str, expected: &str) {
+    let file = folder("unsound").join(format!("{}.json", text.len()));
+    std::fs::write(&file, text).unwrap();
+    let wrong = Scenario::read(&file).unwrap_err();
+    assert!(wrong.contains(expected) && wrong.contains(&file.display().to_string()), "{wrong}");
+}
+
+fn short(name: &str) -> Scenario {
+    let mut scenario = Scenario { name: name.into(), seconds: 8.0, ..Scenario::default() };
+    (scenario.fleet.hosts, scenario.fleet.slices, scenario.fleet.cores) = (4, 12, 2);
+    scenario
+}
+
+#[test]
+fn a_grid_that_was_killed_and_goes_on_gives_the_same_table() {
+    let (scenarios, kinds) = ([short("a"), short("b")], [Kind::Module, Kind::Even]);
+    let whole = grid(&scenarios, &kinds, 1..4, 2, None, &|_, _| {}).unwrap();
+    let file = folder("grid").join("results");
+    grid(&scenarios[..1], &kinds, 1..3, 2, Some(&file), &|_, _| {}).unwrap();
+    // Killed in the middle of a line.
+    let text = std::fs::read_to_string(&file).unwrap();
+    std::fs::write(&file, &text[..text.len() - 40]).unwrap();
+    let again = grid(&scenarios, &kinds, 1..4, 2, Some(&file), &|_, _| {}).unwrap();
+    assert_eq!(again, whole);
+    let mut played = std::sync::atomic::AtomicUsize::new(0);
+    grid(&scenarios, &kinds, 1..4, 2, Some(&file), &|_, _| {
+        played.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+    })
+    .unwrap();
+    assert_eq!(*played.get_mut(), 0, "nothing is played twice");
+}
+
+#[test]
+fn results_that_cannot_be_written_are_told_and_what_stood_stands() {
+    let file = Path::new("/dev/full");
+    if file.exists() {
+        let wrong = grid(&[short("a")], &[Kind::Even], 1..3, 1, Some(file), &|_, _| {}).unwrap_err();
+        assert!(wrong.starts_with("results:"), "{wrong}");
+    }
+    let here = folder("kept").join("play");
+    let (outcome, world) = play(&short("a"), Kind::Module, 1);
+    kept::keep(&here, &world, &outcome).unwrap();
+    for name in ["manifest.json", "seconds.csv", "table.md", "service.svg", "heat.svg", "report.html"] {
+        assert!(std::fs::metadata(here.join(name)).unwrap().len() > 100, "{name}");
+    }
+    // The folder's place is taken by a file: nothing half is left.
+    let taken = folder("taken").join("play");
+    std::fs::write(taken.with_file_name("play.new"), "").unwrap();
+    assert!(kept::keep(&taken, &world, &outcome).is_err());
+    assert!(!taken.exists());
+}
+
+#[test]
+fn a_timeline_shrinks_to_the_trouble_that_counts() {
+    let fault = |at, what| Fault { at, lasts: 2.0, what };
+    let mut scenario = short("long");
+    scenario.seconds = 20.0;
+    scenario.faults = vec![
+        fault(1.0, What::ListLate { by: 1.0 }),
+        fault(4.0, What::Hang { share: 1.0 }),
+        fault(9.0, What::ReportsLost { share: 0.5 }),
+    ];
+    let fails = |scenario: &Scenario| play(scenario, Kind::Even, 1).0.worst < 0.9;
+    assert!(fails(&scenario));
+    let small = shrunk(&scenario, &fails);
+    assert_eq!(small.faults.len(), 1);
+    assert!(matches!(small.faults[0].what, What::Hang { .. }) && small.seconds < 20.0, "{small:?}");
+}
+
+#[test]
+fn who_sees_the_true_state_serves_no_worse_and_pairs_tell_by_how_much() {
+    let scenario = scenario("slow");
+    let kinds = [Kind::Module, Kind::TrueState];
+    let outcomes = grid(std::slice::from_ref(&scenario), &kinds, 1..5, 4, None, &|_, _| {}).unwrap();
+    let ((service, half), _) = compared(&outcomes, &scenario.name, kinds[0], kinds[1]);
+    assert!(service > -half.max(0.02), "{service} ±{half}");
+}
+
+#[test]
+fn a_large_world_is_made_and_moves() {
+    let mut scenario = Scenario { seconds: 0.3, ..Scenario::default() };
+    let fleet = &mut scenario.fleet;
+    (fleet.hosts, fleet.proxies, fleet.slices, fleet.directors) = (500, 2000, 3500, 5);
+    let world = World::new(&scenario, Kind::BoundedHashing, 1).run();
+    assert!(world.measured.events > 10_000, "{}", world.measured.events);
+}
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -196,7 +196,7 @@
             (0..4).for_each(|_| self.share());
         }
         // A fifth of a second gathers the lines that follow a slice given.
-        if now - self.given_at < 0.2 || !self.views.values().any(|v| v.ready) {
+        if now - self.given_at < 0.2 {
             return;
         }
         // Rule 1 comes before a wish: while no other warm host is open, those drained by hand serve.
@@ -206,7 +206,11 @@
         self.alone = !self.views.iter().any(other);
         // Five seconds: by then sums tell of what was told since, and what a host has room for is another matter.
         self.refused.retain(|_, at| now - *at < 5.0);
+        // Also with nobody left: the third rule binds whatever tables proxies hold.
         self.suspects(now, post);
+        if !self.views.values().any(|v| v.ready) {
+            return;
+        }
         self.lay(f, post);
         self.rescue(now, f);
         // One slice in half a second: caches warm up between moves and the channel stays free.
--- a/src/logic_tests.rs
+++ b/src/logic_tests.rs
@@ -860,3 +860,15 @@
     assert!(open || held(&tables, 0) == 0.0, "one that drains stays out");
     assert_eq!(tables.slices[&SliceId(0)].home, None, "either way it is at home where it is");
 }
+
+#[test]
+fn hosts_are_shut_out_also_when_the_list_has_none_ready() {
+    let mut tables = tables(&[2, 2]);
+    tables.tick(1.0, &figures(), &mut Post::default());
+    tables.views.values_mut().for_each(|view| view.ready = false);
+    let mut post = Post::default();
+    tables.tick(2.0, &figures(), &mut post);
+    let out = |note: &Note| matches!(note, Note::Tell(Order::Withdraw { out: true, .. }));
+    let many = std::iter::from_fn(|| post.collect()).flat_map(|(_, notes)| notes).filter(out).count();
+    assert_eq!(many, 2, "the third rule binds whatever tables proxies hold");
+}
