Lab: cases that run side by side have folders of their own

Seen: one of four cases found its scenario's folder taken away by another, as all made and cleared one of the same name. Each has its own now.

--- a/crates/lab/tests/scenarios.rs
+++ b/crates/lab/tests/scenarios.rs
@@ -49,7 +49,7 @@
 #[test_case(r#"{"secs":5}"#, "unknown field" ; "a field that is not")]
 #[test_case(r#"{"seconds":0}"#, "more than 0" ; "no time at all")]
 fn a_scenario_that_cannot_be_played_is_told(text: &str, expected: &str) {
-    let file = folder("unsound").join(format!("{}.json", text.len()));
+    let file = folder(&format!("unsound-{}", text.len())).join("scenario.json");
     std::fs::write(&file, text).unwrap();
     let wrong = Scenario::read(&file).unwrap_err();
     assert!(wrong.contains(expected) && wrong.contains(&file.display().to_string()), "{wrong}");
