--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -30,6 +30,10 @@
     pub lines: f64,
 }
 
+fn rounded(share: f64) -> f64 {
+    (share * 1e6).round() / 1e6
+}
+
 impl Outcome {
     pub fn of(world: &World, kind: Kind, seed: u64) -> Outcome {
         let measured = &world.measured;
@@ -37,9 +41,10 @@
             scenario: world.scenario.name.clone(),
             policy: kind,
             seed,
-            service: measured.service(),
-            worst: measured.worst(),
-            worst_route: measured.worst_route(),
+            // Short enough to come back from a file as it went in.
+            service: rounded(measured.service()),
+            worst: rounded(measured.worst()),
+            worst_route: rounded(measured.worst_route()),
             broken: world.rules.many,
             calls: measured.seconds.iter().map(|second| u64::from(second.calls)).sum(),
             events: measured.events,
