Lab: the world that breaks the second rule does so with half of its hosts slow

Seen: on a clean checkout the checker of rule 2 was not shown to fire: since keys are remembered by calls met, one slow host held too few calls that write for a second try to meet one. Three of six hosts are slow now. The library's own tests were not run after that change, only those of the scenarios.

--- a/crates/lab/src/world/tests.rs
+++ b/crates/lab/src/world/tests.rs
@@ -72,7 +72,7 @@
 #[test_case(Rule::NoHost, Kind::Even, |w: &mut World| { w.outs[0].iter_mut().for_each(|out| out.set(1 << 30, true)); w.proxies[0].applied[0] = 1 << 30; } ; "all hosts shut out")]
 #[test_case(Rule::PushedOver, Kind::Even, |w: &mut World| { let t = w.now; w.rate *= 40.0; w.hosts.iter_mut().for_each(|h| h.born = t); } ; "all cold under a flood")]
 #[test_case(Rule::Queue, Kind::LeastLoaded, |w: &mut World| { w.scenario.channel.lines_per_s = 5.0; w.scenario.channel.backlog = 10.0; } ; "a channel that is slow")]
-#[test_case(Rule::Twice, Kind::Even, |w: &mut World| { w.levels[0].iter_mut().for_each(|l| l.set(1 << 30, (1.0, 3))); w.proxies.iter_mut().for_each(|p| p.applied[0] = 1 << 30); w.hosts[0].slow = 1e3; } ; "further tries of calls that may have run")]
+#[test_case(Rule::Twice, Kind::Even, |w: &mut World| { w.levels[0].iter_mut().for_each(|l| l.set(1 << 30, (1.0, 3))); w.proxies.iter_mut().for_each(|p| p.applied[0] = 1 << 30); w.hosts.iter_mut().take(3).for_each(|h| h.slow = 40.0); } ; "further tries of calls that may have run")]
 fn each_checker_fires_in_a_world_that_breaks_its_rule(rule: Rule, kind: Kind, spoil: fn(&mut World)) {
     let mut scenario = small(20.0, vec![]);
     scenario.load.again = 0;
