--- a/src/logic.rs
+++ b/src/logic.rs
@@ -204,7 +204,7 @@
             v.ready && v.proven && !v.suspect && v.ramp >= 1.0 && !self.wishes.drained.contains(host)
         };
         self.alone = !self.views.iter().any(other);
-        // Five seconds: by then sums tell of what was told since, and what a host has room for is another matter.
+        // Five seconds: by then sums tell of what was told since, and what a host has room for differs.
         self.refused.retain(|_, at| now - *at < 5.0);
         // Also with nobody left: the third rule binds whatever tables proxies hold.
         self.suspects(now, post);
