Lab: plays through the director's reducer, with operators' changes in the timeline

Need: the lab played the module alone, so nothing of the reducer, its calls, its news, nor of operators' changes was ever in a play.

Change: the director is a library (reducer, counters, framing, bounds) and a daemon round it; crates/lab/src/platform.rs writes the platform's messages from the surroundings' side and reads calls, tested against crates/protocol; policy 'reduced' hands the reducer the bytes that sockets would bring. Scenarios take changes, with fields as operators type them.

--- a/crates/director/src/main.rs
+++ b/crates/director/src/main.rs
@@ -1,22 +1,20 @@
 //! `coppersail-director`: the decisions on real sockets. This loop hands every event to the reducer and carries out
 //! the effects that it asks for.
 
-mod bounds;
 mod control;
-mod counters;
 mod discovery;
-mod framing;
 mod history;
 mod http;
 mod listener;
 mod logger;
 mod net;
 mod probes;
-mod reducer;
 mod relay;
 mod sheets;
 mod timers;
 
+use coppersail_director::{bounds, framing, reducer};
+
 use bounds::Bounds;
 use coppersail_changes::Version;
 use coppersail_operator::LogForm;
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,7 +4,9 @@
 pub mod experiment;
 pub mod kept;
 pub mod measure;
+pub mod platform;
 pub mod policy;
+pub mod reduced;
 pub mod rules;
 pub mod scenario;
 pub mod stats;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -108,6 +108,9 @@
             let (outcome, world) = play(&scenario, kind, seed);
             let took = begun.elapsed().as_secs_f64();
             println!("{}", table(std::slice::from_ref(&outcome)));
+            for (at, director, text) in world.told() {
+                println!("{at:.1} s: director {director}: {text}");
+            }
             for broken in &world.rules.broken {
                 println!("{:.2} s: rule {}: {}", broken.at, broken.rule, broken.what);
             }
--- /dev/null
+++ b/crates/lab/src/platform.rs
@@ -0,0 +1,308 @@
+//! The platform's messages from the surroundings' side: what a relay, a list, collectors and hosts say to a director, and
+//! what of its calls is an order. The forms are those of `crates/protocol`; no I/O here.
+
+use coppersail::interface::*;
+use serde_json::json;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// Where a director finds what, and is found.
+#[derive(Clone, Copy, Debug)]
+pub struct Places {
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub relay: SocketAddr,
+}
+
+pub struct Platform {
+    pub settings: Settings,
+    pub routes: Vec<String>,
+    /// What the wall clock shows when the play begins, milliseconds since 1970.
+    pub began_ms: u64,
+}
+
+pub fn host_name(host: HostId) -> String {
+    format!("h{}", host.0)
+}
+
+fn host_of(name: &str) -> Option<HostId> {
+    name.strip_prefix('h')?.parse().ok().map(HostId)
+}
+
+fn ns(seconds: f64) -> u64 {
+    (seconds * 1e9).round() as u64
+}
+
+impl Platform {
+    fn zone(&self, zone: ZoneId) -> &str {
+        &self.settings.zones[zone.0 as usize]
+    }
+
+    /// The configuration of a director.
+    pub fn config(&self, name: &str, seed: u64, at: &Places, known: &str) -> String {
+        let s = &self.settings;
+        let class = |(route, name): (&Route, &String)| {
+            let semantics = match route.semantics {
+                Semantics::Repeatable => "safe",
+                Semantics::Keyed { .. } => "keyed",
+                Semantics::MustNotRepeat => "unsafe",
+            };
+            json!({"name": name, "aim-ns": ns(route.slo_time), "give-up-ns": ns(route.time_limit),
+                   "worth": route.importance, "semantics": semantics})
+        };
+        let mutating: Vec<bool> = s.routes.iter().map(|route| route.mutating).collect();
+        let known: serde_json::Value = serde_json::from_str(known).unwrap_or_default();
+        json!({
+            "name": name, "seed": format!("{seed:016x}"), "listen": at.listen, "discovery": at.discovery,
+            "relay": {"address": at.relay}, "known": known, "limits": {"memory_mb": 64, "sockets": 256},
+            "settings": {
+                "me": s.me.0, "balancers": s.directors, "discovery": "pushed", "zones": s.zones, "kinds": s.kinds,
+                "az": s.zone.map(|zone| self.zone(zone)),
+                "classes": s.routes.iter().zip(&self.routes).map(class).collect::<Vec<_>>(),
+                "report": {"columns": ["q", "lat_ms", "busy", "rate"], "source": "piggyback"},
+                "guarantees": {"cold-from": s.cold_from, "ramp-time-ns": ns(s.ramp_time),
+                    "fall-multiple": s.fall_multiple, "fall-ns": ns(s.fall_time),
+                    "stop-sending-within-ns": ns(s.grace)},
+                "limits": {"may-probe": s.may_probe},
+                "specifics": {"slices": s.slices, "proxy-count": s.proxies, "admission": "fraction",
+                    "retry-default": 1, "ejects": s.ejects_after, "overhead": s.message_overhead,
+                    "lines-per-s": s.lines_per_s, "backlog": s.backlog_lines, "transit-ns": ns(s.transit),
+                    "transit-max-ns": ns(s.transit_most), "interval-ns": ns(s.report_interval),
+                    "in-flight-max-ns": ns(s.in_flight_most), "unserved-max-ns": ns(s.unserved_most),
+                    "mutating": mutating, "warm-keys": s.warm_keys},
+            },
+        })
+        .to_string()
+    }
+
+    pub fn list(
+        &self,
+        version: u64,
+        full: bool,
+        entries: &[Listing],
+        address: &dyn Fn(HostId) -> SocketAddr,
+    ) -> String {
+        let entry = |entry: &Listing| {
+            let state = match entry.state {
+                HostState::Ready => "in_service",
+                HostState::Draining => "terminating",
+                HostState::Gone => "terminated",
+            };
+            let started_ms = entry.born.map_or(0, |born| self.began_ms + (born * 1e3) as u64);
+            json!({"id": host_name(entry.host), "addr": address(entry.host), "zone": self.zone(entry.zone),
+                   "kind": self.settings.kinds[entry.kind.0 as usize], "cell": entry.cell.0, "state": state,
+                   "weight": entry.weight, "started_ms": started_ms})
+        };
+        let servers: Vec<serde_json::Value> = entries.iter().map(entry).collect();
+        json!({"version": version, "full": full, "servers": servers}).to_string()
+    }
+
+    fn report(load: &Load) -> BTreeMap<&'static str, f64> {
+        let service = load.service_time.map(|time| time * 1e3);
+        let figures =
+            [("q", load.waiting), ("lat_ms", service), ("busy", load.busy), ("rate", load.answered_per_s)];
+        figures.into_iter().filter_map(|(name, figure)| Some((name, figure?))).collect()
+    }
+
+    /// How a host answers a probe for its load.
+    pub fn load_text(load: &Load) -> String {
+        let pairs: Vec<String> =
+            Self::report(load).iter().map(|(name, figure)| format!("{name}={figure}")).collect();
+        format!("TEXT {}", pairs.join(", "))
+    }
+
+    pub fn joining(&self, zone: ZoneId) -> String {
+        json!({"msg": "agent", "az": self.zone(zone)}).to_string() + "\n"
+    }
+
+    /// A collector's line, and of which zone it is.
+    pub fn collected(&self, input: &Input) -> Option<(ZoneId, String)> {
+        let (zone, line) = match input {
+            Input::Tries { host, zone, span, tries, dropped, rt, load } => (
+                *zone,
+                json!({"msg": "outcomes", "az": self.zone(*zone), "host": host_name(*host), "n": tries,
+                       "bad": dropped, "avg": rt * 1e3, "window": span * 1e3, "report": Self::report(load)}),
+            ),
+            Input::Demand { slice, route, calls, dropped, span } => (
+                ZoneId(0),
+                json!({"msg": "hot", "partition": slice.0, "kind": self.routes[route.0 as usize], "n": calls,
+                       "bad": dropped, "window": span * 1e3}),
+            ),
+            _ => return None,
+        };
+        Some((zone, line.to_string() + "\n"))
+    }
+
+    /// A line of the relay's news.
+    pub fn news(&self, input: &Input) -> Option<String> {
+        Some(match input {
+            Input::Joined { proxy, zone, calls_per_s, fresh } => {
+                format!("* hello {} {} {calls_per_s} {}", proxy.0, self.zone(*zone), u8::from(*fresh))
+            }
+            Input::Left(proxy) => format!("* bye {}", proxy.0),
+            Input::Applied { proxy, mark, took } => format!("* ack {} {} {}", proxy.0, mark.0, took * 1e3),
+            Input::Given(slice) => format!("* lease {} 1", slice.0),
+            Input::Taken(slice) => format!("* lease {} 0", slice.0),
+            Input::StoredLine { slice, host, weight } => {
+                format!("* line {} {} {weight}", slice.0, host_name(*host))
+            }
+            _ => return None,
+        })
+    }
+
+    /// The orders of a call, `txn ...`, or what of it is none.
+    pub fn orders(&self, call: &str) -> Result<Vec<Order>, String> {
+        let texts = call.strip_prefix("txn ").ok_or(format!("no call: {call}"))?;
+        texts.split(';').map(|text| self.order(text).ok_or(format!("no order: {text}"))).collect()
+    }
+
+    fn order(&self, text: &str) -> Option<Order> {
+        let slice = |text: &str| text.parse().ok().map(SliceId);
+        let route =
+            |name: &str| self.routes.iter().position(|known| known == name).map(|at| RouteId(at as u16));
+        Some(match text.split(',').collect::<Vec<_>>()[..] {
+            ["SET", s, host, weight] => {
+                Order::Line { slice: slice(s)?, host: host_of(host)?, weight: weight.parse().ok()? }
+            }
+            ["DEL", s] => Order::Clear(slice(s)?),
+            ["OUT", host] => Order::Withdraw { host: host_of(host)?, out: true },
+            ["IN", host] => Order::Withdraw { host: host_of(host)?, out: false },
+            ["LIMIT", s, routes, level, again] => {
+                let scope = if s == "*" { Scope::Everywhere } else { Scope::Slice(slice(s)?) };
+                let routes = match routes {
+                    "*" => Some(vec![]),
+                    routes => routes.split('+').map(route).collect(),
+                };
+                let retry = match again {
+                    "0" => Retry::Never,
+                    "1" => Retry::IfNeverRan,
+                    "2" => Retry::Once,
+                    "3" => Retry::Twice,
+                    _ => return None,
+                };
+                Order::Admit { scope, routes: routes?, level: level.parse().ok()?, retry }
+            }
+            ["SYNC", mark, all] => Order::Mark { mark: MarkId(mark.parse().ok()?), all: all == "1" },
+            _ => return None,
+        })
+    }
+}
+
+/// What stands at the relay, for whoever asks for news.
+#[derive(Default)]
+pub struct Standing {
+    proxies: BTreeMap<ProxyId, Input>,
+    slices: BTreeMap<SliceId, BTreeMap<HostId, f64>>,
+}
+
+impl Standing {
+    pub fn hear(&mut self, input: &Input) {
+        match input {
+            Input::Joined { proxy, .. } => _ = self.proxies.insert(*proxy, input.clone()),
+            Input::Left(proxy) => _ = self.proxies.remove(proxy),
+            Input::Given(slice) => _ = self.slices.insert(*slice, BTreeMap::new()),
+            Input::Taken(slice) => _ = self.slices.remove(slice),
+            Input::StoredLine { slice, host, weight } => {
+                _ = self.slices.entry(*slice).or_default().insert(*host, *weight);
+            }
+            _ => {}
+        }
+    }
+
+    pub fn carry_out(&mut self, orders: &[Order]) {
+        for order in orders {
+            match order {
+                Order::Line { slice, host, weight } => {
+                    let Some(lines) = self.slices.get_mut(slice) else { continue };
+                    _ = if *weight > 0.0 { lines.insert(*host, *weight) } else { lines.remove(host) };
+                }
+                Order::Clear(slice) => _ = self.slices.get_mut(slice).map(BTreeMap::clear),
+                _ => {}
+            }
+        }
+    }
+
+    /// The lines with which news begin, and a sign of life that ends them.
+    pub fn lines(&self, platform: &Platform) -> Vec<String> {
+        let mut lines = vec!["OK".to_string()];
+        lines.extend(self.proxies.values().filter_map(|joined| platform.news(joined)));
+        for (slice, table) in &self.slices {
+            lines.extend(platform.news(&Input::Given(*slice)));
+            let stored = table.iter().map(|(host, weight)| Input::StoredLine {
+                slice: *slice,
+                host: *host,
+                weight: *weight,
+            });
+            lines.extend(stored.filter_map(|line| platform.news(&line)));
+        }
+        lines.push("*".to_string());
+        lines
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use coppersail_protocol::{collector, discovery, relay};
+
+    fn platform() -> Platform {
+        let scenario = crate::Scenario::default();
+        let routes = scenario.load.routes.iter().map(|route| route.name.clone()).collect();
+        let settings = crate::world::settings(&scenario, 0);
+        Platform { settings, routes, began_ms: 1_700_000_000_000 }
+    }
+
+    /// What is written here is what the director's own codec reads, and the other way round.
+    #[test]
+    fn both_sides_write_and_read_the_same() {
+        let p = platform();
+        let load = Load { waiting: Some(2.0), service_time: Some(0.25), ..Load::default() };
+        let (host, zone) = (HostId(3), ZoneId(1));
+        let tries = Input::Tries { host, zone, span: 1.0, tries: 9, dropped: 2, rt: 0.5, load };
+        let (_, line) = p.collected(&tries).unwrap();
+        match collector::Line::parse(line.trim().as_bytes()).unwrap() {
+            collector::Line::Tries { zone, host, tries: 9, dropped: 2, rt, report, .. } => {
+                assert_eq!(
+                    (zone.as_ref(), host.as_ref(), rt, report.get("lat_ms")),
+                    ("z1", "h3", 0.5, Some(250.0))
+                );
+            }
+            other => panic!("{other:?}"),
+        }
+        let applied = Input::Applied { proxy: ProxyId(4), mark: MarkId(7), took: 0.31 };
+        let line = p.news(&applied).unwrap();
+        assert_eq!(
+            relay::News::parse(line.as_bytes()),
+            Ok(relay::News::Applied { proxy: 4, mark: 7, took: 0.31 })
+        );
+        let orders = [
+            relay::Order::Line { slice: 4, host: "h2", weight: 1.5 },
+            relay::Order::Admit { slice: None, routes: vec!["read"], level: 0.5, again: relay::Again::Once },
+            relay::Order::Mark { mark: 9, all: true },
+        ];
+        let call =
+            relay::call(orders.iter().map(relay::Order::text).collect::<Vec<_>>().iter().map(String::as_str));
+        let read = p.orders(String::from_utf8(call).unwrap().trim()).unwrap();
+        let admit = Order::Admit {
+            scope: Scope::Everywhere,
+            routes: vec![RouteId(0)],
+            level: 0.5,
+            retry: Retry::Once,
+        };
+        let line = Order::Line { slice: SliceId(4), host: HostId(2), weight: 1.5 };
+        assert_eq!(read, [line, admit, Order::Mark { mark: MarkId(9), all: true }]);
+        let entry = Listing {
+            host,
+            state: HostState::Draining,
+            born: Some(2.0),
+            weight: 1.0,
+            zone,
+            cell: CellId(0),
+            kind: KindId(0),
+        };
+        let list = p.list(5, false, &[entry], &|_| "127.0.0.1:9".parse().unwrap());
+        let read = discovery::List::parse(list.as_bytes()).unwrap();
+        let server = read.servers[0].as_ref().unwrap();
+        assert_eq!((server.state, server.started_ms), (discovery::State::Draining, 1_700_000_002_000));
+    }
+}
--- a/crates/lab/src/policy.rs
+++ b/crates/lab/src/policy.rs
@@ -1,6 +1,9 @@
 //! Who writes the tables: the decision module, with or without the guard, or a baseline on the same interface. Baselines
 //! are here to be compared with, and one sees the true state, which nobody can.
 
+use crate::platform::Platform;
+use crate::reduced::Reduced;
+use crate::Scenario;
 use coppersail::interface::*;
 use coppersail_guard::{Guarded, Mode};
 use serde::{Deserialize, Serialize};
@@ -22,6 +25,8 @@
     pub hosts: Vec<TrueHost>,
     /// Calls a second of each slice, lately.
     pub slices: Vec<f64>,
+    /// The relay takes no call.
+    pub store_down: bool,
 }
 
 #[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Eq, PartialOrd, Ord, Serialize)]
@@ -30,6 +35,8 @@
     #[default]
     Module,
     Guarded,
+    /// The module in all of the daemon but its I/O: the director's reducer.
+    Reduced,
     Even,
     LeastLoaded,
     BoundedHashing,
@@ -37,9 +44,10 @@
 }
 
 impl Kind {
-    pub const ALL: [(&'static str, Kind); 6] = [
+    pub const ALL: [(&'static str, Kind); 7] = [
         ("module", Kind::Module),
         ("guarded", Kind::Guarded),
+        ("reduced", Kind::Reduced),
         ("even", Kind::Even),
         ("least-loaded", Kind::LeastLoaded),
         ("bounded-hashing", Kind::BoundedHashing),
@@ -59,14 +67,20 @@
 
 pub enum Policy {
     Module(Box<Guarded>),
+    Reduced(Box<Reduced>),
     Plain(Box<Plain>),
 }
 
 impl Policy {
-    pub fn new(kind: Kind, settings: Settings, seed: u64) -> Policy {
+    pub fn new(kind: Kind, settings: Settings, seed: u64, scenario: &Scenario) -> Policy {
         match kind {
             Kind::Module => Policy::Module(Box::new(Guarded::plain(settings, seed))),
             Kind::Guarded => Policy::Module(Box::new(Guarded::new(settings, seed, Mode::On))),
+            Kind::Reduced => {
+                let routes = scenario.load.routes.iter().map(|route| route.name.clone()).collect();
+                let platform = Platform { settings, routes, began_ms: BEGAN_MS };
+                Policy::Reduced(Box::new(Reduced::new(platform, seed, !scenario.changes.is_empty())))
+            }
             kind => Policy::Plain(Box::new(Plain { kind, ..Plain::default() })),
         }
     }
@@ -74,11 +88,15 @@
     pub fn handle(&mut self, now: f64, inputs: &[Input], truth: &Truth) -> Vec<Order> {
         match self {
             Policy::Module(module) => module.handle(now, inputs),
+            Policy::Reduced(reduced) => reduced.handle(now, inputs, truth),
             Policy::Plain(plain) => plain.handle(now, inputs, truth),
         }
     }
 }
 
+/// What the wall clock shows when a play in simulated time begins: any time of this century.
+const BEGAN_MS: u64 = 1_700_000_000_000;
+
 type Lines = BTreeMap<HostId, f64>;
 
 /// The baselines: what they know, and tables as told.
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -15,6 +15,8 @@
     pub reports: Reports,
     pub list: List,
     pub faults: Vec<Fault>,
+    /// What operators submit; only the director's reducer takes it.
+    pub changes: Vec<Change>,
     pub checks: Checks,
 }
 
@@ -105,6 +107,29 @@
     pub late: f64,
 }
 
+/// Fields as operators' files and commands name them, with values as they are typed.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Change {
+    pub at: f64,
+    pub set: std::collections::BTreeMap<String, String>,
+    #[serde(default)]
+    pub trial: Option<f64>,
+}
+
+impl Change {
+    /// The fields and values, or what is wrong with one.
+    pub fn edits(&self) -> Result<coppersail_operator::Edits, String> {
+        let edit = |(path, value): (&String, &String)| {
+            let field: coppersail_operator::Field = path.parse()?;
+            let value =
+                field.value(value).map_err(|expected| format!("field {path}: expected {expected}"))?;
+            Ok((field, value))
+        };
+        self.set.iter().map(edit).collect()
+    }
+}
+
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Fault {
@@ -184,6 +209,7 @@
             reports: Reports::default(),
             list: List::default(),
             faults: vec![],
+            changes: vec![],
             checks: Checks::default(),
         }
     }
@@ -314,6 +340,9 @@
             self.faults.iter().all(|f| f.at >= 0.0 && f.lasts >= 0.0),
             "faults: expected times of 0 or more",
         )?;
+        for change in &self.changes {
+            change.edits().map_err(|wrong| format!("changes: {wrong}"))?;
+        }
         for fault in &self.faults {
             let known = match fault.what {
                 What::KillZone { zone } | What::Cut { zone } => zone < zones,
--- a/crates/lab/src/world/control.rs
+++ b/crates/lab/src/world/control.rs
@@ -6,6 +6,7 @@
 use crate::policy::Policy;
 use crate::rules::Rule;
 use coppersail::interface::*;
+use coppersail_changes::Submission;
 use rustc_hash::FxHashMap;
 use std::collections::VecDeque;
 
@@ -141,6 +142,7 @@
             director.wake_at = f64::INFINITY;
             inputs.push(Input::Wake(WakeId(1)));
         }
+        self.truth.store_down = self.store.down;
         let orders = director.policy.handle(now, &inputs, &self.truth);
         let mut told = Vec::new();
         for order in orders {
@@ -170,6 +172,25 @@
         }
     }
 
+    /// Operators submit a change to each director.
+    pub(super) fn change(&mut self, which: usize) {
+        let change = self.scenario.changes[which].clone();
+        // Checked when the scenario was read.
+        let Ok(edits) = change.edits() else { return };
+        for d in 0..self.directors.len() as u16 {
+            if let Policy::Reduced(reduced) = &mut self.directors[d as usize].policy {
+                reduced.submit(Submission {
+                    who: "lab".into(),
+                    why: "play".into(),
+                    edits: edits.clone(),
+                    trial: change.trial,
+                    ..Submission::default()
+                });
+                self.tell(d, vec![]);
+            }
+        }
+    }
+
     pub(super) fn store_back(&mut self) {
         self.store.down = false;
         // While no order could get through, no time limit ran.
--- a/crates/lab/src/world/mod.rs
+++ b/crates/lab/src/world/mod.rs
@@ -46,6 +46,7 @@
     HostBack { host: u32 },
     RollOn { which: u32 },
     DirectorBack { director: u16 },
+    Change { which: u32 },
 }
 
 /// How a try ended, as its proxy sees it.
@@ -167,6 +168,56 @@
     all
 }
 
+/// What a director is told at its start.
+pub fn settings(s: &Scenario, director: u16) -> Settings {
+    let f = &s.fleet;
+    let route = |r: &crate::scenario::Route| Route {
+        slo_time: r.slo,
+        time_limit: r.limit,
+        importance: r.importance,
+        semantics: if r.repeatable { Semantics::Repeatable } else { Semantics::MustNotRepeat },
+        mutating: !r.repeatable,
+        own_zone_only: false,
+    };
+    Settings {
+        me: PeerId(director.into()),
+        directors: f.directors as u64,
+        zone: Some(ZoneId(director % f.zones)),
+        zones: (0..f.zones).map(|zone| format!("z{zone}")).collect(),
+        kinds: vec!["k".into()],
+        routes: s.load.routes.iter().map(route).collect(),
+        list_is_pushed: true,
+        ask_within: 0.0,
+        listed_weights: false,
+        may_probe: true,
+        may_tell_peers: false,
+        cold_from: f.cold_from,
+        ramp_time: f.ramp_time,
+        fall_multiple: f.fall_multiple,
+        fall_time: f.fall_time,
+        grace: f.grace,
+        throttled_may_have_run: false,
+        gone_is_advice: false,
+        unserved_most: UNSERVED_MOST,
+        slices: f.slices.into(),
+        proxies: f.proxies.into(),
+        exclusive: false,
+        admission: Admission::Share,
+        retry_default: Retry::IfNeverRan,
+        ejects_after: f.ejects_after.into(),
+        message_overhead: s.channel.overhead,
+        lines_per_s: s.channel.lines_per_s,
+        backlog_lines: s.channel.backlog,
+        messages_most: 0,
+        messages_span: 10.0,
+        transit: s.channel.transit,
+        transit_most: 2.0 * s.channel.transit,
+        report_interval: s.reports.interval,
+        in_flight_most: s.load.routes.iter().map(|route| route.limit).fold(0.0, f64::max),
+        warm_keys: f.memory_saves > 0.0,
+    }
+}
+
 impl World {
     pub fn new(scenario: &Scenario, kind: Kind, seed: u64) -> World {
         let s = scenario.clone();
@@ -235,63 +286,17 @@
             world.plan(fault.at, Event::Fault { which, ends: false });
             world.plan(fault.at + fault.lasts, Event::Fault { which, ends: true });
         }
-        world
-    }
-
-    /// What a director is told at its start.
-    fn settings(&self, director: u16) -> Settings {
-        let (s, f) = (&self.scenario, &self.scenario.fleet);
-        let route = |r: &crate::scenario::Route| Route {
-            slo_time: r.slo,
-            time_limit: r.limit,
-            importance: r.importance,
-            semantics: if r.repeatable { Semantics::Repeatable } else { Semantics::MustNotRepeat },
-            mutating: !r.repeatable,
-            own_zone_only: false,
-        };
-        Settings {
-            me: PeerId(director.into()),
-            directors: f.directors as u64,
-            zone: Some(ZoneId(director % f.zones)),
-            zones: (0..f.zones).map(|zone| format!("z{zone}")).collect(),
-            kinds: vec!["k".into()],
-            routes: s.load.routes.iter().map(route).collect(),
-            list_is_pushed: true,
-            ask_within: 0.0,
-            listed_weights: false,
-            may_probe: true,
-            may_tell_peers: false,
-            cold_from: f.cold_from,
-            ramp_time: f.ramp_time,
-            fall_multiple: f.fall_multiple,
-            fall_time: f.fall_time,
-            grace: f.grace,
-            throttled_may_have_run: false,
-            gone_is_advice: false,
-            unserved_most: UNSERVED_MOST,
-            slices: f.slices.into(),
-            proxies: f.proxies.into(),
-            exclusive: false,
-            admission: Admission::Share,
-            retry_default: Retry::IfNeverRan,
-            ejects_after: f.ejects_after.into(),
-            message_overhead: s.channel.overhead,
-            lines_per_s: s.channel.lines_per_s,
-            backlog_lines: s.channel.backlog,
-            messages_most: 0,
-            messages_span: 10.0,
-            transit: s.channel.transit,
-            transit_most: 2.0 * s.channel.transit,
-            report_interval: s.reports.interval,
-            in_flight_most: s.load.routes.iter().map(|route| route.limit).fold(0.0, f64::max),
-            warm_keys: f.memory_saves > 0.0,
+        for (which, change) in world.scenario.changes.clone().iter().enumerate() {
+            world.plan(change.at, Event::Change { which: which as u32 });
         }
+        world
     }
 
     fn policy(&self, director: u16) -> Policy {
         let lives = self.directors.get(director as usize).map_or(0, |director| director.life);
         let seed = self.seed.wrapping_mul(31).wrapping_add(u64::from(director) * 7 + u64::from(lives));
-        Policy::new(self.kind, self.settings(director), seed)
+        let settings = settings(&self.scenario, director);
+        Policy::new(self.kind, settings, seed, &self.scenario)
     }
 
     fn listing(&self, host: u32) -> Listing {
@@ -361,10 +366,25 @@
             Event::HostBack { host } => self.host_back(host),
             Event::RollOn { which } => self.roll_on(which as usize),
             Event::DirectorBack { director } => self.start_director(director, self.now),
+            Event::Change { which } => self.change(which as usize),
         }
         true
     }
 
+    /// What directors have said of operators' changes: when, who, what.
+    pub fn told(&self) -> Vec<(f64, usize, String)> {
+        let directors = self.directors.iter().enumerate();
+        let told = directors.flat_map(|(d, director)| match &director.policy {
+            Policy::Reduced(reduced) => {
+                reduced.told.iter().map(|(at, text)| (*at, d, text.clone())).collect::<Vec<_>>()
+            }
+            _ => vec![],
+        });
+        let mut told: Vec<_> = told.collect();
+        told.sort_by(|a, b| a.0.total_cmp(&b.0));
+        told
+    }
+
     pub fn now(&self) -> f64 {
         self.now
     }
