Judge: what is untouched and worse raises a doubt too; changes tried on whole fleets

At fault: such a trouble hits what is touched far over the 1.5 times that view.rs allows for; the untouched side was worse as well and said so.

Change: such a finding sets the change aside as one with nothing untouched does; coppersail-lab trials makes the table.

--- a/crates/changes/src/book.rs
+++ b/crates/changes/src/book.rs
@@ -531,15 +531,15 @@
         acts
     }
 
-    /// The judge has found harm; `alone`: with nothing untouched to compare with, so that a trouble of the whole fleet
-    /// would look the same. Such a change is taken back as any other, but only set aside: harm that comes back with it
+    /// The judge has found harm; `unsure`: a trouble of the fleet may be at fault, as nothing untouched was there to compare
+    /// with, or that has become worse as well. Such a change is taken back as any other, but only set aside: harm that comes back with it
     /// is its own. What this costs is that callers of a harmful one meet the harm twice, for as long as it takes to find.
     pub fn harmful(
         &mut self,
         now: f64,
         wall: f64,
         number: Version,
-        (found, alone): (String, bool),
+        (found, unsure): (String, bool),
         pool: &Pool,
     ) -> Vec<Act> {
         let Some(Stage::Applied | Stage::Trial) = self.stage(number) else { return Vec::new() };
@@ -548,7 +548,7 @@
             let found = format!("a second time, after all was well without it: {found}");
             return self.undone(now, wall, number, Why::Harm { found }, pool);
         }
-        if !alone {
+        if !unsure {
             return self.undone(now, wall, number, Why::Harm { found }, pool);
         }
         let mut acts = Vec::new();
--- a/crates/director/src/reducer/operators.rs
+++ b/crates/director/src/reducer/operators.rs
@@ -208,7 +208,7 @@
             for (TrialId(number), found) in self.judge.close(now) {
                 if judged {
                     let (wall, pool) = (self.wall + now, self.pool(now, around));
-                    let found = (self.said(&found, around.names), found.alone());
+                    let found = (self.said(&found, around.names), found.unsure());
                     let acts = self.book.harmful(now, wall, Version(number), found, &pool);
                     self.carry_out(now, acts, around, out);
                 }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod rules;
 pub mod scenario;
 pub mod stats;
+pub mod trials;
 pub mod world;
 
 pub use scenario::Scenario;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -4,7 +4,7 @@
 use clap::{Parser, Subcommand};
 use coppersail_lab::experiment::{compared, grid, hunt, play, shrunk, table};
 use coppersail_lab::policy::Kind;
-use coppersail_lab::{kept, Scenario};
+use coppersail_lab::{kept, trials, Scenario};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Instant;
@@ -74,6 +74,11 @@
         #[arg(long)]
         rules: bool,
     },
+    /// Operators' changes tried on whole fleets, through the director's reducer: which are taken back, and which wrongly
+    Trials {
+        #[arg(long, default_value_t = 20)]
+        seeds: u64,
+    },
     /// Makes the page of a kept play anew
     Report { folder: PathBuf },
     /// Plays every scenario of a folder once and holds each to its checks
@@ -180,6 +185,10 @@
             );
             Ok(!(rules && score > 0.0))
         }
+        Command::Trials { seeds } => {
+            println!("{}", trials::table(seeds, cores(), &|done, all| eprint!("\r{done} of {all} ")));
+            Ok(true)
+        }
         Command::Report { folder } => {
             let failed = |wrong: std::io::Error| format!("{}: {wrong}", folder.display());
             let page = kept::page(&folder).map_err(failed)?;
