Lab: real time on loopback around the director's binary, and whether the two agree

Need: what a play in simulated time says of the binary was a belief. Change: policy 'live' starts coppersail-director among a relay, a list, collectors and hosts on sockets that say what the world says; World::run_live plays by the clock; coppersail-lab agree sets both beside each other.

--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -72,7 +72,8 @@
 }
 
 pub fn play(scenario: &Scenario, kind: Kind, seed: u64) -> (Outcome, World) {
-    let world = World::new(scenario, kind, seed).run();
+    let world = World::new(scenario, kind, seed);
+    let world = if kind == Kind::Live { world.run_live() } else { world.run() };
     (Outcome::of(&world, kind, seed), world)
 }
 
@@ -178,6 +179,62 @@
     text
 }
 
+/// The same scenario in simulated time, on several seeds through the reducer, and in real time around the binary.
+pub struct Agreement {
+    pub scenario: String,
+    pub simulated: Vec<Outcome>,
+    pub live: Outcome,
+    /// Seconds that the play in real time was behind the clock at most.
+    pub behind: f64,
+}
+
+/// What a play in real time may lie outside of what seeds give: reports and orders come in other moments there.
+const APART: f64 = 0.03;
+
+impl Agreement {
+    fn span(&self, part: fn(&Outcome) -> f64) -> (f64, f64) {
+        let of = self.simulated.iter().map(part);
+        (of.clone().fold(f64::INFINITY, f64::min), of.fold(f64::NEG_INFINITY, f64::max))
+    }
+
+    /// The real time lies where seeds lie, in service, and has broken no rule that they kept.
+    pub fn holds(&self) -> bool {
+        let (least, most) = self.span(|outcome| outcome.service);
+        let rules = self.live.broken == 0 || self.simulated.iter().any(|outcome| outcome.broken > 0);
+        rules && self.live.service >= least - APART && self.live.service <= most + APART
+    }
+
+    pub fn row(&self) -> String {
+        let (service, worst) = (self.span(|o| o.service), self.span(|o| o.worst));
+        format!(
+            "| {} | {:.3} to {:.3} | {:.3} | {:.3} to {:.3} | {:.3} | {} | {:.0} ms | {} |",
+            self.scenario,
+            service.0,
+            service.1,
+            self.live.service,
+            worst.0,
+            worst.1,
+            self.live.worst,
+            self.live.broken,
+            1e3 * self.behind,
+            if self.holds() { "yes" } else { "no" },
+        )
+    }
+}
+
+/// All scenarios at one time, as real time cannot be hurried.
+pub fn agreement(scenarios: &[Scenario], seeds: u64) -> Vec<Agreement> {
+    let one = |scenario: &Scenario| {
+        let simulated = (1..=seeds).map(|seed| play(scenario, Kind::Reduced, seed).0).collect();
+        let (live, world) = play(scenario, Kind::Live, 1);
+        Agreement { scenario: scenario.name.clone(), simulated, live, behind: world.behind }
+    };
+    std::thread::scope(|scope| {
+        let plays: Vec<_> = scenarios.iter().map(|scenario| scope.spawn(move || one(scenario))).collect();
+        plays.into_iter().filter_map(|play| play.join().ok()).collect()
+    })
+}
+
 /// Plays that a shrinking may take.
 const SHRINK_MOST: usize = 200;
 
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod experiment;
 pub mod kept;
+pub mod live;
 pub mod measure;
 pub mod platform;
 pub mod policy;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -2,7 +2,7 @@
 //! given cannot be read or kept.
 
 use clap::{Parser, Subcommand};
-use coppersail_lab::experiment::{compared, grid, hunt, play, shrunk, table};
+use coppersail_lab::experiment::{agreement, compared, grid, hunt, play, shrunk, table};
 use coppersail_lab::policy::Kind;
 use coppersail_lab::{kept, trials, Scenario};
 use std::path::{Path, PathBuf};
@@ -79,6 +79,13 @@
         #[arg(long, default_value_t = 20)]
         seeds: u64,
     },
+    /// Plays scenarios in simulated time and in real time around the director's binary, and says whether the two agree
+    Agree {
+        #[arg(required = true)]
+        scenarios: Vec<PathBuf>,
+        #[arg(long, default_value_t = 8)]
+        seeds: u64,
+    },
     /// Makes the page of a kept play anew
     Report { folder: PathBuf },
     /// Plays every scenario of a folder once and holds each to its checks
@@ -113,6 +120,9 @@
             let (outcome, world) = play(&scenario, kind, seed);
             let took = begun.elapsed().as_secs_f64();
             println!("{}", table(std::slice::from_ref(&outcome)));
+            if kind == Kind::Live {
+                println!("real time, {:.0} ms behind at most", 1e3 * world.behind);
+            }
             for (at, director, text) in world.told() {
                 println!("{at:.1} s: director {director}: {text}");
             }
@@ -185,6 +195,15 @@
             );
             Ok(!(rules && score > 0.0))
         }
+        Command::Agree { scenarios, seeds } => {
+            let scenarios: Vec<Scenario> =
+                scenarios.iter().map(|path| Scenario::read(path)).collect::<Result<_, _>>()?;
+            println!("| scenario | simulated | real time | worst 10 s, simulated | real time | rules broken | behind | agree |");
+            println!("| --- | --- | --- | --- | --- | --- | --- | --- |");
+            let all = agreement(&scenarios, seeds);
+            all.iter().for_each(|agreement| println!("{}", agreement.row()));
+            Ok(all.len() == scenarios.len() && all.iter().all(|agreement| agreement.holds()))
+        }
         Command::Trials { seeds } => {
             println!("{}", trials::table(seeds, cores(), &|done, all| eprint!("\r{done} of {all} ")));
             Ok(true)
--- a/crates/lab/src/policy.rs
+++ b/crates/lab/src/policy.rs
@@ -1,6 +1,7 @@
 //! Who writes the tables: the decision module, with or without the guard, or a baseline on the same interface. Baselines
 //! are here to be compared with, and one sees the true state, which nobody can.
 
+use crate::live::Live;
 use crate::platform::Platform;
 use crate::reduced::Reduced;
 use crate::Scenario;
@@ -37,6 +38,8 @@
     Guarded,
     /// The module in all of the daemon but its I/O: the director's reducer.
     Reduced,
+    /// The director's binary on loopback, in real time (`World::run_live` alone plays it).
+    Live,
     Even,
     LeastLoaded,
     BoundedHashing,
@@ -44,10 +47,11 @@
 }
 
 impl Kind {
-    pub const ALL: [(&'static str, Kind); 7] = [
+    pub const ALL: [(&'static str, Kind); 8] = [
         ("module", Kind::Module),
         ("guarded", Kind::Guarded),
         ("reduced", Kind::Reduced),
+        ("live", Kind::Live),
         ("even", Kind::Even),
         ("least-loaded", Kind::LeastLoaded),
         ("bounded-hashing", Kind::BoundedHashing),
@@ -68,17 +72,21 @@
 pub enum Policy {
     Module(Box<Guarded>),
     Reduced(Box<Reduced>),
+    Live(Box<Started>),
     Plain(Box<Plain>),
 }
 
 impl Policy {
-    pub fn new(kind: Kind, settings: Settings, seed: u64, scenario: &Scenario) -> Policy {
+    pub fn new(kind: Kind, settings: Settings, seed: u64, scenario: &Scenario, began_ms: u64) -> Policy {
         match kind {
             Kind::Module => Policy::Module(Box::new(Guarded::plain(settings, seed))),
             Kind::Guarded => Policy::Module(Box::new(Guarded::new(settings, seed, Mode::On))),
-            Kind::Reduced => {
+            Kind::Reduced | Kind::Live => {
                 let routes = scenario.load.routes.iter().map(|route| route.name.clone()).collect();
-                let platform = Platform { settings, routes, began_ms: BEGAN_MS };
+                let platform = Platform { settings, routes, began_ms };
+                if kind == Kind::Live {
+                    return Policy::Live(Box::new(Started { platform: Some(platform), seed, live: None }));
+                }
                 Policy::Reduced(Box::new(Reduced::new(platform, seed, !scenario.changes.is_empty())))
             }
             kind => Policy::Plain(Box::new(Plain { kind, ..Plain::default() })),
@@ -89,13 +97,45 @@
         match self {
             Policy::Module(module) => module.handle(now, inputs),
             Policy::Reduced(reduced) => reduced.handle(now, inputs, truth),
+            Policy::Live(started) => started.handle(inputs, truth.store_down),
             Policy::Plain(plain) => plain.handle(now, inputs, truth),
         }
     }
 }
 
-/// What the wall clock shows when a play in simulated time begins: any time of this century.
-const BEGAN_MS: u64 = 1_700_000_000_000;
+/// The binary, once it has been told what stands.
+pub struct Started {
+    platform: Option<Platform>,
+    seed: u64,
+    pub live: Option<Live>,
+}
+
+impl Started {
+    fn handle(&mut self, inputs: &[Input], down: bool) -> Vec<Order> {
+        if let Some(platform) = self.platform.take() {
+            // Without the program there is nothing to play; whoever asked for it is told at once.
+            let started = Live::start(&director(), platform, self.seed, inputs);
+            self.live = Some(started.unwrap_or_else(|wrong| panic!("{wrong}")));
+        } else if let Some(live) = &mut self.live {
+            live.hear(inputs, down);
+        }
+        // It orders when it likes.
+        vec![]
+    }
+}
+
+/// The director's binary: as told, or beside this program, or one folder up, where tests run.
+pub fn director() -> std::path::PathBuf {
+    if let Some(told) = std::env::var_os("COPPERSAIL_DIRECTOR") {
+        return told.into();
+    }
+    let here = std::env::current_exe().unwrap_or_default();
+    let beside = here.with_file_name("coppersail-director");
+    match here.parent().and_then(std::path::Path::parent) {
+        Some(up) if !beside.exists() => up.join("coppersail-director"),
+        _ => beside,
+    }
+}
 
 type Lines = BTreeMap<HostId, f64>;
 
--- a/crates/lab/src/world/control.rs
+++ b/crates/lab/src/world/control.rs
@@ -144,6 +144,11 @@
         }
         self.truth.store_down = self.store.down;
         let orders = director.policy.handle(now, &inputs, &self.truth);
+        self.ordered(d, orders);
+    }
+
+    /// What a director has ordered goes its ways.
+    pub(super) fn ordered(&mut self, d: u16, orders: Vec<Order>) {
         let mut told = Vec::new();
         for order in orders {
             match order {
--- a/crates/lab/src/world/faults.rs
+++ b/crates/lab/src/world/faults.rs
@@ -2,6 +2,7 @@
 
 use super::hosts::State;
 use super::{Event, World};
+use crate::policy::Policy;
 use crate::scenario::What;
 
 impl World {
@@ -66,6 +67,9 @@
                 let found = &mut self.directors[director];
                 (found.up, found.life) = (false, found.life + 1);
                 found.inputs.clear();
+                if let Policy::Live(started) = &mut found.policy {
+                    started.live.as_mut().into_iter().for_each(|live| live.kill());
+                }
             }
             What::KillDirector { director } => {
                 self.plan(self.now, Event::DirectorBack { director: director as u16 });
--- a/crates/lab/src/world/mod.rs
+++ b/crates/lab/src/world/mod.rs
@@ -126,6 +126,10 @@
     store: Store,
     kind: Kind,
     seed: u64,
+    /// What the wall clock shows when the play begins, milliseconds since 1970.
+    began_ms: u64,
+    /// How far behind the clock a play in real time has been at most, seconds.
+    pub behind: f64,
     /// Each slice's table after each message of its director; who is shut out and what is let in, by director.
     tables: Vec<History<Table>>,
     outs: Vec<Vec<History<bool>>>,
@@ -168,6 +172,14 @@
     all
 }
 
+/// What the wall clock shows when a play in simulated time begins: any time of this century.
+const BEGAN_MS: u64 = 1_700_000_000_000;
+
+fn wall_ms() -> u64 {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
+
 /// What a director is told at its start.
 pub fn settings(s: &Scenario, director: u16) -> Settings {
     let f = &s.fleet;
@@ -248,6 +260,8 @@
             store: Store::default(),
             kind,
             seed,
+            began_ms: if kind == Kind::Live { wall_ms() } else { BEGAN_MS },
+            behind: 0.0,
             tables: (0..f.slices).map(|slice| History::new(first(slice))).collect(),
             outs: vec![vec![History::new(false); f.hosts as usize]; f.directors],
             levels: vec![vec![History::new((1.0, 1)); routes]; f.directors],
@@ -296,7 +310,7 @@
         let lives = self.directors.get(director as usize).map_or(0, |director| director.life);
         let seed = self.seed.wrapping_mul(31).wrapping_add(u64::from(director) * 7 + u64::from(lives));
         let settings = settings(&self.scenario, director);
-        Policy::new(self.kind, settings, seed, &self.scenario)
+        Policy::new(self.kind, settings, seed, &self.scenario, self.began_ms)
     }
 
     fn listing(&self, host: u32) -> Listing {
@@ -338,6 +352,35 @@
         self
     }
 
+    /// Plays it in real time, with directors that are processes: what they order comes when it comes.
+    pub fn run_live(mut self) -> World {
+        /// Between looks at what has come: a tenth of the shortest way between hosts would be lost in the noise.
+        const LOOK: std::time::Duration = std::time::Duration::from_micros(500);
+        let began = std::time::Instant::now();
+        while let Some(next) = self.heap.peek().map(|planned| planned.at) {
+            let elapsed = began.elapsed().as_secs_f64();
+            for d in 0..self.directors.len() as u16 {
+                let orders = match &self.directors[d as usize].policy {
+                    Policy::Live(started) => started.live.as_ref().map(|live| live.ordered()),
+                    _ => None,
+                };
+                if let Some(orders) = orders.filter(|orders| !orders.is_empty()) {
+                    self.now = self.now.max(elapsed);
+                    self.ordered(d, orders);
+                }
+            }
+            if elapsed < next {
+                std::thread::sleep(LOOK.min(std::time::Duration::from_secs_f64(next - elapsed)));
+                continue;
+            }
+            self.behind = self.behind.max(elapsed - next);
+            if !self.step() {
+                break;
+            }
+        }
+        self
+    }
+
     /// One event; false: it is over.
     pub fn step(&mut self) -> bool {
         let Some(Planned { at, event, .. }) = self.heap.pop() else { return false };
