--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -3,7 +3,7 @@
 
 use crate::policy::Kind;
 use crate::scenario::{Fault, Scenario, What};
-use crate::stats::paired;
+use crate::stats::{paired, spearman};
 use crate::World;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -179,6 +179,42 @@
     text
 }
 
+/// How the lab orders policies beside figures that something else gave them: the rank correlation over all scenarios, and
+/// for each one. `scores` are by the last part of a policy's name.
+pub fn ranked(outcomes: &[Outcome], scores: &BTreeMap<String, f64>) -> String {
+    let mut means: BTreeMap<(String, String), (f64, f64)> = BTreeMap::new();
+    for outcome in outcomes {
+        let name = outcome.policy.name();
+        let short = name.rsplit(' ').next().unwrap_or_default().to_string();
+        for scenario in [outcome.scenario.clone(), String::new()] {
+            let sum = means.entry((scenario, short.clone())).or_default();
+            *sum = (sum.0 + outcome.service, sum.1 + 1.0);
+        }
+    }
+    let of = |scenario: &str| -> Vec<(String, f64, f64)> {
+        let known = means.iter().filter(|((of, name), _)| of == scenario && scores.contains_key(name));
+        known.map(|((_, name), (sum, many))| (name.clone(), scores[name], sum / many)).collect()
+    };
+    let correlation = |rows: &[(String, f64, f64)]| {
+        let pairs: Vec<(f64, f64)> = rows.iter().map(|row| (row.1, row.2)).collect();
+        spearman(&pairs).map_or("-".to_string(), |rho| format!("{rho:+.2}"))
+    };
+    let mut all = of("");
+    all.sort_by(|a, b| a.1.total_cmp(&b.1));
+    let mut text = String::from("| build | there | here |\n| --- | --- | --- |\n");
+    all.iter().for_each(|(name, there, here)| text += &format!("| {name} | {there:.3} | {here:.3} |\n"));
+    text += &format!(
+        "\nrank correlation over {} builds: {}\n\n| scenario | rank correlation |\n| --- | --- |\n",
+        all.len(),
+        correlation(&all)
+    );
+    let scenarios: std::collections::BTreeSet<&String> = means.keys().map(|(scenario, _)| scenario).collect();
+    for scenario in scenarios.into_iter().filter(|scenario| !scenario.is_empty()) {
+        text += &format!("| {scenario} | {} |\n", correlation(&of(scenario)));
+    }
+    text
+}
+
 /// The same scenario in simulated time, on several seeds through the reducer, and in real time around the binary.
 pub struct Agreement {
     pub scenario: String,
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,6 +1,7 @@
 //! A world of hosts, proxies, clients, relay, list and collectors, in simulated time and by seed, around the decision
 //! module or another policy; what is measured in it, kept, compared and shrunk. What is modelled how: `docs/lab.md`.
 
+pub mod build;
 pub mod experiment;
 pub mod kept;
 pub mod live;
@@ -12,6 +13,7 @@
 pub mod scenario;
 pub mod stats;
 pub mod trials;
+pub mod watch;
 pub mod world;
 
 pub use scenario::Scenario;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -2,9 +2,9 @@
 //! given cannot be read or kept.
 
 use clap::{Parser, Subcommand};
-use coppersail_lab::experiment::{agreement, compared, grid, hunt, play, shrunk, table};
+use coppersail_lab::experiment::{agreement, compared, grid, hunt, play, ranked, shrunk, table, Outcome};
 use coppersail_lab::policy::Kind;
-use coppersail_lab::{kept, trials, Scenario};
+use coppersail_lab::{kept, trials, watch, Scenario};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Instant;
@@ -33,6 +33,17 @@
         #[arg(long)]
         out: Option<PathBuf>,
     },
+    /// Plays one scenario before your eyes, in the terminal
+    Watch {
+        scenario: PathBuf,
+        #[arg(long, default_value = "module")]
+        policy: String,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Simulated seconds in a second
+        #[arg(long, default_value_t = 4.0)]
+        speed: f64,
+    },
     /// Plays every scenario with every policy on many seeds, on all cores; goes on where it was if FILE has results
     Grid {
         #[arg(required = true)]
@@ -86,6 +97,13 @@
         #[arg(long, default_value_t = 8)]
         seeds: u64,
     },
+    /// How results order policies beside other figures of theirs: lines of NAME FIGURE, as of builds on another bench
+    Rank {
+        #[arg(long)]
+        results: PathBuf,
+        #[arg(long)]
+        scores: PathBuf,
+    },
     /// Makes the page of a kept play anew
     Report { folder: PathBuf },
     /// Plays every scenario of a folder once and holds each to its checks
@@ -145,6 +163,10 @@
             }
             Ok(false)
         }
+        Command::Watch { scenario, policy, seed, speed } => {
+            watch::watch(&Scenario::read(&scenario)?, Kind::named(&policy)?, seed, speed)?;
+            Ok(true)
+        }
         Command::Grid { scenarios, policies, seeds, results, threads } => {
             let scenarios: Vec<Scenario> =
                 scenarios.iter().map(|path| Scenario::read(path)).collect::<Result<_, _>>()?;
@@ -204,6 +226,22 @@
             all.iter().for_each(|agreement| println!("{}", agreement.row()));
             Ok(all.len() == scenarios.len() && all.iter().all(|agreement| agreement.holds()))
         }
+        Command::Rank { results, scores } => {
+            let read = |path: &Path| {
+                std::fs::read_to_string(path).map_err(|wrong| format!("{}: {wrong}", path.display()))
+            };
+            let outcomes: Vec<Outcome> =
+                read(&results)?.lines().filter_map(|line| serde_json::from_str(line).ok()).collect();
+            let figures = read(&scores)?;
+            let score = |(at, line): (usize, &str)| {
+                let fault = || format!("{}:{}: expected a name and a figure", scores.display(), at + 1);
+                let (name, figure) = line.split_once(' ').ok_or_else(fault)?;
+                Ok((name.to_string(), figure.trim().parse().map_err(|_| fault())?))
+            };
+            let known: Result<_, String> = figures.lines().enumerate().map(score).collect();
+            println!("{}", ranked(&outcomes, &known?));
+            Ok(true)
+        }
         Command::Trials { seeds } => {
             println!("{}", trials::table(seeds, cores(), &|done, all| eprint!("\r{done} of {all} ")));
             Ok(true)
--- a/crates/lab/src/platform.rs
+++ b/crates/lab/src/platform.rs
@@ -97,7 +97,7 @@
         json!({"version": version, "full": full, "servers": servers}).to_string()
     }
 
-    fn report(load: &Load) -> BTreeMap<&'static str, f64> {
+    pub fn report(load: &Load) -> BTreeMap<&'static str, f64> {
         let service = load.service_time.map(|time| time * 1e3);
         let figures =
             [("q", load.waiting), ("lat_ms", service), ("busy", load.busy), ("rate", load.answered_per_s)];
--- a/crates/lab/src/policy.rs
+++ b/crates/lab/src/policy.rs
@@ -1,6 +1,7 @@
 //! Who writes the tables: the decision module, with or without the guard, or a baseline on the same interface. Baselines
 //! are here to be compared with, and one sees the true state, which nobody can.
 
+use crate::build::{self, Build};
 use crate::live::Live;
 use crate::platform::Platform;
 use crate::reduced::Reduced;
@@ -31,7 +32,7 @@
 }
 
 #[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Eq, PartialOrd, Ord, Serialize)]
-#[serde(rename_all = "kebab-case")]
+#[serde(try_from = "String", into = "String")]
 pub enum Kind {
     #[default]
     Module,
@@ -40,32 +41,61 @@
     Reduced,
     /// The director's binary on loopback, in real time (`World::run_live` alone plays it).
     Live,
+    /// An earlier build of ours on the simulator's wire, by the number that `build::number` gave its path.
+    Build(u8),
     Even,
+    /// Even weights, and each proxy takes of two drawn hosts the one that holds fewer of its own calls.
+    PowerOfTwo,
     LeastLoaded,
     BoundedHashing,
     TrueState,
 }
 
 impl Kind {
-    pub const ALL: [(&'static str, Kind); 8] = [
+    pub const ALL: [(&'static str, Kind); 9] = [
         ("module", Kind::Module),
         ("guarded", Kind::Guarded),
         ("reduced", Kind::Reduced),
         ("live", Kind::Live),
         ("even", Kind::Even),
+        ("power-of-two", Kind::PowerOfTwo),
         ("least-loaded", Kind::LeastLoaded),
         ("bounded-hashing", Kind::BoundedHashing),
         ("true-state", Kind::TrueState),
     ];
 
     pub fn named(name: &str) -> Result<Kind, String> {
+        if let Some(path) = name.strip_prefix("build:") {
+            return Ok(Kind::Build(build::number(std::path::Path::new(path))));
+        }
         let names: Vec<&str> = Kind::ALL.iter().map(|(name, _)| *name).collect();
         let found = Kind::ALL.iter().find(|(known, _)| *known == name).map(|(_, kind)| *kind);
         found.ok_or(format!("policy {name}: expected one of {}", names.join(", ")))
     }
 
-    pub fn name(self) -> &'static str {
-        Kind::ALL.iter().find(|(_, kind)| *kind == self).map_or("", |(name, _)| name)
+    pub fn name(self) -> String {
+        if let Kind::Build(number) = self {
+            let path = build::path(number);
+            return format!("build {}", path.file_name().unwrap_or_default().to_string_lossy());
+        }
+        Kind::ALL.iter().find(|(_, kind)| *kind == self).map_or("", |(name, _)| name).to_string()
+    }
+}
+
+/// By name, and a build by its path: its number holds for one process only.
+impl From<Kind> for String {
+    fn from(kind: Kind) -> String {
+        match kind {
+            Kind::Build(number) => format!("build:{}", build::path(number).display()),
+            kind => kind.name(),
+        }
+    }
+}
+
+impl TryFrom<String> for Kind {
+    type Error = String;
+    fn try_from(name: String) -> Result<Kind, String> {
+        Kind::named(&name)
     }
 }
 
@@ -73,6 +103,7 @@
     Module(Box<Guarded>),
     Reduced(Box<Reduced>),
     Live(Box<Started>),
+    Build(Box<Build>),
     Plain(Box<Plain>),
 }
 
@@ -81,9 +112,14 @@
         match kind {
             Kind::Module => Policy::Module(Box::new(Guarded::plain(settings, seed))),
             Kind::Guarded => Policy::Module(Box::new(Guarded::new(settings, seed, Mode::On))),
-            Kind::Reduced | Kind::Live => {
+            Kind::Reduced | Kind::Live | Kind::Build(_) => {
                 let routes = scenario.load.routes.iter().map(|route| route.name.clone()).collect();
                 let platform = Platform { settings, routes, began_ms };
+                if let Kind::Build(number) = kind {
+                    let started = Build::start(&build::path(number), platform, seed);
+                    // Without the program there is nothing to play.
+                    return Policy::Build(Box::new(started.unwrap_or_else(|wrong| panic!("{wrong}"))));
+                }
                 if kind == Kind::Live {
                     return Policy::Live(Box::new(Started { platform: Some(platform), seed, live: None }));
                 }
@@ -97,6 +133,7 @@
         match self {
             Policy::Module(module) => module.handle(now, inputs),
             Policy::Reduced(reduced) => reduced.handle(now, inputs, truth),
+            Policy::Build(build) => build.handle(now, inputs),
             Policy::Live(started) => started.handle(inputs, truth.store_down),
             Policy::Plain(plain) => plain.handle(now, inputs, truth),
         }
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -187,6 +187,10 @@
     ReportsLost {
         share: f64,
     },
+    /// Such a share of the sums holds counts and times that cannot be.
+    ReportsSpoilt {
+        share: f64,
+    },
 }
 
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
--- a/crates/lab/src/stats.rs
+++ b/crates/lab/src/stats.rs
@@ -36,3 +36,46 @@
         assert_eq!(paired(&[0.3]).1, f64::INFINITY);
     }
 }
+
+/// Places of figures from the least up; equal ones share the mean of their places.
+fn ranks(figures: &[f64]) -> Vec<f64> {
+    let place = |figure: &f64| {
+        let below = figures.iter().filter(|other| *other < figure).count() as f64;
+        let same = figures.iter().filter(|other| *other == figure).count() as f64;
+        below + (same - 1.0) / 2.0
+    };
+    figures.iter().map(place).collect()
+}
+
+/// Spearman's rank correlation; none: fewer than three pairs, or all alike on a side.
+pub fn spearman(pairs: &[(f64, f64)]) -> Option<f64> {
+    if pairs.len() < 3 {
+        return None;
+    }
+    let side = |of: fn(&(f64, f64)) -> f64| ranks(&pairs.iter().map(of).collect::<Vec<f64>>());
+    let (a, b) = (side(|pair| pair.0), side(|pair| pair.1));
+    let mean = (pairs.len() - 1) as f64 / 2.0;
+    let product =
+        |x: &[f64], y: &[f64]| -> f64 { x.iter().zip(y).map(|(x, y)| (x - mean) * (y - mean)).sum() };
+    let (aa, bb) = (product(&a, &a), product(&b, &b));
+    (aa > 0.0 && bb > 0.0).then(|| product(&a, &b) / (aa * bb).sqrt())
+}
+
+#[cfg(test)]
+mod rank_tests {
+    use super::*;
+    use test_case::test_case;
+
+    #[test_case(&[(1.0, 10.0), (2.0, 20.0), (3.0, 900.0)], Some(1.0) ; "the same order")]
+    #[test_case(&[(1.0, 3.0), (2.0, 2.0), (3.0, 1.0)], Some(-1.0) ; "the other way round")]
+    #[test_case(&[(1.0, 1.0), (2.0, 1.0), (3.0, 1.0)], None ; "all alike")]
+    #[test_case(&[(1.0, 1.0), (2.0, 2.0)], None ; "too few")]
+    fn order_is_told(pairs: &[(f64, f64)], expected: Option<f64>) {
+        assert_eq!(spearman(pairs), expected);
+    }
+
+    #[test]
+    fn equal_ones_share_their_place() {
+        assert_eq!(ranks(&[5.0, 1.0, 5.0, 9.0]), [1.5, 0.0, 1.5, 3.0]);
+    }
+}
--- a/crates/lab/src/trials.rs
+++ b/crates/lab/src/trials.rs
@@ -31,7 +31,10 @@
     pub service: f64,
 }
 
-fn changes() -> Vec<(&'static str, bool, Vec<(String, &'static str)>)> {
+/// What it is called, whether callers lose by it, and the fields with their values.
+type Named = (&'static str, bool, Vec<(String, &'static str)>);
+
+fn changes() -> Vec<Named> {
     let each = |many: u32, last: &str, value: &'static str| {
         (0..many).map(|host| (format!("hosts.h{host}.{last}"), value)).collect::<Vec<_>>()
     };
--- a/crates/lab/src/world/calls.rs
+++ b/crates/lab/src/world/calls.rs
@@ -2,6 +2,7 @@
 
 use super::hosts::{Job, State};
 use super::{Call, Event, How, World};
+use crate::policy::Kind;
 use crate::rules::Rule;
 
 /// A try is given up after this share of what is left of the call's time.
@@ -95,7 +96,14 @@
                 break;
             }
         }
-        let Some(host) = picked else { return self.failed(index, age, false) };
+        let Some(mut host) = picked else { return self.failed(index, age, false) };
+        if self.kind == Kind::PowerOfTwo {
+            // Even weights, so a second draw is any of the usable ones.
+            let many = usable(shy).count();
+            let other = usable(shy).nth((draw * 7919.0 * many as f64) as usize % many).map(|(host, _)| *host);
+            let held = |host: u32| self.held.get(&(call.proxy, host)).copied().unwrap_or(0);
+            host = other.filter(|other| held(*other) < held(host)).unwrap_or(host);
+        }
         let route = &self.scenario.load.routes[call.route as usize];
         let left = call.arrived + route.limit - self.now;
         let (zone, there) = (proxy.zone, self.hosts[host as usize].zone);
@@ -115,6 +123,9 @@
         entry.host = host;
         let serial = entry.serial;
         self.measured.at(call.arrived).tries += 1;
+        if self.kind == Kind::PowerOfTwo {
+            *self.held.entry((call.proxy, host)).or_default() += 1;
+        }
         self.plan(
             self.now + (TRY_PART * left).max(0.01).min(left.max(0.0)),
             Event::TimedOut { call: index, age, serial },
@@ -213,6 +224,9 @@
     }
 
     fn met(&mut self, call: &Call, well: bool, rt: f64) {
+        if let Some(held) = self.held.get_mut(&(call.proxy, call.host)) {
+            *held = held.saturating_sub(1);
+        }
         let fleet = &self.scenario.fleet;
         let proxy = &mut self.proxies[call.proxy as usize];
         proxy.met(call.host, well, self.now, fleet.ejects_after, fleet.ejects_for);
--- a/crates/lab/src/world/control.rs
+++ b/crates/lab/src/world/control.rs
@@ -10,6 +10,8 @@
 use rustc_hash::FxHashMap;
 use std::collections::VecDeque;
 
+/// Between a director's wake-ups at least: a hundredth of what the module asks for.
+const WAKE_LEAST: f64 = 1e-3;
 /// A probe that meets nobody is given up after this.
 const PROBE_MOST: f64 = 0.3;
 
@@ -153,6 +155,8 @@
         for order in orders {
             match order {
                 Order::WakeAt { at, .. } => {
+                    // One that asks to be woken in the past, as an odd build may, must not hold the clock for ever.
+                    let at = at.max(self.now + WAKE_LEAST);
                     self.directors[d as usize].wake_at = at;
                     self.plan(at, Event::Direct { director: d });
                 }
@@ -312,6 +316,15 @@
         self.send(d, after, vec![Input::Probed { host, outcome, took: after, load }]);
     }
 
+    /// A sum as no collector in its senses tells it: counts of a thousand fleets, times of an hour.
+    fn spoilt(&mut self, host: HostId, zone: ZoneId) -> Input {
+        let odd = |chance: f64| 10_u64.pow(6 + (chance * 6.0) as u32);
+        let (tries, dropped) = (odd(self.chance.f64()), odd(self.chance.f64()));
+        let (rt, span) = (3600.0 * self.chance.f64(), self.scenario.reports.interval);
+        let waiting = Some(1e9 * self.chance.f64());
+        Input::Tries { host, zone, span, tries, dropped, rt, load: Load { waiting, ..Load::default() } }
+    }
+
     /// Collectors tell what they have summed: each zone's tries to all directors, and a slice's calls to its own.
     pub(super) fn report(&mut self) {
         let (interval, late) = (self.scenario.reports.interval, self.scenario.reports.late);
@@ -329,6 +342,10 @@
                 if self.parted(zone, from) || self.chance.f64() < self.reports_lost {
                     continue;
                 }
+                if self.reports_spoilt > 0.0 && self.chance.f64() < self.reports_spoilt {
+                    inputs.push(self.spoilt(HostId(host), ZoneId(from)));
+                    continue;
+                }
                 let well = sum.tries - sum.dropped;
                 let rt = if well > 0 { sum.rt / f64::from(well) } else { 0.0 };
                 let (tries, dropped) = (sum.tries.into(), sum.dropped.into());
--- a/crates/lab/src/world/faults.rs
+++ b/crates/lab/src/world/faults.rs
@@ -76,6 +76,7 @@
             }
             What::Flood { factor } => self.flood *= if ends { 1.0 / factor } else { factor },
             What::Cost { route, factor } => self.cost[route] *= if ends { 1.0 / factor } else { factor },
+            What::ReportsSpoilt { share } => self.reports_spoilt = if ends { 0.0 } else { share },
             What::ReportsLost { share } => self.reports_lost = if ends { 0.0 } else { share },
         }
     }
--- a/crates/lab/src/world/mod.rs
+++ b/crates/lab/src/world/mod.rs
@@ -139,6 +139,8 @@
     free_batches: Vec<u32>,
     /// What collectors have summed since their last reports.
     sums: Vec<Sum>,
+    /// Where proxies choose of two hosts: each one's own calls at each host.
+    held: rustc_hash::FxHashMap<(u16, u32), u16>,
     demand: Vec<(u32, u32)>,
     list_version: u64,
     list_late: f64,
@@ -151,6 +153,7 @@
     cost: Vec<f64>,
     cut: Vec<bool>,
     reports_lost: f64,
+    reports_spoilt: f64,
     killed: Vec<Vec<u32>>,
     rolling: Vec<Vec<u32>>,
     lacking: Vec<Option<f64>>,
@@ -267,6 +270,7 @@
             levels: vec![vec![History::new((1.0, 1)); routes]; f.directors],
             batches: Vec::new(),
             free_batches: Vec::new(),
+            held: Default::default(),
             sums: vec![Sum::default(); f.zones as usize * f.hosts as usize],
             demand: vec![(0, 0); f.slices as usize * routes],
             list_version: 1,
@@ -279,6 +283,7 @@
             cost: vec![1.0; routes],
             cut: vec![false; f.zones as usize],
             reports_lost: 0.0,
+            reports_spoilt: 0.0,
             killed: vec![vec![]; s.faults.len()],
             rolling: vec![vec![]; s.faults.len()],
             lacking: vec![None; f.slices as usize],
--- a/crates/lab/tests/scenarios.rs
+++ b/crates/lab/tests/scenarios.rs
@@ -1,6 +1,6 @@
 //! A dozen scenarios of the library in simulated time, held to their checks; and what is kept of plays.
 
-use coppersail_lab::experiment::{compared, grid, play, shrunk};
+use coppersail_lab::experiment::{agreement, compared, grid, play, ranked, shrunk};
 use coppersail_lab::policy::Kind;
 use coppersail_lab::scenario::{Fault, Scenario, What};
 use coppersail_lab::{kept, World};
@@ -134,3 +134,72 @@
     let world = World::new(&scenario, Kind::BoundedHashing, 1).run();
     assert!(world.measured.events > 10_000, "{}", world.measured.events);
 }
+
+#[test_case("kill-quarter")]
+#[test_case("store-down")]
+#[test_case("director-killed")]
+#[test_case("reports-spoilt")]
+fn a_play_through_the_reducer_keeps_its_checks_and_is_told_by_its_seed(name: &str) {
+    let scenario = scenario(name);
+    let (outcome, world) = play(&scenario, Kind::Reduced, 1);
+    assert_eq!(outcome.failed(&scenario), None, "{:?}", world.rules.broken);
+    let (again, other) = play(&scenario, Kind::Reduced, 1);
+    assert_eq!((outcome, world.measured.seconds), (again, other.measured.seconds));
+}
+
+/// Figures that cannot be are passed over by the reducer, and cost the bare module calls.
+#[test]
+fn spoilt_sums_cost_the_binary_nothing() {
+    let scenario = scenario("reports-spoilt");
+    assert!(play(&scenario, Kind::Reduced, 1).0.service > 0.99);
+}
+
+#[test_case("change-harmful", "undone by change 2", "kept, its trial" ; "harm")]
+#[test_case("change-harmless", "kept, its trial showed no harm", "undone" ; "no harm beside dead hosts")]
+fn an_operators_change_is_judged_by_what_callers_of_the_world_get(name: &str, said: &str, not: &str) {
+    let (_, world) = play(&scenario(name), Kind::Reduced, 1);
+    let told = world.told();
+    let of_it =
+        |what: &str| told.iter().any(|(_, _, text)| text.starts_with("change 1: ") && text.contains(what));
+    assert!(of_it(said) && !of_it(not), "{told:?}");
+}
+
+/// The binary itself on loopback, with a director killed and back, beside the same in simulated time.
+#[test]
+fn a_play_in_real_time_serves_as_in_simulated_time() {
+    // With `--workspace` it is there already; a test of this package alone makes it.
+    if !coppersail_lab::policy::director().exists() {
+        let made = std::process::Command::new(env!("CARGO"))
+            .args(["build", "--locked", "-p", "coppersail-director"])
+            .status();
+        assert!(made.is_ok_and(|status| status.success()));
+    }
+    let mut scenario = Scenario { name: "live".into(), seconds: 7.0, ..Scenario::default() };
+    scenario.load.fill = 0.3;
+    scenario.faults = vec![
+        Fault { at: 2.0, lasts: 2.0, what: What::Kill { share: 0.25 } },
+        Fault { at: 3.0, lasts: 1.0, what: What::KillDirector { director: 0 } },
+    ];
+    let all = agreement(std::slice::from_ref(&scenario), 3);
+    assert!(all[0].holds(), "{}", all[0].row());
+    assert!(all[0].live.lines > 0.0, "it has ordered something");
+}
+
+#[test]
+fn any_build_on_the_simulators_wire_plays() {
+    use std::os::unix::fs::PermissionsExt;
+    // A stand-in of a build: it names host 2 alone in slice 3's table, on every batch.
+    let script = "#!/bin/sh\nwhile read -r line; do if [ \"$line\" = COMMIT ]; then\n\
+        echo 'SET_LINE who=1 host=h2 table=3 w=0.5'; echo 'WAKE_AT who=1 ref=1 time-ns=2000000000'; echo READY; fi; done\n";
+    let program = folder("build").join("stand-in");
+    std::fs::write(&program, script).unwrap();
+    std::fs::set_permissions(&program, std::fs::Permissions::from_mode(0o755)).unwrap();
+    let kind = Kind::named(&format!("build:{}", program.display())).unwrap();
+    let (outcome, _) = play(&short("built"), kind, 1);
+    assert!(outcome.lines > 0.0 && outcome.calls > 0);
+    let text = serde_json::to_string(&outcome).unwrap();
+    assert!(text.contains("stand-in"), "kept by its path: {text}");
+    assert_eq!(serde_json::from_str::<coppersail_lab::experiment::Outcome>(&text).unwrap(), outcome);
+    let scores = [("stand-in".to_string(), 0.5)].into();
+    assert!(ranked(&[outcome], &scores).contains("over 1 builds"));
+}
