--- a/crates/changes/src/leaving.rs
+++ b/crates/changes/src/leaving.rs
@@ -2,7 +2,6 @@
 //! moved, in peace, before it goes.
 
 use coppersail_operator::{Document, Field, Value};
-use std::collections::BTreeMap;
 
 /// So long before its time a host gives up its slices, seconds: tables are told within a few seconds, and the second
 /// half is for the caches of those who take over. Longer would leave the fleet smaller for longer.
@@ -50,15 +49,12 @@
     })
 }
 
-/// For each time at which somebody leaves, all who are away then.
-pub(crate) fn away_together(document: &Document) -> BTreeMap<u64, Vec<&str>> {
+/// For each host that leaves, all who are away when it does. Two may leave within a second of each other, so none takes
+/// the place of another.
+pub(crate) fn away_together(document: &Document) -> Vec<Vec<&str>> {
     let times: Vec<(&str, f64)> = announced(document).collect();
-    let mut away: BTreeMap<u64, Vec<&str>> = BTreeMap::new();
-    for (_, at) in &times {
-        let hosts = times.iter().filter(|(_, other)| *other <= *at && *other > at - AWAY);
-        away.insert(*at as u64, hosts.map(|(host, _)| *host).collect());
-    }
-    away
+    let away = |at: f64| times.iter().filter(move |(_, other)| *other <= at && *other > at - AWAY);
+    times.iter().map(|(_, at)| away(*at).map(|(host, _)| *host).collect()).collect()
 }
 
 #[cfg(test)]
@@ -76,6 +72,14 @@
         assert_eq!(Leaving::of(now, 100.0, born), expected);
     }
 
+    #[test]
+    fn who_leaves_within_one_second_is_away_together() {
+        // By name the earlier one comes last: it must not hide that both are away.
+        let leaves = |host: &str, at| (format!("hosts.{host}.leaves").parse().unwrap(), Value::Number(at));
+        let document = Document::from([leaves("a", 1.7e9 + 0.7), leaves("b", 1.7e9 + 0.2)]);
+        assert!(away_together(&document).contains(&vec!["a", "b"]));
+    }
+
     #[test]
     fn its_turns_come_in_order() {
         assert_eq!(Leaving::turns(0.0, 100.0), 90.0);
--- a/crates/changes/src/pool.rs
+++ b/crates/changes/src/pool.rs
@@ -56,7 +56,7 @@
             return Some((self.calls / carries.max(1e-9), text));
         }
         // Who is announced to leave will be missed with all who leave with it.
-        for away in away_together(document).into_values() {
+        for away in away_together(document) {
             let stay = open.iter().filter(|host| !away.contains(host));
             let (many, carries) =
                 stay.fold((0, 0.0), |(many, sum), host| (many + 1, sum + self.hosts[*host].carries));
--- a/deploy/operator.jsonnet
+++ b/deploy/operator.jsonnet
@@ -7,6 +7,7 @@
   // hosts: {
   //   'NAME': { weight: 0.5 },       // half of what is listed, from 0.01 to 100
   //   'OTHER': { drained: true },    // no lines, as if it drained
+  //   'THIRD': { leaves: 1764620000 },   // seconds since 1970; its slices move away before
   // },
   // zones: { 'ZONE': { weight: 2 } },
   // routes: {
