The channel goes by what receipts show of its pace, and forgets nothing that still waits

Cause, from a log line at each flush and each second of receipts: from 12.5 s to 33 s the channel writes some 60,000 lines a second where it states 458,600 ("PROBE acks n 377 lag mean 5.11 ... unanswered 24@5.8:0.084", 376 receipts a second of 161 lines each). At 23.4 s the rounds written at 13.1 and 13.6 s were ten seconds old and were forgotten (`flush`, the retain on `unanswered`) though receipts of them still came, and 0.45 of the backlog was written on top: "flush wait 0.00 out 0.45 lines 0.45". Ruled out: CPU (0.14 s in the worst second), lost receipts (they come steadily), proxies that left (2472 throughout).

Changed: a round is forgotten only after ten seconds without any receipt. What waits longest and what has come of it give the real pace; limits, spacing and what is reckoned to wait go by it. Many withdrawals go in a round of their own, as a proxy acts on a message when all of it has come.

--- a/src/figures.rs
+++ b/src/figures.rs
@@ -30,6 +30,8 @@
     /// How long the channel is busy with an empty message to every proxy.
     pub round_time: f64,
     pub backlog: f64,
+    /// The longest way of a message once it has left the channel.
+    pub way: f64,
     pub messages_most: usize,
     pub messages_span: f64,
     /// Where the list must be asked for: the silence after which it counts as told.
@@ -58,6 +60,7 @@
             lines_per_s: s.lines_per_s,
             round_time: s.proxies as f64 * (s.message_overhead + 1.0) / s.lines_per_s.max(1.0),
             backlog: s.backlog_lines,
+            way: s.transit_most,
             messages_most: if s.messages_most == 0 { usize::MAX } else { s.messages_most as usize },
             messages_span: s.messages_span,
             ask_within: (!s.list_is_pushed).then_some(s.ask_within),
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -9,7 +9,7 @@
 use crate::interface::*;
 use crate::measure::{median, Bins, Chance, Histogram};
 use crate::notes::{add, Item, Note, Plan, Post, Seat, Sums, To, View};
-use crate::state::{Channel, Gate, Host, Slice, Tables, Watch};
+use crate::state::{Channel, Gate, Host, Round, Slice, Tables, Watch};
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -664,7 +664,7 @@
             }
             Note::In(Input::Joined { proxy, .. }) => _ = self.proxies.insert(proxy),
             Note::In(Input::Left(proxy)) => self.left(proxy),
-            Note::In(Input::Applied { mark, .. }) => self.received(mark),
+            Note::In(Input::Applied { mark, .. }) => self.received(now, mark),
             Note::Tick => self.flush(now, f, post),
             _ => {}
         }
@@ -727,12 +727,18 @@
 
     /// Sends what waits: at once if urgent, else in steps, and never past a part of what the rules allow.
     fn flush(&mut self, now: f64, f: &Figures, post: &mut Post) {
-        self.waiting = (self.waiting - (now - self.reckoned_at) * f.lines_per_s).max(0.0);
+        // A channel far slower than stated shows in its receipts: all that is reckoned in time goes by its real
+        // pace. Too low where receipts are held up elsewhere: then less is written for a while.
+        let seen = self.seen(f.way).unwrap_or(f.lines_per_s);
+        let pace = seen.clamp(0.02 * f.lines_per_s, f.lines_per_s);
+        // Whatever pace it has, what was written and not received never exceeds nine tenths of the backlog. What
+        // nobody answers is forgotten in ten seconds, but not while receipts of it come: it still waits.
+        self.unanswered.retain(|round| now - round.at.max(self.heard_at) < 10.0);
+        let out = self.out();
+        self.waiting = (self.waiting - (now - self.reckoned_at) * pace).max(0.0);
+        self.waiting = if pace < f.lines_per_s { self.waiting.max(out) } else { self.waiting };
         self.reckoned_at = now;
         self.sent.retain(|at| now - at <= f.messages_span);
-        // Whatever pace it has, what was written and not received never exceeds nine tenths of the backlog.
-        self.unanswered.retain(|(_, at, ..)| now - at < 10.0);
-        let out: f64 = self.unanswered.iter().map(|(.., lines, _)| lines).sum();
         let items = self.items(f);
         // Letting in a host that is gone is worth no message of its own.
         let Some((first, ..)) = items.first().filter(|(rank, ..)| *rank < 8) else { return };
@@ -743,32 +749,41 @@
         let idle = f.slices && self.told.is_empty() && self.wanted.is_empty();
         // Routine changes use half of the messages; urgent ones the rest too, but spaced, lest none be left.
         let half = self.sent.len() >= f.messages_most / 2;
-        let apart = if half { 2.0 * f.messages_span / f.messages_most as f64 } else { 2.0 * f.round_time };
+        let apart = if half { 2.0 * f.messages_span / f.messages_most as f64 } else { 2.0 * fixed / pace };
         let apart = apart.max(if urgent { 0.0 } else { 0.5 });
         let recent = self.sent.back().is_some_and(|last| now - last < apart);
         let spent = if urgent { self.sent.len() + 1 >= f.messages_most } else { half };
-        // Parts of the backlog, as a channel may be slower than it says: the more a delay costs, the more.
-        let routine = (fixed + 0.25 * f.backlog).min(0.6 * f.backlog);
-        let limit = |rank: u8| if rank < 6 { 0.7 * f.backlog } else { routine };
+        // Parts of what the channel writes in the backlog's time: the more a delay costs, the more.
+        let held = f.backlog * pace / f.lines_per_s;
+        let routine = (fixed + 0.25 * held).min(0.6 * held);
+        let limit = |rank: u8| match rank {
+            0 => 0.7 * f.backlog,
+            1..6 => (0.7 * held).max(3.0 * fixed).min(0.7 * f.backlog),
+            _ => routine,
+        };
         // What waits, or as much of it as is worth a message.
         let all = fixed + proxies * items.iter().map(|(.., orders)| orders.len() as f64).sum::<f64>();
         let worth = if *first == 0 { fixed + proxies } else { all.min((fixed + limit(*first)) / 2.0) };
         if idle || spent || recent || self.waiting + worth > limit(*first) || out + worth > 0.9 * f.backlog {
             return;
         }
-        let mut lines = fixed;
+        let (mut lines, hurry) = (fixed, *first < 2);
         for (rank, _, orders) in items {
             let cost = proxies * orders.len() as f64;
-            if self.waiting + lines + cost > limit(rank) || out + lines + cost > 0.9 * f.backlog {
+            // A proxy acts on a message when all of it has come: many withdrawals go alone, as all else delays them.
+            let late = hurry && rank > 1 && lines > 2.0 * fixed;
+            if late || self.waiting + lines + cost > limit(rank) || out + lines + cost > 0.9 * f.backlog {
                 break;
             }
             lines += cost;
             orders.iter().for_each(|order| self.keep(now, order, post));
             post.orders.extend(orders);
         }
-        post.orders.push(Order::Mark { mark: MarkId(self.mark), all: false });
+        let mark = MarkId(self.mark);
+        post.orders.push(Order::Mark { mark, all: false });
         self.waiting += lines;
-        self.unanswered.push_back((MarkId(self.mark), now, lines, lines / proxies));
+        let (whole, part, ahead) = (lines, lines / proxies, out + lines);
+        self.unanswered.push_back(Round { mark, at: now, lines, whole, part, ahead });
         self.mark = self.mark.wrapping_add(1);
         self.sent.push_back(now);
     }
--- a/src/logic_tests.rs
+++ b/src/logic_tests.rs
@@ -636,21 +636,72 @@
     assert!(channel.shuts[&id(7)]);
 }
 
+fn round(mark: u16, at: f64, lines: f64, part: f64) -> Round {
+    Round { mark: MarkId(mark), at, lines, whole: lines, part, ahead: lines }
+}
+
+fn received(channel: &mut Channel, now: f64, mark: u16) {
+    let applied = Input::Applied { proxy: ProxyId(0), mark: MarkId(mark), took: now };
+    channel.work(now, &figures(), Note::In(applied), &mut Post::default());
+}
+
+// Seen on a day on which the channel writes an eighth of what it states: rounds of which receipts still came were
+// forgotten after ten seconds, and as much was written again.
+#[test_case(11.5, 0 ; "receipts still come, so it waits")]
+#[test_case(1.0, 1 ; "nobody has answered for ten seconds")]
+fn what_still_waits_is_not_forgotten(heard_at: f64, rounds: usize) {
+    let mut channel = channel(0.0, 2);
+    channel.unanswered.push_back(round(9, 0.0, 850.0, 85.0));
+    channel.heard_at = heard_at;
+    channel.flush(12.0, &figures(), &mut Post::default());
+    assert_eq!(channel.unanswered.iter().filter(|round| round.mark != MarkId(9)).count(), rounds);
+}
+
+// The channel states 1,000 lines a second; a mark's receipts come each tenth of a second, its way is a second at most.
+#[test_case(10.0, 1000.0 ; "as stated")]
+#[test_case(1.0, 100.0 ; "a tenth of it")]
+fn the_pace_is_what_receipts_show(lines_in_a_tenth: f64, pace: f64) {
+    let mut channel = channel(0.0, 0);
+    channel.unanswered.push_back(round(9, 0.0, 400.0, 10.0 * lines_in_a_tenth));
+    let most = if pace < 1000.0 { 30 } else { 3 };
+    (1..=most).for_each(|tenth| received(&mut channel, 1.0 + 0.1 * f64::from(tenth), 9));
+    let seen = channel.seen(figures().way).unwrap();
+    assert!((seen / pace - 1.0).abs() < 0.01, "{seen}");
+}
+
+#[test]
+fn the_last_receipts_of_a_round_say_nothing_of_the_pace() {
+    let mut channel = channel(0.0, 0);
+    channel.unanswered.push_back(Round { lines: 40.0, ..round(9, 0.0, 400.0, 10.0) });
+    received(&mut channel, 8.0, 9);
+    assert_eq!(channel.seen(figures().way), None);
+}
+
+#[test_case(false, 1 ; "withdrawals and what else there is")]
+#[test_case(true, 0 ; "many withdrawals go alone")]
+fn many_withdrawals_wait_for_nothing(many: bool, others: usize) {
+    let (mut channel, mut post) = (channel(0.0, 1), Post::default());
+    (0..if many { 20 } else { 3 }).for_each(|n| channel.shut(id(50 + n), true));
+    channel.flush(3.0, &figures(), &mut post);
+    let line = |order: &&Order| matches!(order, Order::Line { .. });
+    assert_eq!(post.orders.iter().filter(line).count(), others);
+}
+
 #[test]
 fn lines_without_a_receipt_never_exceed_the_backlog() {
     let (mut channel, mut post) = (channel(0.0, 40), Post::default());
     channel.out.insert(id(7));
-    channel.unanswered.push_back((MarkId(9), 0.0, 700.0, 70.0));
+    channel.unanswered.push_back(round(9, 0.0, 700.0, 70.0));
     channel.flush(3.0, &figures(), &mut post);
     assert!(lines(&post) <= 9, "900 are allowed, 700 are out, and a round costs 110");
     let mut receipt = |proxy| {
         let applied = Input::Applied { proxy: ProxyId(proxy), mark: MarkId(9), took: 3.0 };
         channel.work(3.0, &figures(), Note::In(applied), &mut Post::default());
-        channel.unanswered[0].2
+        channel.unanswered[0].lines
     };
     assert_eq!((receipt(0), receipt(1)), (630.0, 560.0), "each proxy's part");
     channel.work(3.0, &figures(), Note::In(Input::Left(ProxyId(2))), &mut Post::default());
-    assert_eq!(channel.unanswered[0].2, 490.0, "nor does it wait for one that left");
+    assert_eq!(channel.unanswered[0].lines, 490.0, "nor does it wait for one that left");
 }
 
 #[test]
--- a/src/state.rs
+++ b/src/state.rs
@@ -125,6 +125,18 @@
     }
 }
 
+/// A message to every proxy, as far as it is not received.
+pub(crate) struct Round {
+    pub mark: MarkId,
+    pub at: f64,
+    /// Lines not received, of so many, of which each proxy has a part.
+    pub lines: f64,
+    pub whole: f64,
+    pub part: f64,
+    /// What was not received when it was written, with its own.
+    pub ahead: f64,
+}
+
 #[derive(Default)]
 pub(crate) struct Channel {
     pub proxies: BTreeSet<ProxyId>,
@@ -137,9 +149,11 @@
     /// Hosts that are gone and in no table, to be let in with other orders and then forgotten.
     pub over: BTreeSet<HostId>,
     pub levels: Vec<Order>,
-    /// Rounds of messages not yet received: mark, time, lines, each proxy's; and the next mark.
-    pub unanswered: VecDeque<(MarkId, f64, f64, f64)>,
+    /// Rounds of messages not yet received by all, the next mark, and when a receipt last came of a round that was far
+    /// from received by all.
+    pub unanswered: VecDeque<Round>,
     pub mark: u16,
+    pub heard_at: f64,
     /// Lines that wait to be sent, as reckoned, and when the last rounds of messages were written.
     pub waiting: f64,
     pub reckoned_at: f64,
@@ -168,16 +182,31 @@
     }
 
     /// A receipt stands for its proxy's part, as does one that left; earlier rounds are over.
-    pub fn received(&mut self, mark: MarkId) {
-        let many = self.unanswered.iter().position(|(sent, ..)| *sent == mark).unwrap_or(0);
+    pub fn received(&mut self, now: f64, mark: MarkId) {
+        let many = self.unanswered.iter().position(|round| round.mark == mark).unwrap_or(0);
         self.unanswered.drain(..many);
-        let first = self.unanswered.front_mut().filter(|(sent, ..)| *sent == mark);
-        first.into_iter().for_each(|(.., lines, part)| *lines = (*lines - *part).max(0.0));
+        let Some(first) = self.unanswered.front_mut().filter(|round| round.mark == mark) else { return };
+        first.lines = (first.lines - first.part).max(0.0);
+        // The last few may be late for reasons of their own.
+        if first.lines > 0.1 * first.whole {
+            self.heard_at = now;
+        }
+    }
+
+    /// Lines that were written and not received.
+    pub fn out(&self) -> f64 {
+        self.unanswered.iter().map(|round| round.lines).sum()
+    }
+
+    /// Lines a second that have been received of what waits longest; none while it waits no longer than its way.
+    pub fn seen(&self, way: f64) -> Option<f64> {
+        let first = self.unanswered.front().filter(|round| self.heard_at > round.at + way)?;
+        Some((first.ahead - first.lines) / (self.heard_at - first.at - way))
     }
 
     pub fn left(&mut self, proxy: ProxyId) {
         self.proxies.remove(&proxy);
-        self.unanswered.iter_mut().for_each(|(.., lines, part)| *lines = (*lines - *part).max(0.0));
+        self.unanswered.iter_mut().for_each(|round| round.lines = (round.lines - round.part).max(0.0));
     }
 }
 
