Levels follow the slices in charge; young hosts keep room while few hosts carry the calls

"22.6 s 248 slices laid", "26.3 s route 0 let in at 0.52: rt 0.62 s": slices of a restarted director doubled the calls while the gate's target stayed that of its own; after a restart the target came from a span of which half was counted ("14.6 s ... 0.61", "16.6 s ... 0.05, route 1 0.16"). Target, limit and offered now grow with the slices; spans with slices just given are not weighed. The halving now goes by the calls that come against those borne before. A director now takes its gap by the root of its part of all slices.

--- a/src/figures.rs
+++ b/src/figures.rs
@@ -26,6 +26,7 @@
     pub overhead: f64,
     /// Proxies use slices' tables, not tables of their own.
     pub slices: bool,
+    pub all_slices: f64,
     pub lines_per_s: f64,
     /// How long the channel is busy with an empty message to every proxy.
     pub round_time: f64,
@@ -57,6 +58,7 @@
             admits: s.admission == Admission::Share,
             overhead: s.message_overhead,
             slices: s.slices > 0,
+            all_slices: s.slices as f64,
             lines_per_s: s.lines_per_s,
             round_time: s.proxies as f64 * (s.message_overhead + 1.0) / s.lines_per_s.max(1.0),
             backlog: s.backlog_lines,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -26,7 +26,7 @@
 const BINS: Bins = Bins { first: 0.03, step: 1.4 };
 
 impl Host {
-    fn work(&mut self, now: f64, f: &Figures, note: Note, post: &mut Post) {
+    pub(crate) fn work(&mut self, now: f64, f: &Figures, note: Note, post: &mut Post) {
         match note {
             Note::Listed(l, place) => {
                 let ready = l.state == HostState::Ready;
@@ -89,11 +89,6 @@
         post.note(To::Tables, Note::View(self.id, self.view.clone()));
     }
 
-    fn lose(&mut self) {
-        (self.view.ready, self.view.suspect, self.misses) = (false, false, 0);
-        (self.unlisted, self.listed) = (false, false);
-    }
-
     fn reported(&mut self, load: Load) {
         // Where calls wait all cores are busy. An idle host's figures tell nothing of its speed.
         let busy = load.busy.or(load.waiting.map(|calls| if calls >= 1.0 { 1.0 } else { 0.5 }));
@@ -149,7 +144,7 @@
     /// Weights of a standby line: from a trickle that keeps its connections open to more than the owner's.
     const NOTCHES: [f64; 6] = [0.1, 0.2, 0.4, 0.7, 1.2, 2.0];
 
-    fn work(&mut self, now: f64, f: &Figures, note: Note, post: &mut Post) {
+    pub(crate) fn work(&mut self, now: f64, f: &Figures, note: Note, post: &mut Post) {
         match note {
             Note::View(host, view) => drop(self.views.insert(host, view)),
             Note::Back(host) => _ = self.withdrawn.remove(&host),
@@ -174,6 +169,7 @@
                 self.slices.entry(slice).and_modify(|slice| add(&mut slice.lines, Some(host), weight));
             }
             Note::In(Input::Demand { slice, route, calls, .. }) => {
+                self.came += calls as f64;
                 let sum = self.slices.get_mut(&slice).and_then(|s| s.demand.get_mut(route.0 as usize));
                 sum.into_iter().for_each(|sum| *sum += calls as f64);
             }
@@ -189,8 +185,11 @@
             self.halved = now;
         }
         if now - self.compared_at >= pace(f) {
+            self.calls = std::mem::take(&mut self.came) / (now - self.compared_at) / self.slices.len() as f64;
             self.compared_at = now;
             self.compare(post);
+            let quick = self.rt > 0.0 && self.rt < 0.25 * f.tightest_slo;
+            self.borne = if quick { self.calls } else { self.borne };
             self.score(f);
             // Notch by notch on the plan: the loads are reckoned anew each time, nothing need be awaited.
             (0..4).for_each(|_| self.share());
@@ -216,7 +215,7 @@
         // One slice in half a second: caches warm up between moves and the channel stays free.
         if now - self.moved_at >= 0.5 {
             self.moved_at = now;
-            self.balance(now, f, post);
+            (0..self.slices.len().div_ceil(100)).for_each(|_| self.balance(now, f, post));
         }
         self.standbys(f);
         self.write(f, post);
@@ -249,12 +248,6 @@
         apart(host) && self.open().into_iter().any(|host| !apart(host) && self.views[&host].ramp >= 1.0)
     }
 
-    /// What operators make of a host's weight.
-    fn wish(&self, host: HostId) -> f64 {
-        let zone = self.views.get(&host).and_then(|v| self.wishes.zones.get(v.zone.0 as usize));
-        self.wishes.hosts.get(&host).unwrap_or(&1.0) * zone.unwrap_or(&1.0)
-    }
-
     /// The weight by which counts are reckoned: as listed, less what a young host can't carry yet.
     fn unit(&self, host: HostId) -> f64 {
         self.views.get(&host).map_or(1.0, |v| (v.weight / self.weight).max(0.01) * v.ramp) * self.wish(host)
@@ -277,12 +270,13 @@
     }
 
     /// The score that a host may still be listed for. All calls of a young one's tables, if others fail, may
-    /// ask 0.6 of the fall multiple, or twice what it can do; double that while the fleet answers quickly.
+    /// ask 0.6 of the fall multiple, or twice what it can do; double that while the fleet answers quickly, or
+    /// no more calls come than when it last did: then it is slow because few hosts carry them.
     fn rooms(&self, f: &Figures) -> Sums {
         // With under four fifths of the fleet left calls come again, so young hosts may add less.
         let (most, open) = (self.most.max(1) as f64, self.open().len() as f64);
         let part = self.slices.values().map(|s| s.score).sum::<f64>() / most * (open / most / 0.8).min(1.0);
-        let spare = (0.5 * f.tightest_slo / if self.rt > 0.0 { self.rt } else { f64::MAX }).clamp(1.0, 2.0);
+        let spare = (0.5 * f.tightest_slo / self.rt).max(2.0 * self.borne / self.calls).clamp(1.0, 2.0);
         let most = (0.6 * f.fall_multiple).min(2.0) * spare * part;
         let limit = |v: &View| if v.ramp < 1.0 { most * v.ramp } else { f64::INFINITY };
         let mut rooms: Sums = self.views.iter().map(|(host, v)| (*host, limit(v))).collect();
@@ -393,8 +387,14 @@
         let full = |host: HostId| counts[&host] / self.unit(host);
         let mut open = self.open();
         open.sort_by(|a, b| full(*a).total_cmp(&full(*b)));
-        let [to, .., from] = open[..] else { return };
-        let gap = full(from) - full(to);
+        let [_, .., from] = open[..] else { return };
+        // The emptiest that could take anything of the fullest's.
+        let held = self.slices.values().filter(|slice| slice.owner == Some(from));
+        let least = held.map(|slice| slice.score).fold(f64::INFINITY, f64::min);
+        let Some(to) = open.iter().copied().find(|to| rooms[to] >= least) else { return };
+        // Where a director sees a part of the slices, the gaps of all, as chance has it, add up by the root.
+        let part = (self.slices.len() as f64 / f.all_slices.max(1.0)).min(1.0);
+        let gap = (full(from) - full(to)) / part.sqrt();
         if gap > 8.0 && !self.balancing {
             post.log(format!("balancing starts, a gap of {gap:.1} slices"), vec![from, to]);
         }
@@ -406,14 +406,13 @@
         let new = listed > 0.0 && now - listed < f.ramp_time;
         let hottest = !new && scores.get(&from) > scores.get(&to);
         let key = |(_, slice): &(&SliceId, &Slice)| if hottest { -slice.score } else { slice.score };
-        let held =
-            self.slices.iter().filter(|(id, slice)| slice.owner == Some(from) && !self.apart(**id, to));
-        let pick = held.min_by(|a, b| key(a).total_cmp(&key(b)));
-        let pick = pick.filter(|(_, slice)| balancing && after < gap && rooms[&to] >= slice.score);
-        let pick = pick.map(|(id, _)| *id);
+        let free = self.slices.iter().filter(|(id, s)| s.owner == Some(from) && !self.apart(**id, to));
+        let pick = free.min_by(|a, b| key(a).total_cmp(&key(b)));
+        let eased = after < full(from) - full(to);
+        let pick = pick.filter(|(_, slice)| balancing && eased && rooms[&to] >= slice.score);
         self.balancing = balancing;
-        pick.into_iter()
-            .for_each(|id| _ = self.slices.get_mut(&id).map(|s| (s.owner, s.home) = (Some(to), None)));
+        let moved = pick.map(|(id, _)| *id).and_then(|id| self.slices.get_mut(&id));
+        moved.into_iter().for_each(|slice| (slice.owner, slice.home) = (Some(to), None));
     }
 
     fn suspects(&mut self, now: f64, post: &mut Post) {
@@ -424,7 +423,11 @@
         self.most = if self.most == 0 { self.views.len() } else { self.most.max(many) };
         // Up to four in ten, a zone of three and a host: past that our own view is more likely to fail.
         let few = doubtful as f64 <= 0.4 * many as f64;
-        let again = std::mem::take(&mut self.again);
+        // Once a second for all that joined meanwhile: a crowd that returns would else fill the channel.
+        let again = self.again && now - self.retold_at >= 1.0;
+        if again {
+            (self.again, self.retold_at) = (false, now);
+        }
         for (host, view) in &self.views {
             let since = self.withdrawn.get(host).copied();
             // Young behind our back, in full tables: out for a second, till its lines are fewer.
@@ -544,14 +547,15 @@
 
 /// Lowers the level of the routes that earn least per call while the fleet as a whole can't keep up.
 impl Gate {
-    fn work(&mut self, now: f64, f: &Figures, note: Note, post: &mut Post) {
+    pub(crate) fn work(&mut self, now: f64, f: &Figures, note: Note, post: &mut Post) {
         match note {
-            Note::In(Input::Demand { route, calls, .. } | Input::Intake { route, calls, .. }) => {
-                self.demand.get_mut(route.0 as usize).into_iter().for_each(|sum| *sum += calls as f64);
-            }
+            Note::In(Input::Demand { route, calls, dropped, .. }) => self.count(route, calls, dropped),
+            Note::In(Input::Intake { route, calls, dropped, .. }) => self.count(route, calls, dropped),
             Note::Tries { rt, tries, dropped } => self.times.add(BINS, rt, tries, dropped),
             Note::Fleet { busy, .. } => self.busy = busy,
-            Note::In(Input::Given(_) | Input::Joined { .. }) => self.again = true,
+            Note::In(Input::Joined { .. }) => self.again = true,
+            Note::In(Input::Given(id)) => self.given(now, id),
+            Note::In(Input::Taken(id)) => _ = self.slices.remove(&id),
             Note::In(Input::Wishes(wishes)) if f.admits => {
                 self.wished.extend(wishes.routes.keys());
                 self.wishes = wishes.routes;
@@ -582,9 +586,19 @@
     }
 
     fn weigh(&mut self, now: f64, f: &Figures, post: &mut Post) {
-        let span = now - std::mem::replace(&mut self.weighed_at, now);
-        let times = std::mem::take(&mut self.times);
+        let since = std::mem::replace(&mut self.weighed_at, now);
+        let (span, times) = (now - since, std::mem::take(&mut self.times));
         let demand: Vec<f64> = self.demand.iter_mut().map(|sum| std::mem::take(sum) / span).collect();
+        let dropped = std::mem::take(&mut self.dropped) / span;
+        // Of slices given in the meantime, or a second before, only a part is counted.
+        if self.given_at.is_some_and(|at| since < at + 1.0) {
+            return;
+        }
+        // Slices that come from a lost director bring their calls: what was right for fewer grows with them.
+        let many = std::mem::replace(&mut self.weighed, self.slices.len().max(1));
+        let grown = if many == 0 { 1.0 } else { self.weighed as f64 / many as f64 };
+        self.target = self.target.map(|target| target * grown);
+        (self.offered, self.limit) = (self.offered * grown, self.limit * grown);
         let offered: f64 = demand.iter().sum();
         // With proxies out of reach there is little to weigh; the levels must stand when they come back.
         self.offered = offered.max(0.8 * self.offered);
@@ -602,8 +616,9 @@
         let strain = if self.busy > 0.0 { self.busy / 0.8 } else { rt / 0.3 };
         let pressure = (rt / 0.43).max(strain.min(times.dropped_share() / 0.2));
         if pressure > 1.0 && (self.target.is_none() || now - self.cut_at > 2.9 * pace(f)) {
-            // Less than was answered, for the jam must drain. Three spans show what a cut does.
-            self.target = Some((0.85 * times.answered() / span).clamp(0.7 * admitted, 0.9 * admitted));
+            // Less than was answered of our own calls, as tries are all directors': the jam must drain.
+            // Three spans show what a cut does.
+            self.target = Some((0.85 * (admitted - dropped)).clamp(0.7 * admitted, 0.9 * admitted));
             (self.cut_at, self.limit) = (now, 0.9 * admitted);
         } else if pressure < 0.8 {
             // Quickly back to nearly what was too much, then by steps that grow while all goes well.
@@ -635,7 +650,7 @@
 
 /// Gathers what is to be told to proxies and sends it as its budgets of lines and messages allow.
 impl Channel {
-    fn work(&mut self, now: f64, f: &Figures, note: Note, post: &mut Post) {
+    pub(crate) fn work(&mut self, now: f64, f: &Figures, note: Note, post: &mut Post) {
         match note {
             Note::Lines { slice, lines } => {
                 let since = self.wanted.get(&slice).map_or(now, |(since, _)| *since);
@@ -646,6 +661,9 @@
             }
             // A host that is to be shut is shut before it may return: only then are its lines looked at.
             Note::Tell(Order::Withdraw { host, out: false }) if self.shuts.get(&host) == Some(&true) => {}
+            // Who joins reads the store: a host in no table of ours need not be shut out once more.
+            Note::Tell(Order::Withdraw { host, out: true })
+                if self.out.contains(&host) && !self.names(host) => {}
             Note::Tell(Order::Withdraw { host, out }) => self.shut(host, out),
             Note::Tell(order) => self.levels.push(order),
             Note::In(Input::Refused { slice, lines, .. }) => {
@@ -727,16 +745,16 @@
 
     /// Sends what waits: at once if urgent, else in steps, and never past a part of what the rules allow.
     fn flush(&mut self, now: f64, f: &Figures, post: &mut Post) {
-        // A channel far slower than stated shows in its receipts: all that is reckoned in time goes by its real
-        // pace. Too low where receipts are held up elsewhere: then less is written for a while.
+        // A channel far slower than stated shows in its receipts: what is reckoned in time goes by its pace.
+        // Too low where receipts are held up elsewhere: then less is written for a while.
         let seen = self.seen(f.way).unwrap_or(f.lines_per_s);
         let pace = seen.clamp(0.02 * f.lines_per_s, f.lines_per_s);
-        // Whatever pace it has, what was written and not received never exceeds nine tenths of the backlog. What
-        // nobody answers is forgotten in ten seconds, but not while receipts of it come: it still waits.
+        // Whatever its pace, what was written and not received stays under nine tenths of the backlog. What
+        // nobody answers is forgotten in ten seconds, but not while receipts come: it still waits.
         self.unanswered.retain(|round| now - round.at.max(self.heard_at) < 10.0);
         let out = self.out();
-        self.waiting = (self.waiting - (now - self.reckoned_at) * pace).max(0.0);
-        self.waiting = if pace < f.lines_per_s { self.waiting.max(out) } else { self.waiting };
+        let least = if pace < f.lines_per_s { out } else { 0.0 };
+        self.waiting = (self.waiting - (now - self.reckoned_at) * pace).max(least);
         self.reckoned_at = now;
         self.sent.retain(|at| now - at <= f.messages_span);
         let items = self.items(f);
@@ -755,12 +773,9 @@
         let spent = if urgent { self.sent.len() + 1 >= f.messages_most } else { half };
         // Parts of what the channel writes in the backlog's time: the more a delay costs, the more.
         let held = f.backlog * pace / f.lines_per_s;
-        let routine = (fixed + 0.25 * held).min(0.6 * held);
-        let limit = |rank: u8| match rank {
-            0 => 0.7 * f.backlog,
-            1..6 => (0.7 * held).max(3.0 * fixed).min(0.7 * f.backlog),
-            _ => routine,
-        };
+        let (least, routine) = ((0.7 * f.backlog).min(3.0 * fixed), (fixed + 0.25 * held).min(0.6 * held));
+        let limits = [0.7 * f.backlog, least.max(0.7 * held), routine];
+        let limit = |rank: u8| limits[(rank > 0) as usize + (rank > 5) as usize];
         // What waits, or as much of it as is worth a message.
         let all = fixed + proxies * items.iter().map(|(.., orders)| orders.len() as f64).sum::<f64>();
         let worth = if *first == 0 { fixed + proxies } else { all.min((fixed + limit(*first)) / 2.0) };
@@ -770,7 +785,7 @@
         let (mut lines, hurry) = (fixed, *first < 2);
         for (rank, _, orders) in items {
             let cost = proxies * orders.len() as f64;
-            // A proxy acts on a message when all of it has come: many withdrawals go alone, as all else delays them.
+            // A proxy acts on a message when all of it has come: many withdrawals go alone, lest it be late.
             let late = hurry && rank > 1 && lines > 2.0 * fixed;
             if late || self.waiting + lines + cost > limit(rank) || out + lines + cost > 0.9 * f.backlog {
                 break;
@@ -790,7 +805,7 @@
 }
 
 impl Watch {
-    fn work(&mut self, now: f64, f: &Figures, note: Note, post: &mut Post) {
+    pub(crate) fn work(&mut self, now: f64, f: &Figures, note: Note, post: &mut Post) {
         let Some(ask_within) = f.ask_within else { return };
         // A second between tries to follow leaves the service room to recover; else thrice in the time.
         let due = if self.following { ask_within / 3.0 } else { 1.0 };
@@ -806,13 +821,13 @@
 }
 
 pub struct Director {
-    figures: Figures,
+    pub(crate) figures: Figures,
     chance: Chance,
-    hosts: BTreeMap<HostId, Host>,
-    tables: Tables,
-    gate: Gate,
-    channel: Channel,
-    watch: Watch,
+    pub(crate) hosts: BTreeMap<HostId, Host>,
+    pub(crate) tables: Tables,
+    pub(crate) gate: Gate,
+    pub(crate) channel: Channel,
+    pub(crate) watch: Watch,
     version: Option<u64>,
     listed: u64,
     tick_at: f64,
@@ -886,24 +901,4 @@
             post.note(To::Host(*host), Note::Unlisted);
         }
     }
-
-    fn settle(&mut self, now: f64, post: &mut Post) {
-        let f = &self.figures;
-        while let Some((to, notes)) = post.collect() {
-            for note in notes {
-                match &to {
-                    // One that is listed again meanwhile is as one that is back.
-                    To::Host(id) if note == Note::Over(*id) => {
-                        let gone = self.hosts.extract_if(*id..=*id, |_, host| !host.listed);
-                        post.orders.extend(gone.map(|(id, _)| Order::Forget(id)));
-                    }
-                    To::Host(id) => _ = self.hosts.get_mut(id).map(|host| host.work(now, f, note, post)),
-                    To::Tables => self.tables.work(now, f, note, post),
-                    To::Gate => self.gate.work(now, f, note, post),
-                    To::Watch => self.watch.work(now, f, note, post),
-                    To::Channel => self.channel.work(now, f, note, post),
-                }
-            }
-        }
-    }
 }
--- a/src/notes.rs
+++ b/src/notes.rs
@@ -1,6 +1,7 @@
 //! What the parts of the module tell each other, and the inboxes in which it waits. No decisions.
 
 use crate::interface::*;
+use crate::logic::Director;
 use std::collections::{BTreeMap, VecDeque};
 
 /// A figure for each host.
@@ -115,3 +116,26 @@
         self.inboxes.pop_first()
     }
 }
+
+impl Director {
+    /// Empties the inboxes, in the order of `To`, until all is quiet.
+    pub(crate) fn settle(&mut self, now: f64, post: &mut Post) {
+        let f = &self.figures;
+        while let Some((to, notes)) = post.collect() {
+            for note in notes {
+                match &to {
+                    // One that is listed again meanwhile is as one that is back.
+                    To::Host(id) if note == Note::Over(*id) => {
+                        let gone = self.hosts.extract_if(*id..=*id, |_, host| !host.listed);
+                        post.orders.extend(gone.map(|(id, _)| Order::Forget(id)));
+                    }
+                    To::Host(id) => _ = self.hosts.get_mut(id).map(|host| host.work(now, f, note, post)),
+                    To::Tables => self.tables.work(now, f, note, post),
+                    To::Gate => self.gate.work(now, f, note, post),
+                    To::Watch => self.watch.work(now, f, note, post),
+                    To::Channel => self.channel.work(now, f, note, post),
+                }
+            }
+        }
+    }
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -52,6 +52,12 @@
         let view = View { weight: 1.0, ramp: 1.0, ease: 1.0, proven, ..View::default() };
         Host { id, view, probe_at: Some(phase), ..Host::default() }
     }
+
+    /// It is gone, as far as the list tells.
+    pub fn lose(&mut self) {
+        (self.view.ready, self.view.suspect, self.misses) = (false, false, 0);
+        (self.unlisted, self.listed) = (false, false);
+    }
 }
 
 #[derive(Default)]
@@ -61,6 +67,7 @@
     /// Hosts that are shut out, and since when; `again`: somebody has missed these orders.
     pub withdrawn: Sums,
     pub again: bool,
+    pub retold_at: f64,
     pub balancing: bool,
     /// Most hosts that were ready at a time; by these a host's part is reckoned, however many fail.
     pub most: usize,
@@ -75,6 +82,10 @@
     pub halved: f64,
     pub moved_at: f64,
     pub compared_at: f64,
+    /// Calls since then; a second and slice before that; and when the fleet last answered quickly.
+    pub came: f64,
+    pub calls: f64,
+    pub borne: f64,
     /// What operators set; while nobody else could serve, no host counts as drained by them.
     pub wishes: Wishes,
     pub alone: bool,
@@ -90,6 +101,12 @@
         counts
     }
 
+    /// What operators make of a host's weight.
+    pub fn wish(&self, host: HostId) -> f64 {
+        let zone = self.views.get(&host).and_then(|v| self.wishes.zones.get(v.zone.0 as usize));
+        self.wishes.hosts.get(&host).unwrap_or(&1.0) * zone.unwrap_or(&1.0)
+    }
+
     /// The mean weight, and the mean speed of the hosts that report one.
     pub fn means(&mut self) {
         let speeds = || self.views.values().filter(|v| v.ready).filter_map(|v| v.speed);
@@ -105,12 +122,18 @@
     /// What came since the last weighing: calls by route, and how tries went.
     pub demand: Vec<f64>,
     pub times: Histogram,
+    /// Calls let in and not answered.
+    pub dropped: f64,
     pub levels: Vec<f64>,
     /// How busy the median host is, where that is reported.
     pub busy: f64,
     /// Somebody has missed the levels.
     pub again: bool,
     pub weighed_at: f64,
+    /// Slices in charge, how many they were when last weighed, and when one was last given.
+    pub slices: BTreeSet<SliceId>,
+    pub weighed: usize,
+    pub given_at: Option<f64>,
     pub cut_at: f64,
     pub offered: f64,
     pub limit: f64,
@@ -123,6 +146,16 @@
     pub fn new(routes: usize) -> Self {
         Gate { demand: vec![0.0; routes], levels: vec![1.0; routes], ..Gate::default() }
     }
+
+    pub fn count(&mut self, route: RouteId, calls: u64, dropped: u64) {
+        self.demand.get_mut(route.0 as usize).into_iter().for_each(|sum| *sum += calls as f64);
+        self.dropped += dropped.min(calls) as f64;
+    }
+
+    pub fn given(&mut self, now: f64, slice: SliceId) {
+        (self.again, self.given_at) = (true, Some(now));
+        self.slices.insert(slice);
+    }
 }
 
 /// A message to every proxy, as far as it is not received.
