--- a/src/logic.rs
+++ b/src/logic.rs
@@ -276,7 +276,10 @@
         // With under four fifths of the fleet left calls come again, so young hosts may add less.
         let (most, open) = (self.most.max(1) as f64, self.open().len() as f64);
         let part = self.slices.values().map(|s| s.score).sum::<f64>() / most * (open / most / 0.8).min(1.0);
-        let spare = (0.5 * f.tightest_slo / self.rt).max(2.0 * self.borne / self.calls).clamp(1.0, 2.0);
+        // With proxies out of reach few calls come, till they are back at once; the unmeasured is not quick.
+        let crowd = if self.calls > 0.5 * self.borne { 2.0 * self.borne / self.calls } else { 0.0 };
+        let quick = if self.rt > 0.0 { (0.5 * f.tightest_slo / self.rt).max(crowd) } else { 1.0 };
+        let spare = quick.clamp(1.0, 2.0);
         let most = (0.6 * f.fall_multiple).min(2.0) * spare * part;
         let limit = |v: &View| if v.ramp < 1.0 { most * v.ramp } else { f64::INFINITY };
         let mut rooms: Sums = self.views.iter().map(|(host, v)| (*host, limit(v))).collect();
@@ -549,8 +552,9 @@
 impl Gate {
     pub(crate) fn work(&mut self, now: f64, f: &Figures, note: Note, post: &mut Post) {
         match note {
-            Note::In(Input::Demand { route, calls, dropped, .. }) => self.count(route, calls, dropped),
-            Note::In(Input::Intake { route, calls, dropped, .. }) => self.count(route, calls, dropped),
+            Note::In(Input::Demand { route, calls, .. } | Input::Intake { route, calls, .. }) => {
+                self.demand.get_mut(route.0 as usize).into_iter().for_each(|sum| *sum += calls as f64);
+            }
             Note::Tries { rt, tries, dropped } => self.times.add(BINS, rt, tries, dropped),
             Note::Fleet { busy, .. } => self.busy = busy,
             Note::In(Input::Joined { .. }) => self.again = true,
@@ -589,7 +593,6 @@
         let since = std::mem::replace(&mut self.weighed_at, now);
         let (span, times) = (now - since, std::mem::take(&mut self.times));
         let demand: Vec<f64> = self.demand.iter_mut().map(|sum| std::mem::take(sum) / span).collect();
-        let dropped = std::mem::take(&mut self.dropped) / span;
         // Of slices given in the meantime, or a second before, only a part is counted.
         if self.given_at.is_some_and(|at| since < at + 1.0) {
             return;
@@ -616,9 +619,8 @@
         let strain = if self.busy > 0.0 { self.busy / 0.8 } else { rt / 0.3 };
         let pressure = (rt / 0.43).max(strain.min(times.dropped_share() / 0.2));
         if pressure > 1.0 && (self.target.is_none() || now - self.cut_at > 2.9 * pace(f)) {
-            // Less than was answered of our own calls, as tries are all directors': the jam must drain.
-            // Three spans show what a cut does.
-            self.target = Some((0.85 * (admitted - dropped)).clamp(0.7 * admitted, 0.9 * admitted));
+            // Less than was answered, for the jam must drain. Three spans show what a cut does.
+            self.target = Some((0.85 * times.answered() / span).clamp(0.7 * admitted, 0.9 * admitted));
             (self.cut_at, self.limit) = (now, 0.9 * admitted);
         } else if pressure < 0.8 {
             // Quickly back to nearly what was too much, then by steps that grow while all goes well.
@@ -782,12 +784,10 @@
         if idle || spent || recent || self.waiting + worth > limit(*first) || out + worth > 0.9 * f.backlog {
             return;
         }
-        let (mut lines, hurry) = (fixed, *first < 2);
+        let mut lines = fixed;
         for (rank, _, orders) in items {
             let cost = proxies * orders.len() as f64;
-            // A proxy acts on a message when all of it has come: many withdrawals go alone, lest it be late.
-            let late = hurry && rank > 1 && lines > 2.0 * fixed;
-            if late || self.waiting + lines + cost > limit(rank) || out + lines + cost > 0.9 * f.backlog {
+            if self.waiting + lines + cost > limit(rank) || out + lines + cost > 0.9 * f.backlog {
                 break;
             }
             lines += cost;
--- a/src/state.rs
+++ b/src/state.rs
@@ -122,8 +122,6 @@
     /// What came since the last weighing: calls by route, and how tries went.
     pub demand: Vec<f64>,
     pub times: Histogram,
-    /// Calls let in and not answered.
-    pub dropped: f64,
     pub levels: Vec<f64>,
     /// How busy the median host is, where that is reported.
     pub busy: f64,
@@ -147,11 +145,6 @@
         Gate { demand: vec![0.0; routes], levels: vec![1.0; routes], ..Gate::default() }
     }
 
-    pub fn count(&mut self, route: RouteId, calls: u64, dropped: u64) {
-        self.demand.get_mut(route.0 as usize).into_iter().for_each(|sum| *sum += calls as f64);
-        self.dropped += dropped.min(calls) as f64;
-    }
-
     pub fn given(&mut self, now: f64, slice: SliceId) {
         (self.again, self.given_at) = (true, Some(now));
         self.slices.insert(slice);
