A return that waits is taken back also of a host that no table names

Ruled out: shuts that wait to go out are not touched by the guard. Test: a_return_that_waits_is_taken_back_even_of_a_host_in_no_table.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -665,7 +665,7 @@
             Note::Tell(Order::Withdraw { host, out: false }) if self.shuts.get(&host) == Some(&true) => {}
             // Who joins reads the store: a host in no table of ours need not be shut out once more.
             Note::Tell(Order::Withdraw { host, out: true })
-                if self.out.contains(&host) && !self.names(host) => {}
+                if self.out.contains(&host) && !self.shuts.contains_key(&host) && !self.names(host) => {}
             Note::Tell(Order::Withdraw { host, out }) => self.shut(host, out),
             Note::Tell(order) => self.levels.push(order),
             Note::In(Input::Refused { slice, lines, .. }) => {
--- a/src/logic_tests.rs
+++ b/src/logic_tests.rs
@@ -701,6 +701,16 @@
     assert_eq!(channel.shuts.contains_key(&id(7)), told);
 }
 
+#[test]
+fn a_return_that_waits_is_taken_back_even_of_a_host_in_no_table() {
+    let mut channel = channel(0.0, 0);
+    channel.out.insert(id(7));
+    channel.shut(id(7), false);
+    let order = Order::Withdraw { host: id(7), out: true };
+    channel.work(0.0, &figures(), Note::Tell(order), &mut Post::default());
+    assert!(channel.shuts[&id(7)]);
+}
+
 #[test]
 fn a_host_is_shut_before_it_may_return() {
     let (mut channel, mut post) = (channel(0.0, 0), Post::default());
