One reckoning of the channel: it hears of every call written, again or in part

Cause, by lines: Calls::pump let a repeat go by a count of its own that drained at the stated pace, while the module booked one copy of the call (Channel::flush) and Channel::received took two receipts of a proxy for two parts of that copy. Also: Channel::left took the part of a proxy off every round, received by it or not, joined later or not; a round was priced by the proxies at its decision and written to those of a second later.

Change: src/ledger.rs holds what was really written, whose receipt is due of each copy, and what no receipt will tell of; the call queue asks the module what may be written (writable) and reports Written, TurnedAway and lost news. A repeat that does not fit goes in part. Without receipts a short message may use the last tenth, as its receipts show what has passed.

--- a/crates/director/src/reducer/calls.rs
+++ b/crates/director/src/reducer/calls.rs
@@ -2,7 +2,8 @@
 //! repeated until it is, as every order sets a state and twice is the same as once but for the lines it costs.
 
 use super::{Effect, LinkId, Out};
-use coppersail::interface::{HostId, RouteId, SliceId};
+use coppersail::interface::Call::{TurnedAway, Written};
+use coppersail::interface::{HostId, Input, MarkId, RouteId, SliceId};
 use coppersail_protocol::relay::{self, Answer};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
@@ -18,6 +19,8 @@
 /// connection that we gave up, and it holds few.
 const REPEAT_PAUSE: f64 = 0.05;
 const REPEAT_PAUSE_MOST: f64 = 0.4;
+/// Before the decisions are asked again whether a call may go: they decide ten times a second.
+const ASK_PAUSE: f64 = 0.05;
 /// What stands is told within about a second of a dial; a relay that takes calls but tells no news is written to all
 /// the same after this.
 const BLIND_MOST: f64 = 1.5;
@@ -31,7 +34,18 @@
     Clear(SliceId),
     Withdraw(HostId),
     Admit(Option<SliceId>, Vec<RouteId>),
-    Mark,
+    Mark(MarkId),
+}
+
+impl Aim {
+    /// Of marks the last one stands for all.
+    fn settles(&self) -> Aim {
+        if let Aim::Mark(_) = self {
+            Aim::Mark(MarkId(0))
+        } else {
+            self.clone()
+        }
+    }
 }
 
 /// An order as it stands in a call.
@@ -53,14 +67,6 @@
     }
 }
 
-/// The channel's figures, by which repeats are counted against the short queue.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Pace {
-    pub lines_per_s: f64,
-    pub backlog: f64,
-    pub overhead: f64,
-}
-
 #[derive(Debug, PartialEq)]
 enum Link {
     Down,
@@ -70,7 +76,6 @@
 }
 
 pub struct Calls {
-    pace: Pace,
     waiting: VecDeque<Vec<Told>>,
     /// Where the relay is.
     address: SocketAddr,
@@ -89,19 +94,15 @@
     repeats: u32,
     /// The relay was read to refuse the first order, or the whole call, once: that answer may have been spoilt.
     refused: bool,
-    /// Lines in the channel as reckoned, and when.
-    lines: f64,
-    reckoned_at: f64,
-    /// So many proxies get each order.
-    pub proxies: usize,
+    /// Proxies may have joined of which nothing has been told yet.
+    pub unheard: bool,
     /// When the first call went out.
     pub sent_at: f64,
 }
 
 impl Calls {
-    pub fn new(pace: Pace, address: SocketAddr) -> Self {
+    pub fn new(address: SocketAddr) -> Self {
         Calls {
-            pace,
             waiting: VecDeque::new(),
             address,
             link: Link::Down,
@@ -112,9 +113,7 @@
             blind_until: None,
             repeats: 0,
             refused: false,
-            lines: 0.0,
-            reckoned_at: 0.0,
-            proxies: 0,
+            unheard: false,
             sent_at: 0.0,
         }
     }
@@ -151,7 +150,7 @@
         let first = if self.unsettled() { self.waiting.pop_front() } else { None };
         let (mut seen, mut kept) = (BTreeSet::new(), Vec::new());
         for order in self.waiting.drain(..).rev().flat_map(|call| call.into_iter().rev()) {
-            if seen.insert(order.aim.clone()) {
+            if seen.insert(order.aim.settles()) {
                 kept.push(order);
             }
         }
@@ -201,8 +200,9 @@
         self.waiting.iter().flatten().any(named)
     }
 
-    /// Sends the next call if one may go.
-    pub fn pump(&mut self, now: f64, out: &mut Out) {
+    /// Sends the next call if one may go: `writable` says how many of its orders may be written now, where it may have
+    /// been before, and while proxies are unheard of.
+    pub fn pump(&mut self, now: f64, writable: impl Fn(usize, bool, bool) -> usize, out: &mut Out) {
         if self.due.is_some_and(|due| now >= due) {
             self.repeat(now, "no answer in time", out);
         }
@@ -214,19 +214,23 @@
         if self.due.is_some() || now < self.ready_at() {
             return;
         }
-        let cost = self.proxies as f64 * (self.pace.overhead + call.len() as f64);
-        let passed = (now - self.reckoned_at) * self.pace.lines_per_s;
-        (self.lines, self.reckoned_at) = ((self.lines - passed).max(0.0), now);
-        // A repeat finds its first copy in the channel, perhaps: both together keep to the backlog.
-        let over = self.lines + cost - self.pace.backlog;
-        if over > 0.0 && self.lines > 0.0 {
-            self.hold = now + (over.min(self.lines) / self.pace.lines_per_s.max(1.0)).clamp(1e-3, 1.0);
+        // A repeat finds its first copy in the channel, perhaps, and more proxies than when it was decided: it is for
+        // the decisions to say what still keeps to the backlog, as they reckon what waits.
+        let many = writable(call.len(), self.unsettled(), self.unheard);
+        if many == 0 {
+            self.hold = now + ASK_PAUSE;
             return;
         }
         match self.link {
             Link::Dialled(_) => {}
             Link::Up(link, since) if now - since < IDLE_MOST || self.next.is_some() => {
-                self.lines += cost;
+                self.cut(many);
+                let call = &self.waiting[0];
+                let mark =
+                    call.iter()
+                        .find_map(|told| if let Aim::Mark(mark) = told.aim { Some(mark) } else { None });
+                let written = Written { mark, orders: call.len(), unheard: self.unheard };
+                out.inputs.push(Input::Call(written));
                 (self.due, self.sent_at) = (Some(now + ANSWER_MOST), now);
                 out.counters.calls_sent += 1;
                 out.effects.push(Effect::Send(link, relay::call(call.iter().map(|told| told.text.as_str()))));
@@ -238,6 +242,22 @@
         }
     }
 
+    /// Cuts the first call so that it has so many orders, before a slice's lines that stand together if that leaves any.
+    /// Each part has the mark, as receipts show what has passed.
+    fn cut(&mut self, many: usize) {
+        let call = &mut self.waiting[0];
+        if many >= call.len() {
+            return;
+        }
+        let mark = call.iter().find(|told| matches!(told.aim, Aim::Mark(_))).cloned();
+        let many = many.saturating_sub(mark.is_some() as usize).max(1);
+        let together = |at: &usize| call[*at].slice().is_some() && call[*at].slice() == call[*at - 1].slice();
+        let at = (1..=many).rev().find(|at| !together(at)).unwrap_or(many);
+        let rest = call.split_off(at);
+        call.extend(mark);
+        self.waiting.insert(1, rest);
+    }
+
     fn ready_at(&self) -> f64 {
         self.hold.max(self.blind_until.unwrap_or(0.0))
     }
@@ -371,6 +391,7 @@
             }
             Answer::Throttling => {
                 out.counters.calls_throttled += 1;
+                out.inputs.push(Input::Call(TurnedAway));
                 self.settled(now, link, out);
                 self.hold = now + PAUSE;
                 Vec::new()
--- /dev/null
+++ b/crates/director/src/reducer/channel_tests.rs
@@ -0,0 +1,368 @@
+//! Module and call queue together against a plain model of the true channel, which lives here alone: a line of messages
+//! that pass one after the other at a pace that nobody tells. Whatever becomes of calls, receipts and proxies, what
+//! really waits keeps to the backlog, and no withdrawal waits for ever.
+
+use super::tests::lines;
+use super::*;
+use proptest::prelude::*;
+use proptest::test_runner::{Config as Cases, RngAlgorithm, TestRng, TestRunner};
+use std::collections::{BTreeMap, VecDeque};
+
+const PROXIES: u16 = 120;
+const SLICES: u16 = 48;
+const HOSTS: usize = 12;
+const OVERHEAD: f64 = 12.0;
+const LINES_PER_S: f64 = 4_800.0;
+const BACKLOG: f64 = 2.0 * LINES_PER_S;
+const BEAT: f64 = 0.02;
+const TROUBLE: f64 = 16.0;
+const END: f64 = 36.0;
+const MESSAGES_MOST: usize = 40;
+const MESSAGES_SPAN: f64 = 4.0;
+
+/// What becomes of a call, in hundredths; the others are answered.
+#[derive(Clone, Copy, Debug)]
+struct Odds {
+    silent: u32,
+    broken: u32,
+    spoilt: u32,
+    throttled: u32,
+}
+
+#[derive(Clone, Debug)]
+struct Script {
+    seed: u64,
+    odds: Odds,
+    /// The pace as a part of the stated one, by spells of two seconds.
+    paces: Vec<f64>,
+    /// When crowds leave, how many hundredths of the proxies, and how long they stay away.
+    crowds: Vec<(f64, u32, f64)>,
+    /// What waits for one that leaves stays in the channel.
+    stays: bool,
+    /// Receipts lost, in hundredths; and how late news may be, in seconds.
+    lost: u32,
+    late: f64,
+    /// When the news break off, all at once.
+    breaks: Vec<f64>,
+    counted: bool,
+}
+
+struct Draw(u64);
+
+impl Draw {
+    fn share(&mut self) -> f64 {
+        self.0 = self.0.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+        (self.0 >> 40) as f64 / (1u64 << 24) as f64
+    }
+
+    fn of_100(&mut self, many: u32) -> bool {
+        self.share() * 100.0 < f64::from(many)
+    }
+}
+
+/// The true channel, and the relay before it.
+struct Truth {
+    waits: VecDeque<(u16, f64, Option<String>)>,
+    waiting: f64,
+    most: f64,
+    joined: BTreeSet<u16>,
+    returns: Vec<(f64, u16)>,
+    receipts: VecDeque<(f64, u16, String)>,
+    messages: BTreeMap<u16, VecDeque<f64>>,
+    messages_most: usize,
+    tables: BTreeMap<u16, BTreeMap<String, String>>,
+    out: BTreeSet<String>,
+    feeds: BTreeMap<LinkId, VecDeque<(f64, String)>>,
+    late: f64,
+}
+
+impl Truth {
+    /// What the call does; its answer.
+    fn carry_out(&mut self, now: f64, text: &str) -> String {
+        let orders: Vec<&str> = text.trim_start_matches("txn ").trim_end().split(';').collect();
+        let mark = orders.iter().find_map(|order| order.strip_prefix("SYNC,")?.split(',').next());
+        for order in &orders {
+            let parts: Vec<&str> = order.split(',').collect();
+            match parts[..] {
+                ["SET", slice, host, "0"] => {
+                    self.tables.get_mut(&slice.parse().unwrap()).unwrap().remove(host);
+                }
+                ["SET", slice, host, weight] => {
+                    let table = self.tables.get_mut(&slice.parse().unwrap()).unwrap();
+                    table.insert(host.to_string(), weight.to_string());
+                }
+                ["OUT", host] => _ = self.out.insert(host.to_string()),
+                _ => {}
+            }
+        }
+        let each = OVERHEAD + orders.len() as f64;
+        for proxy in self.joined.clone() {
+            self.waits.push_back((proxy, each, mark.map(str::to_string)));
+            self.waiting += each;
+            let times = self.messages.entry(proxy).or_default();
+            times.push_back(now);
+            times.retain(|at| now - at <= MESSAGES_SPAN);
+            self.messages_most = self.messages_most.max(times.len());
+        }
+        self.most = self.most.max(self.waiting);
+        format!("OK {}", orders.len())
+    }
+
+    fn tell(&mut self, now: f64, draw: &mut Draw, text: &str) {
+        let due = now + self.late * draw.share();
+        self.feeds.values_mut().for_each(|feed| feed.push_back((due, text.to_string())));
+    }
+
+    fn standing(&self) -> Vec<String> {
+        let mut news = vec!["OK".to_string()];
+        news.extend(self.joined.iter().map(|proxy| format!("* hello {proxy} a 1.5 0")));
+        for (slice, table) in &self.tables {
+            news.push(format!("* lease {slice} 1"));
+            news.extend(table.iter().map(|(host, weight)| format!("* line {slice} {host} {weight}")));
+        }
+        news.push("*".to_string());
+        news
+    }
+
+    fn pass(&mut self, now: f64, mut lines: f64, lost: u32, draw: &mut Draw) {
+        while let Some((proxy, each, mark)) = self.waits.front_mut() {
+            let part = each.min(lines);
+            (*each, lines, self.waiting) = (*each - part, lines - part, self.waiting - part);
+            if *each > 1e-9 {
+                break;
+            }
+            if let (Some(mark), true) = (mark.take(), self.joined.contains(proxy)) {
+                if !draw.of_100(lost) {
+                    self.receipts.push_back((now + 0.05 + 0.4 * draw.share(), *proxy, mark));
+                }
+            }
+            self.waits.pop_front();
+        }
+        let (come, later) = self.receipts.drain(..).partition(|(at, ..)| *at <= now);
+        self.receipts = later;
+        let come: VecDeque<(f64, u16, String)> = come;
+        for (_, proxy, mark) in come.into_iter().filter(|(_, proxy, _)| self.joined.contains(proxy)) {
+            self.feeds
+                .values_mut()
+                .for_each(|feed| feed.push_back((now, format!("* ack {proxy} {mark} 90.0"))));
+        }
+    }
+
+    fn leave(&mut self, now: f64, proxy: u16, stays: bool, draw: &mut Draw) {
+        if self.joined.remove(&proxy) {
+            self.messages.remove(&proxy);
+            self.tell(now, draw, &format!("* bye {proxy}"));
+            if !stays {
+                let gone: f64 =
+                    self.waits.iter().filter(|(of, ..)| *of == proxy).map(|(_, each, _)| each).sum();
+                self.waits.retain(|(of, ..)| *of != proxy);
+                self.waiting -= gone;
+            }
+        }
+    }
+
+    fn join(&mut self, now: f64, proxy: u16, draw: &mut Draw) {
+        if self.joined.insert(proxy) {
+            self.tell(now, draw, &format!("* hello {proxy} a 1.5 0"));
+        }
+    }
+}
+
+fn entry(n: usize, state: &str, born: f64) -> String {
+    let started = if born > 0.0 { (1e3 * born) as u64 } else { 0 };
+    format!(
+        r#"{{"id":"h{n}","addr":"127.0.0.1:9","zone":"a","kind":"m2","cell":0,"state":"{state}","weight":1.0,"started_ms":{started}}}"#
+    )
+}
+
+fn listed(version: usize, full: bool, entries: &[String]) -> String {
+    format!(r#"{{"version":{version},"full":{full},"servers":[{}]}}"#, entries.join(","))
+}
+
+/// Most lines that waited, most messages to a proxy in a span, drained hosts that nobody was told of at the end.
+fn play(script: &Script) -> (f64, usize, Vec<String>) {
+    let messages = if script.counted { MESSAGES_MOST } else { 0 };
+    let text = super::tests::CONFIG.replace(
+        "\"slices\":1,\"proxy-count\":2",
+        &format!(
+            "\"slices\":{SLICES},\"proxy-count\":{PROXIES},\"lines-per-s\":{LINES_PER_S:?},\"backlog\":{BACKLOG:?},\
+             \"overhead\":{OVERHEAD:?},\"transit-max-ns\":500000000,\"reloads-max\":{messages},\
+             \"update-window-ns\":{}",
+            (MESSAGES_SPAN * 1e9) as u64
+        ),
+    );
+    let mut reducer = Reducer::new(&Config::parse(text.as_bytes()).unwrap(), 0).unwrap();
+    let mut draw = Draw(script.seed);
+    let tables =
+        (0..SLICES).map(|slice| (slice, BTreeMap::from([(format!("h{}", slice % 9), "1".to_string())])));
+    let mut truth = Truth {
+        waits: VecDeque::new(),
+        waiting: 0.0,
+        most: 0.0,
+        joined: (0..PROXIES).collect(),
+        returns: Vec::new(),
+        receipts: VecDeque::new(),
+        messages: BTreeMap::new(),
+        messages_most: 0,
+        tables: tables.collect(),
+        out: BTreeSet::new(),
+        feeds: BTreeMap::new(),
+        late: script.late,
+    };
+    let hosts: Vec<String> = (0..HOSTS).map(|n| entry(n, "in_service", 0.0)).collect();
+    let mut events =
+        VecDeque::from([Event::Settle, Event::WatchLines(LinkId(1), lines(&[&listed(1, true, &hosts)]))]);
+    let (mut drained, mut up, mut answers) = (Vec::new(), BTreeSet::new(), Vec::<(f64, Event)>::new());
+    let (mut crowds, mut breaks) = (script.crowds.clone(), script.breaks.clone());
+    for beat in 0..(END / BEAT) as usize {
+        let now = beat as f64 * BEAT;
+        let trouble = now < TROUBLE;
+        let pace = script.paces.get((now / 2.0) as usize).copied().unwrap_or(1.0);
+        truth.pass(now, BEAT * pace * LINES_PER_S, if trouble { script.lost } else { 0 }, &mut draw);
+        // A release: every second a host drains, goes two seconds later, and another one comes.
+        if beat % 50 == 10 && trouble {
+            let n = beat / 50;
+            let mut changes = vec![entry(n % HOSTS + HOSTS * (n / HOSTS), "terminating", 0.0)];
+            drained.push(format!("h{}", n % HOSTS + HOSTS * (n / HOSTS)));
+            changes.push(entry(n + HOSTS, "in_service", now));
+            if n >= 2 {
+                changes.push(entry(n - 2, "terminated", 0.0));
+            }
+            events.push_back(Event::WatchLines(LinkId(1), lines(&[&listed(2 + n, false, &changes)])));
+        }
+        for (at, of_100, away) in std::mem::take(&mut crowds) {
+            if now < at {
+                crowds.push((at, of_100, away));
+                continue;
+            }
+            for proxy in 0..PROXIES {
+                if draw.of_100(of_100) {
+                    truth.leave(now, proxy, script.stays, &mut draw);
+                    truth.returns.push((now + away + 0.6 * draw.share(), proxy));
+                }
+            }
+        }
+        let (back, away) = std::mem::take(&mut truth.returns).into_iter().partition(|(at, _)| *at <= now);
+        truth.returns = away;
+        let back: Vec<(f64, u16)> = back;
+        back.into_iter().for_each(|(_, proxy)| truth.join(now, proxy, &mut draw));
+        if breaks.first().is_some_and(|at| *at <= now) {
+            breaks.remove(0);
+            for link in std::mem::take(&mut truth.feeds).into_keys() {
+                events.push_back(Event::RelayDown(link, "broken".to_string()));
+            }
+        }
+        if beat % 50 == 0 {
+            truth.tell(now, &mut draw, "*");
+        }
+        if beat % 50 == 25 {
+            events.push_back(Event::WatchLines(LinkId(1), lines(&[""])));
+        }
+        for (link, feed) in &mut truth.feeds {
+            let mut said = Vec::new();
+            while feed.front().is_some_and(|(at, _)| *at <= now) {
+                said.extend(feed.pop_front().map(|(_, text)| text));
+            }
+            let said: Vec<&str> = said.iter().map(String::as_str).collect();
+            if !said.is_empty() {
+                events.push_back(Event::RelayLines(*link, lines(&said)));
+            }
+        }
+        let (due, later) = std::mem::take(&mut answers).into_iter().partition(|(at, _)| *at <= now);
+        answers = later;
+        let due: Vec<(f64, Event)> = due;
+        events.extend(due.into_iter().map(|(_, event)| event));
+        events.extend([Event::Time, Event::Settle]);
+        while let Some(event) = events.pop_front() {
+            let effects = reducer.reduce(now, event);
+            for effect in effects {
+                match effect {
+                    Effect::Dial(link, _) => {
+                        up.insert(link);
+                        answers.push((now + BEAT, Event::RelayUp(link)));
+                    }
+                    Effect::HangUp(link) => {
+                        up.remove(&link);
+                        truth.feeds.remove(&link);
+                    }
+                    Effect::Probe { host, .. } => answers.push((
+                        now + BEAT,
+                        Event::Probed { host, end: ProbeEnd::Status(200), took: 0.01, body: vec![] },
+                    )),
+                    Effect::Send(link, bytes) if bytes.starts_with(b"txn ") => {
+                        let text = String::from_utf8(bytes).unwrap();
+                        let odds = script.odds;
+                        let dice = if trouble { (draw.share() * 100.0) as u32 } else { 100 };
+                        let carried = draw.of_100(70);
+                        let down = |why: &str| Event::RelayDown(link, why.to_string());
+                        if dice < odds.throttled {
+                            answers.push((now, Event::RelayLines(link, lines(&["Throttling"]))));
+                            continue;
+                        }
+                        let faulty = dice < odds.throttled + odds.silent + odds.broken + odds.spoilt;
+                        let answer =
+                            if carried || !faulty { truth.carry_out(now, &text) } else { String::new() };
+                        match dice.saturating_sub(odds.throttled) {
+                            _ if !faulty => {
+                                let at = now + 0.05 * draw.share();
+                                answers.push((at, Event::RelayLines(link, lines(&[&answer]))));
+                            }
+                            dice if dice < odds.silent => {}
+                            dice if dice < odds.silent + odds.broken => answers.push((now, down("reset"))),
+                            _ => answers.push((now, Event::RelayLines(link, lines(&["O?"])))),
+                        }
+                    }
+                    Effect::Send(link, _) => {
+                        truth.feeds.insert(link, VecDeque::new());
+                        let news = truth.standing();
+                        let news: Vec<&str> = news.iter().map(String::as_str).collect();
+                        events.extend([Event::RelayLines(link, lines(&news)), Event::Settle]);
+                    }
+                    _ => {}
+                }
+            }
+        }
+    }
+    drained.retain(|host| {
+        !truth.out.contains(host) && truth.tables.values().any(|table| table.contains_key(host))
+    });
+    (truth.most, truth.messages_most, drained)
+}
+
+fn script() -> impl Strategy<Value = Script> {
+    let pace = prop_oneof![Just(1.0), Just(0.5), Just(0.12), Just(0.02)];
+    let odds = (0..15u32, 0..15u32, 0..15u32, 0..4u32).prop_map(|(silent, broken, spoilt, throttled)| Odds {
+        silent,
+        broken,
+        spoilt,
+        throttled,
+    });
+    let crowd = (1.0..14.0, 10..100u32, 0.2..2.0);
+    let crowds = proptest::collection::vec(crowd, 0..3);
+    let breaks = proptest::collection::vec(1.0..14.0, 0..2);
+    let paces = proptest::collection::vec(pace, 8);
+    (any::<u64>(), odds, paces, crowds, any::<bool>(), 0..6u32, 0.0..0.06, breaks, any::<bool>()).prop_map(
+        |(seed, odds, paces, crowds, stays, lost, late, mut breaks, counted)| {
+            breaks.sort_by(f64::total_cmp);
+            Script { seed, odds, paces, crowds, stays, lost, late, breaks, counted }
+        },
+    )
+}
+
+/// So many scripts, the same each time.
+fn runner(cases: u32) -> TestRunner {
+    let cases = Cases { cases, failure_persistence: None, ..Cases::default() };
+    TestRunner::new_with_rng(cases, TestRng::deterministic_rng(RngAlgorithm::ChaCha))
+}
+
+#[test]
+fn what_really_waits_keeps_to_the_backlog() {
+    let kept = runner(24).run(&script(), |script| {
+        let (most, messages, untold) = play(&script);
+        prop_assert!(most <= BACKLOG, "{most} lines wait where {BACKLOG} may");
+        prop_assert!(!script.counted || messages <= MESSAGES_MOST, "{messages} messages in a span");
+        prop_assert!(untold.is_empty(), "nobody was told of {untold:?}");
+        Ok(())
+    });
+    kept.unwrap_or_else(|broken| panic!("{broken}"));
+}
--- a/crates/director/src/reducer/mod.rs
+++ b/crates/director/src/reducer/mod.rs
@@ -3,6 +3,8 @@
 //! their orders go out as one call.
 
 mod calls;
+#[cfg(test)]
+mod channel_tests;
 mod list;
 mod news;
 mod operators;
@@ -14,7 +16,7 @@
 use crate::bounds::Bounds;
 use crate::counters::Counters;
 use crate::framing::Framed;
-use calls::{Aim, Calls, Pace, Told};
+use calls::{Aim, Calls, Told};
 use coppersail::interface as api;
 use coppersail_changes::{Record, Version};
 use coppersail_control::{Answer, Request};
@@ -224,11 +226,6 @@
         let (boot, known) = checked(config)?;
         let told = settings(&boot);
         let reports = boot.top.report_columns.as_ref().is_some_and(|columns| !columns.0.is_empty());
-        let pace = Pace {
-            lines_per_s: told.lines_per_s,
-            backlog: told.backlog_lines,
-            overhead: told.message_overhead,
-        };
         let bounds = Bounds::of(&config.limits);
         let may_follow = !told.list_is_pushed;
         let mut reducer = Reducer {
@@ -241,7 +238,7 @@
             probe_path: if reports { LOAD } else { HEALTH },
             taken: Taken::new(bounds.taken, bounds.begun),
             lines_log: Sparing::default(),
-            calls: Calls::new(pace, config.relay),
+            calls: Calls::new(config.relay),
             news: News::new(config.relay),
             list: List::new(Clock::starting(wall_ns), config.discovery),
             operators: None,
@@ -581,8 +578,10 @@
         if std::mem::replace(&mut self.told, told) != told {
             self.calls.blind(now, !told);
         }
-        self.calls.proxies = self.news.known.proxies.len();
-        self.calls.pump(now, &mut self.out);
+        self.calls.unheard = !told;
+        let director = &self.director;
+        let writable = |orders, again, unheard| director.writable(now, orders, again, unheard);
+        self.calls.pump(now, writable, &mut self.out);
         self.news.under_way = self.calls.under_way();
         self.give_back_names();
         let wake = self.wakes.iter().map(|(at, _)| *at).fold(f64::INFINITY, f64::min);
@@ -686,7 +685,9 @@
                     Order::Admit { slice: slice.map(|slice| slice.0), routes: named, level: *level, again };
                 (Aim::Admit(slice, routes.clone()), order, 0.0)
             }
-            api::Order::Mark { mark, all } => (Aim::Mark, Order::Mark { mark: mark.0, all: *all }, 0.0),
+            api::Order::Mark { mark, all } => {
+                (Aim::Mark(*mark), Order::Mark { mark: mark.0, all: *all }, 0.0)
+            }
             _ => return None,
         };
         Some(Told { aim, weight, text: order.text() })
--- a/crates/director/src/reducer/news.rs
+++ b/crates/director/src/reducer/news.rs
@@ -2,7 +2,7 @@
 //! of the first costs nothing. What is passed on goes to the decisions as inputs.
 
 use super::{Effect, LinkId, Out};
-use coppersail::interface::{HostId, Input, MarkId, ProxyId, SliceId, ZoneId};
+use coppersail::interface::{Call, HostId, Input, MarkId, ProxyId, SliceId, ZoneId};
 use coppersail_protocol::relay::FOLLOW;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -134,6 +134,8 @@
             self.dial_at = now + PAUSE;
         }
         if at == 0 {
+            // What it would have told of receipts, the next one may have told already.
+            out.inputs.push(Input::Call(Call::Deaf));
             self.lead(now, out);
         }
     }
--- a/crates/guard/src/guarded.rs
+++ b/crates/guard/src/guarded.rs
@@ -145,6 +145,16 @@
         told
     }
 
+    /// How many of a call's orders may be written now, as the module says.
+    pub fn writable(&self, now: f64, orders: usize, again: bool, unheard: bool) -> usize {
+        self.director.writable(now, orders, again, unheard)
+    }
+
+    /// The most lines that may wait in the channel, as reckoned.
+    pub fn may_wait(&self) -> f64 {
+        self.director.may_wait()
+    }
+
     /// Calls a second that are asked of this director's slices; 0 where nothing was heard.
     pub fn asked(&self) -> f64 {
         let loads = self.guard.loads();
--- a/crates/lab/src/build.rs
+++ b/crates/lab/src/build.rs
@@ -183,7 +183,11 @@
             }
             Input::Wake(wake) => put(E::Reminder { who, token: wake.0 }),
             // The lab's world has neither; what operators want and the guard refuses is no matter of this wire.
-            Input::Intake { .. } | Input::Heard { .. } | Input::Refused { .. } | Input::Wishes(_) => {}
+            Input::Intake { .. }
+            | Input::Heard { .. }
+            | Input::Refused { .. }
+            | Input::Wishes(_)
+            | Input::Call(_) => {}
         }
     }
 
--- a/src/figures.rs
+++ b/src/figures.rs
@@ -24,6 +24,8 @@
     /// Levels are shares of the calls.
     pub admits: bool,
     pub overhead: f64,
+    /// How many there can be.
+    pub proxies: f64,
     /// Proxies use slices' tables, not tables of their own.
     pub slices: bool,
     pub all_slices: f64,
@@ -57,6 +59,7 @@
             again: s.retry_default,
             admits: s.admission == Admission::Share,
             overhead: s.message_overhead,
+            proxies: s.proxies as f64,
             slices: s.slices > 0,
             all_slices: s.slices as f64,
             lines_per_s: s.lines_per_s,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -175,6 +175,20 @@
     },
     /// What operators want over what would be decided; all of it, each time.
     Wishes(Wishes),
+    /// What became of a call. Where none is told of, what is ordered counts as carried out at once.
+    Call(Call),
+}
+
+/// Orders given together are written as a call, which may have to be written again, or in parts.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Call {
+    /// It has gone out, for the first time or again, with so many orders; a part has no mark. `unheard`: proxies may
+    /// have joined of which nothing has been told yet.
+    Written { mark: Option<MarkId>, orders: usize, unheard: bool },
+    /// The last one that went out was turned away whole.
+    TurnedAway,
+    /// Receipts may have come that were not heard.
+    Deaf,
 }
 
 /// What operators set by hand. What is absent is as decided.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -9,7 +9,7 @@
 use crate::interface::*;
 use crate::measure::{median, Bins, Chance, Histogram};
 use crate::notes::{add, Item, Note, Plan, Post, Seat, Sums, To, View};
-use crate::state::{Channel, Gate, Host, Round, Slice, Tables, Watch};
+use crate::state::{Channel, Gate, Host, Slice, Tables, Watch};
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -650,14 +650,16 @@
     }
 }
 
+/// The part of the backlog that may wait; and how late news may be of a proxy that joined before a call was
+/// carried out: twice the 50 ms in which that is done, or never.
+const HELD: f64 = 0.9;
+const CARRIED: f64 = 0.1;
+
 /// Gathers what is to be told to proxies and sends it as its budgets of lines and messages allow.
 impl Channel {
     pub(crate) fn work(&mut self, now: f64, f: &Figures, note: Note, post: &mut Post) {
         match note {
-            Note::Lines { slice, lines } => {
-                let since = self.wanted.get(&slice).map_or(now, |(since, _)| *since);
-                self.wanted.insert(slice, (since, lines));
-            }
+            Note::Lines { slice, lines } => self.want(now, slice, lines),
             Note::In(Input::StoredLine { slice, host, weight }) => {
                 self.told.entry(slice).or_default().insert(host, weight);
             }
@@ -668,12 +670,8 @@
                 if self.out.contains(&host) && !self.shuts.contains_key(&host) && !self.names(host) => {}
             Note::Tell(Order::Withdraw { host, out }) => self.shut(host, out),
             Note::Tell(order) => self.levels.push(order),
-            Note::In(Input::Refused { slice, lines, .. }) => {
-                _ = (self.wanted.remove(&slice), self.told.insert(slice, lines));
-            }
-            Note::In(Input::Taken(id) | Input::Given(id)) => {
-                _ = (self.wanted.remove(&id), self.told.remove(&id))
-            }
+            Note::In(Input::Refused { slice, lines, .. }) => self.stands(slice, Some(lines)),
+            Note::In(Input::Taken(id) | Input::Given(id)) => self.stands(id, None),
             // It is over when no table names it. Proxies that shut it out are told to let it in before it is
             // forgotten: should its name come back, they and we must agree.
             Note::Over(host) if self.names(host) => {}
@@ -682,9 +680,7 @@
                 _ = (self.shuts.remove(&host), self.out.remove(&host));
                 post.note(To::Tables, Note::Over(host));
             }
-            Note::In(Input::Joined { proxy, .. }) => _ = self.proxies.insert(proxy),
-            Note::In(Input::Left(proxy)) => self.left(proxy),
-            Note::In(Input::Applied { mark, .. }) => self.received(now, mark),
+            Note::In(input) => self.ledger.heard(now, f, CARRIED, &input),
             Note::Tick => self.flush(now, f, post),
             _ => {}
         }
@@ -747,32 +743,25 @@
 
     /// Sends what waits: at once if urgent, else in steps, and never past a part of what the rules allow.
     fn flush(&mut self, now: f64, f: &Figures, post: &mut Post) {
-        // A channel far slower than stated shows in its receipts: what is reckoned in time goes by its pace.
-        // Too low where receipts are held up elsewhere: then less is written for a while.
-        let seen = self.seen(f.way).unwrap_or(f.lines_per_s);
-        let pace = seen.clamp(0.02 * f.lines_per_s, f.lines_per_s);
-        // Whatever its pace, what was written and not received stays under nine tenths of the backlog. What
-        // nobody answers is forgotten in ten seconds, but not while receipts come: it still waits.
-        self.unanswered.retain(|round| now - round.at.max(self.heard_at) < 10.0);
-        let out = self.out();
-        let least = if pace < f.lines_per_s { out } else { 0.0 };
-        self.waiting = (self.waiting - (now - self.reckoned_at) * pace).max(least);
-        self.reckoned_at = now;
-        self.sent.retain(|at| now - at <= f.messages_span);
+        // A channel slower than stated shows in its receipts; where they are held up, less is written for a while.
+        let pace = self.ledger.pass(now, f, 0.02, 10.0);
+        // What was written and not received stays under nine tenths of the backlog. Where no receipt comes, a
+        // short message may use the last tenth, to show what has passed; in ten seconds of silence all has.
+        let (out, waiting, sent) = (self.ledger.out(), self.ledger.waiting, self.ledger.sent.len());
         let items = self.items(f);
         // Letting in a host that is gone is worth no message of its own.
         let Some((first, ..)) = items.first().filter(|(rank, ..)| *rank < 8) else { return };
         let urgent = *first < 6;
-        let proxies = self.proxies.len() as f64;
+        let proxies = self.ledger.proxies.len() as f64;
         let fixed = proxies * (f.overhead + 1.0);
         // Without slices to its name a director concerns no proxy, and no receipt would come.
         let idle = f.slices && self.told.is_empty() && self.wanted.is_empty();
         // Routine changes use half of the messages; urgent ones the rest too, but spaced, lest none be left.
-        let half = self.sent.len() >= f.messages_most / 2;
+        let half = sent >= f.messages_most / 2;
         let apart = if half { 2.0 * f.messages_span / f.messages_most as f64 } else { 2.0 * fixed / pace };
         let apart = apart.max(if urgent { 0.0 } else { 0.5 });
-        let recent = self.sent.back().is_some_and(|last| now - last < apart);
-        let spent = if urgent { self.sent.len() + 1 >= f.messages_most } else { half };
+        let recent = self.ledger.sent.back().is_some_and(|last| now - last < apart);
+        let spent = if urgent { sent + 1 >= f.messages_most } else { half };
         // Parts of what the channel writes in the backlog's time: the more a delay costs, the more.
         let held = f.backlog * pace / f.lines_per_s;
         let (least, routine) = ((0.7 * f.backlog).min(3.0 * fixed), (fixed + 0.25 * held).min(0.6 * held));
@@ -781,26 +770,39 @@
         // What waits, or as much of it as is worth a message.
         let all = fixed + proxies * items.iter().map(|(.., orders)| orders.len() as f64).sum::<f64>();
         let worth = if *first == 0 { fixed + proxies } else { all.min((fixed + limit(*first)) / 2.0) };
-        if idle || spent || recent || self.waiting + worth > limit(*first) || out + worth > 0.9 * f.backlog {
+        let full = waiting + worth > limit(*first) || out + worth > HELD * f.backlog;
+        let least = out + fixed + proxies * items[0].2.len() as f64;
+        let sound = full && least <= f.backlog && self.ledger.mute(now, f);
+        if idle || spent || recent || full && !sound {
             return;
         }
-        let mut lines = fixed;
-        for (rank, _, orders) in items {
-            let cost = proxies * orders.len() as f64;
-            if self.waiting + lines + cost > limit(rank) || out + lines + cost > 0.9 * f.backlog {
+        let mut each = f.overhead + 1.0;
+        for (at, (rank, _, orders)) in items.into_iter().enumerate() {
+            let lines = proxies * (each + orders.len() as f64);
+            if !(sound && at == 0) && (waiting + lines > limit(rank) || out + lines > HELD * f.backlog) {
                 break;
             }
-            lines += cost;
+            each += orders.len() as f64;
             orders.iter().for_each(|order| self.keep(now, order, post));
             post.orders.extend(orders);
         }
         let mark = MarkId(self.mark);
         post.orders.push(Order::Mark { mark, all: false });
-        self.waiting += lines;
-        let (whole, part, ahead) = (lines, lines / proxies, out + lines);
-        self.unanswered.push_back(Round { mark, at: now, lines, whole, part, ahead });
+        self.ledger.order(now, mark, each);
         self.mark = self.mark.wrapping_add(1);
-        self.sent.push_back(now);
+    }
+
+    /// How many of a call's orders may be written now, with the proxies that are there now. Where a copy of it
+    /// may wait already, or it is too long for all of them, what fits goes as a part.
+    pub(crate) fn writable(&self, now: f64, f: &Figures, orders: usize, again: bool, unheard: bool) -> usize {
+        let (proxies, mute) = (self.ledger.receivers(f, unheard), self.ledger.mute(now, f));
+        let most = if mute { f.backlog } else { HELD * f.backlog };
+        // With nobody there all fits.
+        let fits = |out: f64| ((most - out + 1e-6) / proxies - f.overhead).max(0.0) as usize;
+        let (many, part) = (fits(self.ledger.written_out()).min(orders), again || mute || fits(0.0) < orders);
+        let worth = many == orders || part && (many as f64 >= f.overhead || mute);
+        let spent = self.ledger.sent.len() >= f.messages_most && (again || many < orders);
+        many * (worth && !spent) as usize
     }
 }
 
--- a/src/notes.rs
+++ b/src/notes.rs
@@ -118,6 +118,17 @@
 }
 
 impl Director {
+    /// How many of a call's orders may be written now. `again`: it may have been carried out before; `unheard`: proxies may
+    /// have joined of which nothing has been told yet.
+    pub fn writable(&self, now: f64, orders: usize, again: bool, unheard: bool) -> usize {
+        self.channel.writable(now, &self.figures, orders, again, unheard)
+    }
+
+    /// The most lines that may wait in the channel, as reckoned.
+    pub fn may_wait(&self) -> f64 {
+        self.channel.ledger.out()
+    }
+
     /// Empties the inboxes, in the order of `To`, until all is quiet.
     pub(crate) fn settle(&mut self, now: f64, post: &mut Post) {
         let f = &self.figures;
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,9 +1,10 @@
 //! What each actor of the module remembers, and what can be read off it. What is made of it is in `logic`.
 
 use crate::interface::*;
+use crate::ledger::Ledger;
 use crate::measure::Histogram;
 use crate::notes::{add, Note, Seat, Sums, View};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 
 #[derive(Clone, Default)]
 pub(crate) struct Slice {
@@ -151,21 +152,8 @@
     }
 }
 
-/// A message to every proxy, as far as it is not received.
-pub(crate) struct Round {
-    pub mark: MarkId,
-    pub at: f64,
-    /// Lines not received, of so many, of which each proxy has a part.
-    pub lines: f64,
-    pub whole: f64,
-    pub part: f64,
-    /// What was not received when it was written, with its own.
-    pub ahead: f64,
-}
-
 #[derive(Default)]
 pub(crate) struct Channel {
-    pub proxies: BTreeSet<ProxyId>,
     /// Tables as told so far, and as they should be and since when.
     pub told: BTreeMap<SliceId, Sums>,
     pub wanted: BTreeMap<SliceId, (f64, Sums)>,
@@ -175,15 +163,9 @@
     /// Hosts that are gone and in no table, to be let in with other orders and then forgotten.
     pub over: BTreeSet<HostId>,
     pub levels: Vec<Order>,
-    /// Rounds of messages not yet received by all, the next mark, and when a receipt last came of a round that was far
-    /// from received by all.
-    pub unanswered: VecDeque<Round>,
+    /// What was ordered and may still wait, and the next round's mark.
+    pub ledger: Ledger,
     pub mark: u16,
-    pub heard_at: f64,
-    /// Lines that wait to be sent, as reckoned, and when the last rounds of messages were written.
-    pub waiting: f64,
-    pub reckoned_at: f64,
-    pub sent: VecDeque<f64>,
 }
 
 impl Channel {
@@ -193,6 +175,18 @@
         self.told.values().chain(wanted).any(|lines| lines.contains_key(&host))
     }
 
+    pub fn want(&mut self, now: f64, slice: SliceId, lines: Sums) {
+        let since = self.wanted.get(&slice).map_or(now, |(since, _)| *since);
+        self.wanted.insert(slice, (since, lines));
+    }
+
+    /// A table is as told here, or is not known; nothing is wanted of it.
+    pub fn stands(&mut self, slice: SliceId, lines: Option<Sums>) {
+        self.wanted.remove(&slice);
+        self.told.remove(&slice);
+        self.told.extend(lines.map(|lines| (slice, lines)));
+    }
+
     pub fn shut(&mut self, host: HostId, out: bool) {
         self.over.remove(&host);
         self.shuts.insert(host, out);
@@ -206,34 +200,6 @@
             Note::Back(host)
         }
     }
-
-    /// A receipt stands for its proxy's part, as does one that left; earlier rounds are over.
-    pub fn received(&mut self, now: f64, mark: MarkId) {
-        let many = self.unanswered.iter().position(|round| round.mark == mark).unwrap_or(0);
-        self.unanswered.drain(..many);
-        let Some(first) = self.unanswered.front_mut().filter(|round| round.mark == mark) else { return };
-        first.lines = (first.lines - first.part).max(0.0);
-        // The last few may be late for reasons of their own.
-        if first.lines > 0.1 * first.whole {
-            self.heard_at = now;
-        }
-    }
-
-    /// Lines that were written and not received.
-    pub fn out(&self) -> f64 {
-        self.unanswered.iter().map(|round| round.lines).sum()
-    }
-
-    /// Lines a second that have been received of what waits longest; none while it waits no longer than its way.
-    pub fn seen(&self, way: f64) -> Option<f64> {
-        let first = self.unanswered.front().filter(|round| self.heard_at > round.at + way)?;
-        Some((first.ahead - first.lines) / (self.heard_at - first.at - way))
-    }
-
-    pub fn left(&mut self, proxy: ProxyId) {
-        self.proxies.remove(&proxy);
-        self.unanswered.iter_mut().for_each(|round| round.lines = (round.lines - round.part).max(0.0));
-    }
 }
 
 #[derive(Default)]
