Stragglers say nothing of the pace where others left; counters of calls held and cut

Found on rereading: since what waits for proxies that left stays counted, a round in which many left never came under the tenth from which on receipts no longer show the pace, so that a last late receipt passed for a channel far slower than it is. Ledger::received now goes by whose receipts are due. The test fails without it (heard 9.0 s instead of 0.6).

--- a/crates/director/src/counters.rs
+++ b/crates/director/src/counters.rs
@@ -52,6 +52,11 @@
     calls_repeated,
     calls_invalid,
     calls_merged,
+    /// Calls that waited for the channel, and parts of calls that went before the rest.
+    calls_held,
+    calls_cut,
+    /// Lines that may wait in the channel now, as reckoned.
+    lines_may_wait,
     orders_given,
     orders_taken,
     orders_refused,
--- a/crates/director/src/reducer/calls.rs
+++ b/crates/director/src/reducer/calls.rs
@@ -94,6 +94,8 @@
     repeats: u32,
     /// The relay was read to refuse the first order, or the whole call, once: that answer may have been spoilt.
     refused: bool,
+    /// The first call waits for the channel.
+    held: bool,
     /// Proxies may have joined of which nothing has been told yet.
     pub unheard: bool,
     /// When the first call went out.
@@ -113,6 +115,7 @@
             blind_until: None,
             repeats: 0,
             refused: false,
+            held: false,
             unheard: false,
             sent_at: 0.0,
         }
@@ -218,13 +221,15 @@
         // the decisions to say what still keeps to the backlog, as they reckon what waits.
         let many = writable(call.len(), self.unsettled(), self.unheard);
         if many == 0 {
+            out.counters.calls_held += !std::mem::replace(&mut self.held, true) as u64;
             self.hold = now + ASK_PAUSE;
             return;
         }
+        self.held = false;
         match self.link {
             Link::Dialled(_) => {}
             Link::Up(link, since) if now - since < IDLE_MOST || self.next.is_some() => {
-                self.cut(many);
+                out.counters.calls_cut += self.cut(many) as u64;
                 let call = &self.waiting[0];
                 let mark =
                     call.iter()
@@ -244,10 +249,10 @@
 
     /// Cuts the first call so that it has so many orders, before a slice's lines that stand together if that leaves any.
     /// Each part has the mark, as receipts show what has passed.
-    fn cut(&mut self, many: usize) {
+    fn cut(&mut self, many: usize) -> bool {
         let call = &mut self.waiting[0];
         if many >= call.len() {
-            return;
+            return false;
         }
         let mark = call.iter().find(|told| matches!(told.aim, Aim::Mark(_))).cloned();
         let many = many.saturating_sub(mark.is_some() as usize).max(1);
@@ -256,6 +261,7 @@
         let rest = call.split_off(at);
         call.extend(mark);
         self.waiting.insert(1, rest);
+        true
     }
 
     fn ready_at(&self) -> f64 {
--- a/crates/director/src/reducer/mod.rs
+++ b/crates/director/src/reducer/mod.rs
@@ -348,6 +348,7 @@
     }
 
     fn count(&mut self) {
+        self.out.counters.lines_may_wait = self.director.may_wait() as u64;
         let counters = self.out.counters.line();
         self.out.tell(counters);
     }
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -176,8 +176,8 @@
         self.rounds.iter_mut().take(at).for_each(|round| round.passed = true);
         self.rounds.retain(|round| !round.passed || round.mark == Some(mark));
         let Some(first) = self.rounds.iter().find(|round| !round.passed) else { return };
-        // The last few may be late for reasons of their own.
-        if first.lines() > 0.1 * first.whole {
+        // The last few may be late for reasons of their own, also where others left and will send none.
+        if first.each * first.due.len() as f64 > 0.1 * first.whole {
             self.heard_at = now;
             self.pace = self.seen(way);
         }
--- a/src/ledger_tests.rs
+++ b/src/ledger_tests.rs
@@ -99,3 +99,15 @@
     hear(&mut ledger, 0.7, &[written(11)]);
     assert_eq!(ledger.sent, [0.5, 0.7], "a repeat is another");
 }
+
+// Where half of the proxies left, their part stays; the receipts of those that are late must not pass for the pace.
+#[test_case(0, 8 ; "all are there")]
+#[test_case(5, 4 ; "half have left")]
+fn the_last_receipts_say_nothing_of_the_pace(left: u16, in_time: u16) {
+    let mut ledger = ordered();
+    hear(&mut ledger, 0.0, &[written(11)]);
+    (0..left).for_each(|n| hear(&mut ledger, 0.1, &[Input::Left(ProxyId(9 - n))]));
+    (0..in_time).for_each(|proxy| hear(&mut ledger, 0.6, &[receipt(proxy, 1)]));
+    hear(&mut ledger, 9.0, &[receipt(in_time, 1)]);
+    assert_eq!(ledger.heard_at, 0.6);
+}
