A message is booked with the levels that it may bring along

A message was booked without. Ledger::head now counts a line for each route of which a level was ever told, for the round's price and for what may be written; the worse of both readings. The test fails without it (200 lines instead of 210).

--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -3,7 +3,7 @@
 //! worse, so that what waits is never more than `out`. What is made of it is decided in `logic`.
 
 use crate::figures::Figures;
-use crate::interface::{Call, Input, MarkId, ProxyId};
+use crate::interface::{Call, Input, MarkId, ProxyId, RouteId};
 use std::collections::{BTreeSet, VecDeque};
 
 #[cfg(test)]
@@ -44,6 +44,8 @@
 pub(crate) struct Ledger {
     /// Who has joined.
     pub proxies: BTreeSet<ProxyId>,
+    /// Routes of which a level was told to all.
+    pub levels: BTreeSet<RouteId>,
     /// In the order in which they pass: those that are written, then those that are held.
     pub rounds: VecDeque<Round>,
     /// When a receipt last came, or could first come again; and one of a round that was far from received by all.
@@ -69,6 +71,12 @@
         self.rounds.iter().filter(|round| !round.held).map(Round::lines).sum()
     }
 
+    /// What a message costs before any order of its own. It may bring each level along that was set for all: whether only
+    /// to who joined since is not said.
+    pub fn head(&self, f: &Figures) -> f64 {
+        f.overhead + self.levels.len() as f64
+    }
+
     /// How many proxies get what is written now.
     pub fn receivers(&self, f: &Figures, unheard: bool) -> f64 {
         (self.proxies.len() as f64).max(if unheard { f.proxies } else { 0.0 })
@@ -82,7 +90,7 @@
             Input::Applied { proxy, mark, .. } => self.received(now, f.way, proxy, mark),
             Input::Call(Call::Written { mark, orders, unheard }) => {
                 let unknown = self.receivers(f, unheard) - self.proxies.len() as f64;
-                self.written(now, mark, f.overhead + orders as f64, unknown);
+                self.written(now, mark, self.head(f) + orders as f64, unknown);
             }
             Input::Call(Call::TurnedAway) => self.turned_away(),
             Input::Call(Call::Deaf) => self.deaf(now),
--- a/src/ledger_tests.rs
+++ b/src/ledger_tests.rs
@@ -111,3 +111,11 @@
     hear(&mut ledger, 9.0, &[receipt(in_time, 1)]);
     assert_eq!(ledger.heard_at, 0.6);
 }
+
+#[test]
+fn a_message_may_bring_levels_along() {
+    let mut ledger = ordered();
+    ledger.levels.insert(RouteId(1));
+    hear(&mut ledger, 0.0, &[written(11)]);
+    assert_eq!(ledger.out(), 210.0);
+}
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -669,7 +669,7 @@
             Note::Tell(Order::Withdraw { host, out: true })
                 if self.out.contains(&host) && !self.shuts.contains_key(&host) && !self.names(host) => {}
             Note::Tell(Order::Withdraw { host, out }) => self.shut(host, out),
-            Note::Tell(order) => self.levels.push(order),
+            Note::Tell(order) => self.level(order),
             Note::In(Input::Refused { slice, lines, .. }) => self.stands(slice, Some(lines)),
             Note::In(Input::Taken(id) | Input::Given(id)) => self.stands(id, None),
             // It is over when no table names it. Proxies that shut it out are told to let it in before it is
@@ -743,7 +743,7 @@
 
     /// Sends what waits: at once if urgent, else in steps, and never past a part of what the rules allow.
     fn flush(&mut self, now: f64, f: &Figures, post: &mut Post) {
-        // A channel slower than stated shows in its receipts; where they are held up, less is written for a while.
+        // A channel slower than stated shows in its receipts; where these are held up, less is written then.
         let pace = self.ledger.pass(now, f, 0.02, 10.0);
         // What was written and not received stays under nine tenths of the backlog. Where no receipt comes, a
         // short message may use the last tenth, to show what has passed; in ten seconds of silence all has.
@@ -753,7 +753,7 @@
         let Some((first, ..)) = items.first().filter(|(rank, ..)| *rank < 8) else { return };
         let urgent = *first < 6;
         let proxies = self.ledger.proxies.len() as f64;
-        let fixed = proxies * (f.overhead + 1.0);
+        let fixed = proxies * (self.ledger.head(f) + 1.0);
         // Without slices to its name a director concerns no proxy, and no receipt would come.
         let idle = f.slices && self.told.is_empty() && self.wanted.is_empty();
         // Routine changes use half of the messages; urgent ones the rest too, but spaced, lest none be left.
@@ -776,7 +776,7 @@
         if idle || spent || recent || full && !sound {
             return;
         }
-        let mut each = f.overhead + 1.0;
+        let mut each = self.ledger.head(f) + 1.0;
         for (at, (rank, _, orders)) in items.into_iter().enumerate() {
             let lines = proxies * (each + orders.len() as f64);
             if !(sound && at == 0) && (waiting + lines > limit(rank) || out + lines > HELD * f.backlog) {
@@ -792,13 +792,13 @@
         self.mark = self.mark.wrapping_add(1);
     }
 
-    /// How many of a call's orders may be written now, with the proxies that are there now. Where a copy of it
-    /// may wait already, or it is too long for all of them, what fits goes as a part.
+    /// How many of a call's orders may be written, with the proxies that are there now. Where a copy of it may
+    /// wait already, or it is too long for all of them, what fits goes as a part.
     pub(crate) fn writable(&self, now: f64, f: &Figures, orders: usize, again: bool, unheard: bool) -> usize {
         let (proxies, mute) = (self.ledger.receivers(f, unheard), self.ledger.mute(now, f));
         let most = if mute { f.backlog } else { HELD * f.backlog };
         // With nobody there all fits.
-        let fits = |out: f64| ((most - out + 1e-6) / proxies - f.overhead).max(0.0) as usize;
+        let fits = |out: f64| ((most - out + 1e-6) / proxies - self.ledger.head(f)).max(0.0) as usize;
         let (many, part) = (fits(self.ledger.written_out()).min(orders), again || mute || fits(0.0) < orders);
         let worth = many == orders || part && (many as f64 >= f.overhead || mute);
         let spent = self.ledger.sent.len() >= f.messages_most && (again || many < orders);
--- a/src/state.rs
+++ b/src/state.rs
@@ -180,6 +180,14 @@
         self.wanted.insert(slice, (since, lines));
     }
 
+    /// A level for all is to be told; messages bring it along to who joins later.
+    pub fn level(&mut self, order: Order) {
+        if let Order::Admit { routes, .. } = &order {
+            self.ledger.levels.extend(routes);
+        }
+        self.levels.push(order);
+    }
+
     /// A table is as told here, or is not known; nothing is wanted of it.
     pub fn stands(&mut self, slice: SliceId, lines: Option<Sums>) {
         self.wanted.remove(&slice);
