Lab: logs of several directors side by side, counted by kind

Need: which harm all directors do at once, and what a word met in any of them, could not be counted over the fleet but by hand (issue on the bigger fleet: a tool that merges the logs by time). coppersail-lab logs merges by the shared clock, counts by kind with the most directors at once in a second, and shows what stands near a word.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod experiment;
 pub mod kept;
 pub mod live;
+pub mod logs;
 pub mod measure;
 pub mod platform;
 pub mod policy;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -4,7 +4,7 @@
 use clap::{Parser, Subcommand};
 use coppersail_lab::experiment::{agreement, compared, grid, hunt, play, ranked, shrunk, table, Outcome};
 use coppersail_lab::policy::Kind;
-use coppersail_lab::{kept, trials, watch, Scenario};
+use coppersail_lab::{kept, logs, trials, watch, Scenario};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Instant;
@@ -104,6 +104,28 @@
         #[arg(long)]
         scores: PathBuf,
     },
+    /// Lays the logs of several directors side by side: counted by kind, those that most do at once first; or line by line
+    Logs {
+        #[arg(required = true)]
+        files: Vec<PathBuf>,
+        /// Only the lines that name this, and what stands near them in any log
+        #[arg(long)]
+        about: Option<String>,
+        /// How near, in seconds
+        #[arg(long, default_value_t = 0.5)]
+        near: f64,
+        /// From when to when, in seconds
+        #[arg(long, default_value_t = 0.0)]
+        from: f64,
+        #[arg(long, default_value_t = f64::INFINITY)]
+        to: f64,
+        /// When each log's clock began, in seconds of a shared one, in the order of the files; else they share one
+        #[arg(long, value_delimiter = ',')]
+        began: Vec<f64>,
+        /// Line by line instead of counted
+        #[arg(long)]
+        lines: bool,
+    },
     /// Makes the page of a kept play anew
     Report { folder: PathBuf },
     /// Plays every scenario of a folder once and holds each to its checks
@@ -129,6 +151,25 @@
     std::thread::available_parallelism().map_or(1, |many| many.get())
 }
 
+/// All lines of the logs in order, how many have no time, and whose they are.
+fn side_by_side(files: &[PathBuf], began: &[f64]) -> Result<(Vec<logs::Entry>, usize, Vec<String>), String> {
+    if !began.is_empty() && began.len() != files.len() {
+        return Err(format!("--began: expected {} times, one for each file", files.len()));
+    }
+    let (mut all, mut odd, mut names) = (Vec::new(), 0, Vec::new());
+    for (who, path) in files.iter().enumerate() {
+        let bytes = std::fs::read(path).map_err(|wrong| format!("{}: {wrong}", path.display()))?;
+        let later = began.get(who).copied().unwrap_or(0.0);
+        let (entries, without) = logs::read(who, &String::from_utf8_lossy(&bytes), later);
+        all.push(entries);
+        odd += without;
+        names.push(
+            path.file_stem().map_or_else(|| who.to_string(), |name| name.to_string_lossy().into_owned()),
+        );
+    }
+    Ok((logs::merged(all), odd, names))
+}
+
 /// True: all checks hold.
 fn run(cli: Cli) -> Result<bool, String> {
     match cli.command {
@@ -246,6 +287,26 @@
             println!("{}", trials::table(seeds, cores(), &|done, all| eprint!("\r{done} of {all} ")));
             Ok(true)
         }
+        Command::Logs { files, about, near, from, to, began, lines } => {
+            let (entries, odd, names) = side_by_side(&files, &began)?;
+            let entries: Vec<logs::Entry> =
+                entries.into_iter().filter(|entry| (from..=to).contains(&entry.at)).collect();
+            let entries = match &about {
+                Some(word) => logs::around(&entries, word, near),
+                None => entries,
+            };
+            if lines || about.is_some() {
+                for entry in &entries {
+                    println!("{:9.3} {} {}", entry.at, names[entry.who], entry.text);
+                }
+            } else {
+                print!("{}", logs::table(&entries, &names));
+            }
+            if odd > 0 {
+                eprintln!("{odd} lines without a time are left out");
+            }
+            Ok(true)
+        }
         Command::Report { folder } => {
             let failed = |wrong: std::io::Error| format!("{}: {wrong}", folder.display());
             let page = kept::page(&folder).map_err(failed)?;
