Settings with more slices or proxies than have numbers get one line and exit status 2

Need: what is beyond a limit that remains must be said in one clear line. Slices past 65,535 and proxies past 65,536 have no number on the wire; such settings were taken, and news of those were passed over one by one. Two cases of the binary; both fail without the check.

--- a/crates/director/src/reducer/mod.rs
+++ b/crates/director/src/reducer/mod.rs
@@ -131,6 +131,14 @@
     let paths = config.settings.iter().map(|(path, value)| (path.as_str(), value.as_str())).collect();
     let boot = Boot::read(&paths)
         .map_err(|bad| format!("field settings.{}: expected {}", bad.field, bad.expected))?;
+    // Numbers of two bytes, of which the last one stands for all slices.
+    let facts = &boot.specifics;
+    for (field, many, most) in [("slices", facts.slices, 65_535), ("proxy-count", facts.proxy_count, 65_536)]
+    {
+        if let Some(many) = many.filter(|many| *many > most) {
+            return Err(format!("field settings.specifics.{field}: {many}, expected {most} at most"));
+        }
+    }
     let known = config.known.as_deref().map(discovery::List::parse).transpose();
     Ok((boot, known.map_err(|fault| format!("field known: {fault}"))?))
 }
--- a/crates/director/tests/director/serve.rs
+++ b/crates/director/tests/director/serve.rs
@@ -398,6 +398,8 @@
 #[test_case("\"relay\"", "\"relais\"", "field relay.address" ; "no relay")]
 #[test_case("\"seed\":\"8", "\"seed\":\"x", "field seed" ; "a seed that is no number")]
 #[test_case("\"slices\":2", "\"slices\":\"many\"", "field settings.specifics.slices" ; "a word for a number")]
+#[test_case("\"slices\":2", "\"slices\":65536", "specifics.slices: 65536, expected 65535 at most" ; "more slices than have numbers")]
+#[test_case("\"proxy-count\":5", "\"proxy-count\":70000", "specifics.proxy-count: 70000, expected 65536 at most" ; "more proxies than have numbers")]
 #[test_case("\"known\":{", "\"known\":7,\"old\":{", "field known" ; "a list that is a number")]
 fn a_bad_configuration_gets_one_line(sound: &str, unsound: &str, expected: &str) {
     let at = "127.0.0.1:0".parse().unwrap();
