Silence is reckoned from what was written alone

Found on rereading: Ledger::mute took a round that is still with the call queue for one that was written, if it was the only one, so that a relay that is away could pass for a channel that is silent. Only written rounds count now.

--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -207,7 +207,7 @@
     /// No receipt comes any more, whatever is awaited: it did not wait, or nobody is there to tell. A message that waits is
     /// received within its way of the one before it.
     pub fn mute(&self, now: f64, f: &Figures) -> bool {
-        let last = self.rounds.iter().rfind(|round| !round.held || self.rounds.len() == 1);
+        let last = self.rounds.iter().rfind(|round| !round.held);
         last.is_some_and(|last| now - last.at.max(self.told_at) > 2.0 * f.way)
     }
 
