The channel model's scripts are built in one place; a comment within its width

Two places of the tests built the same script field by field; src/logic.rs had a line of 111 characters.

--- a/crates/director/src/reducer/channel_tests.rs
+++ b/crates/director/src/reducer/channel_tests.rs
@@ -385,23 +385,8 @@
     (any::<u64>(), odds, paces, crowds, any::<bool>(), 0..6u32, 0.0..0.06, breaks, any::<bool>()).prop_map(
         |(seed, odds, paces, crowds, stays, lost, late, mut breaks, counted)| {
             breaks.sort_by(f64::total_cmp);
-            let (proxies, trouble, end, told) = (120, 16.0, 36.0, 1.0);
-            Script {
-                seed,
-                proxies,
-                trouble,
-                end,
-                odds,
-                paces,
-                crowds,
-                stays,
-                lost,
-                late,
-                breaks,
-                counted,
-                told,
-                takeover: None,
-            }
+            let played = Script { trouble: 16.0, end: 36.0, ..calm(seed, 120, odds) };
+            Script { paces, crowds, stays, lost, late, breaks, counted, ..played }
         },
     )
 }
@@ -440,23 +425,20 @@
 
 /// Ten seconds of a release on a channel as stated.
 fn calm(seed: u64, proxies: u16, odds: Odds) -> Script {
-    let (paces, crowds, breaks) = (vec![], vec![], vec![]);
-    let (lost, late, stays, counted) = (0, 0.0, true, false);
-    let (trouble, end, told) = (10.0, 13.0, 1.0);
     Script {
         seed,
         proxies,
-        trouble,
-        end,
+        trouble: 10.0,
+        end: 13.0,
         odds,
-        paces,
-        crowds,
-        stays,
-        lost,
-        late,
-        breaks,
-        counted,
-        told,
+        paces: vec![],
+        crowds: vec![],
+        stays: true,
+        lost: 0,
+        late: 0.0,
+        breaks: vec![],
+        counted: false,
+        told: 1.0,
         takeover: None,
     }
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -792,8 +792,8 @@
         self.mark = self.mark.wrapping_add(1);
     }
 
-    /// How many of a call's orders may be written, with the proxies that are there now. Where a copy of it may
-    /// wait already, or it is too long for all of them, what fits goes as a part.
+    /// How many of a call's orders may be written, with the proxies that are there now. Where a copy may wait
+    /// already, or it is too long for all of them, what fits goes as a part.
     pub(crate) fn writable(&self, now: f64, f: &Figures, orders: usize, again: bool, unheard: bool) -> usize {
         let (proxies, mute) = (self.ledger.receivers(f, unheard), self.ledger.mute(now, f));
         let most = if mute { f.backlog } else { HELD * f.backlog };
