A call that is turned away is no message: it leaves none missing when a run begins

Found on rereading: calls are turned away ten times a second until the run begins, and each counted among the messages of the span, so that where messages are counted (not on this site) none would have been left for ten seconds. Ledger::turned_away takes it back. The test fails without it (three messages instead of two).

--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -138,9 +138,11 @@
     /// The call that was written last was turned away whole: nothing of it waits.
     fn turned_away(&mut self) {
         let Some(at) = self.rounds.iter().rposition(|round| !round.held) else { return };
+        self.sent.pop_back();
         if self.rounds[at].mark.is_some() {
             self.rounds[at].held = true;
         } else {
+            self.waiting = (self.waiting - self.rounds[at].lines()).max(0.0);
             self.rounds.remove(at);
         }
     }
--- a/src/ledger_tests.rs
+++ b/src/ledger_tests.rs
@@ -98,6 +98,9 @@
     assert_eq!(ledger.sent, [0.5], "the order and its call are one");
     hear(&mut ledger, 0.7, &[written(11)]);
     assert_eq!(ledger.sent, [0.5, 0.7], "a repeat is another");
+    // Until a run begins all calls are turned away: where messages are counted, none would be left when it does.
+    hear(&mut ledger, 0.8, &[written(11), Input::Call(Call::TurnedAway)]);
+    assert_eq!(ledger.sent, [0.5, 0.7], "one that is turned away is none");
 }
 
 // Where half of the proxies left, their part stays; the receipts of those that are late must not pass for the pace.
