--- a/crates/director/src/reducer/channel_tests.rs
+++ b/crates/director/src/reducer/channel_tests.rs
@@ -47,6 +47,7 @@
     late: f64,
     /// When the news break off, all at once.
     breaks: Vec<f64>,
+    /// Messages are counted, and receipts come in bulk.
     counted: bool,
     /// The backlog that the director is told, as a part of the true one.
     told: f64,
@@ -82,6 +83,7 @@
     out: BTreeMap<String, f64>,
     feeds: BTreeMap<LinkId, VecDeque<(f64, String)>>,
     late: f64,
+    bulk: bool,
 }
 
 impl Truth {
@@ -146,7 +148,9 @@
             }
             self.waits.pop_front();
         }
-        let (come, later) = self.receipts.drain(..).partition(|(at, ..)| *at <= now);
+        // In bulk: all that came within a second, at its end.
+        let until = if self.bulk { now.floor() } else { now };
+        let (come, later) = self.receipts.drain(..).partition(|(at, ..)| *at <= until);
         self.receipts = later;
         let come: VecDeque<(f64, u16, String)> = come;
         for (_, proxy, mark) in come.into_iter().filter(|(_, proxy, _)| self.joined.contains(proxy)) {
@@ -240,6 +244,7 @@
         out: BTreeMap::new(),
         feeds: BTreeMap::new(),
         late: script.late,
+        bulk: script.counted,
     };
     let hosts: Vec<String> = (0..HOSTS).map(|n| entry(n, "in_service", 0.0)).collect();
     let mut events =
