--- /dev/null
+++ b/crates/accord/src/lib.rs
@@ -0,0 +1,1 @@
+//! Epochs and seats: who may act, shown without I/O
--- /dev/null
+++ b/crates/tenure/src/lib.rs
@@ -0,0 +1,1 @@
+//! Which host holds which keys, until when; pure
--- /dev/null
+++ b/crates/tidings/src/lib.rs
@@ -0,0 +1,100 @@
+//! What directors tell each other, as JSON over HTTP on the first of the spare ports.
+//!
+//! Edges follow one centre at a time: `POST /follow` with a [`Follow`], answered with [`News`] as soon as there is any,
+//! or after `wait_ms`. What a poll says it has is the receipt for the answer before it.
+//!
+//! ```
+//! let follow = tidings::Follow { edge: "10.1.0.34".into(), seq: 7, ..Default::default() };
+//! let text = serde_json::to_string(&follow).unwrap();
+//! assert_eq!(serde_json::from_str::<tidings::Follow>(&text).unwrap().seq, 7);
+//! ```
+use serde::{Deserialize, Serialize};
+
+/// An edge's poll. `feed` and `seq` are those of the last answer taken (0 and 0 at first).
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Follow {
+    /// The edge's own address, without a port: who it is.
+    pub edge: String,
+    pub area: String,
+    pub feed: u64,
+    pub seq: u64,
+    /// How long the answer may be held when there is nothing new.
+    pub wait_ms: u64,
+    /// Requests counted by slice since the last poll that was answered.
+    pub asked: Vec<Asked>,
+}
+
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Asked {
+    pub backend: String,
+    /// (slice, requests).
+    pub counts: Vec<(u32, u32)>,
+}
+
+/// What is new since the poll's `seq`, or everything (`whole`) where the feed is another.
+/// All of it may be taken twice or in any order: the higher revision, fence, stage and count of calls win.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct News {
+    /// Which life of which centre speaks.
+    pub feed: u64,
+    pub seq: u64,
+    pub whole: bool,
+    /// The centre is out of touch with most seats: follow another if one answers.
+    pub alone: bool,
+    /// How long this centre has been up: a young one may not know all hosts yet.
+    pub up_ms: u64,
+    /// Where centres listen for directors, "ip:port".
+    pub centres: Vec<String>,
+    /// How many edges follow any centre, at the highest of late.
+    pub edges: u32,
+    pub settings: Option<Settings>,
+    pub hosts: Vec<HostNews>,
+    pub slices: Vec<SliceNews>,
+}
+
+/// An acknowledged configuration, as the operator sent it.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Settings {
+    pub revision: u64,
+    pub body: String,
+}
+
+/// The order is that in which a host goes through them; none goes back.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Stage {
+    #[default]
+    Ready,
+    Emptying,
+    Gone,
+}
+
+/// One life of a host. `silent`: it has missed beats; it may come back.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct HostNews {
+    pub ident: String,
+    pub backend: String,
+    pub address: String,
+    pub area: String,
+    pub capacity: u32,
+    pub revision: String,
+    pub stage: Stage,
+    pub silent: bool,
+    /// How much longer it is slow after its start, when this was written.
+    pub cold_ms: u64,
+    pub calls: u64,
+}
+
+/// Who holds which slices of a divided service: slice = key * slices / 65536.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct SliceNews {
+    pub backend: String,
+    pub slices: u32,
+    /// (slice, ident of its holder or "", fence). A higher fence replaces a lower one.
+    pub rows: Vec<(u32, String, u64)>,
+}
--- /dev/null
+++ b/crates/transit/src/lib.rs
@@ -0,0 +1,1 @@
+//! The edge: takes requests of clients and passes them to hosts
--- /dev/null
+++ b/crates/verdict/src/lib.rs
@@ -0,0 +1,1 @@
+//! Whether a request may have run
