Terms: settings and configurations are read, checked and looked up

So far only the types stood. One macro now declares each setting with name, type, default and check, for the settings file and for the rows of a configuration; routes are found by their longest prefix.

--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -1,6 +1,8 @@
 //! What a process is told and what the operator asks for: settings, configurations, their checks.
 pub mod boot;
 pub mod config;
+mod field;
 
 pub use boot::Boot;
-pub use config::{Config, Route, Service};
+pub use config::{Config, Route, Routes, Service};
+pub use field::{duration, written, Fault};
