Edge: requests go the whole way from a client to a host and back

The gateway had no program that carries traffic. transit takes clients' requests, follows a centre, picks hosts by expected wait (course), and lets the verdict of each try decide about a further one and about the final answer (verdict). Unit tests of the pure parts pass; nothing measured yet.

--- /dev/null
+++ b/crates/course/src/book.rs
@@ -0,0 +1,365 @@
+//! What an edge knows of hosts and of who holds which slices, merged from news of any centre in any order.
+use crate::health::Health;
+use crate::load::Load;
+use crate::Ms;
+use rustc_hash::{FxHashMap, FxHashSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tidings::{HostNews, News, SliceNews, Stage};
+
+/// Centres that have just started hear of all hosts within a few beats; before that, what they do not name may live.
+const YOUNG: Ms = 5_000;
+/// An address that was found to be another's is asked again after this, unless a later beat speaks for it.
+const SPURNED: Ms = 3_000;
+/// Once a holder has refused a key, its row is believed again after this: the grant was perhaps on its way.
+const DOUBTED: Ms = 300;
+/// Lives that ended are remembered, so that late news cannot bring them back; no day has as many.
+const MOST_ENDED: usize = 16_384;
+
+#[derive(Debug)]
+pub struct Host {
+    pub ident: Rc<str>,
+    pub service: Rc<str>,
+    pub address: SocketAddr,
+    /// In this edge's zone.
+    pub near: bool,
+    pub capacity: u32,
+    pub stage: Stage,
+    pub silent: bool,
+    pub cold_until: Ms,
+    calls: u64,
+    /// Until when the host is used although the centre now followed does not name it.
+    unnamed_until: Option<Ms>,
+    spurned_until: Ms,
+    pub load: Load,
+    pub health: Health,
+}
+
+impl Host {
+    /// Whether requests may be sent to it at all.
+    pub fn usable(&self, now: Ms) -> bool {
+        self.stage == Stage::Ready && now >= self.spurned_until
+    }
+}
+
+#[derive(Debug, Clone, Default)]
+pub struct Row {
+    pub holder: Option<Rc<str>>,
+    pub fence: u64,
+    doubted_until: Ms,
+}
+
+#[derive(Debug, Default)]
+pub struct Slices {
+    pub rows: Vec<Row>,
+}
+
+#[derive(Debug, Default)]
+pub struct Part {
+    pub hosts: Vec<Rc<str>>,
+    pub slices: Option<Slices>,
+    /// Answer time of the whole service, for hosts not yet measured.
+    pub usual: f32,
+}
+
+impl Part {
+    /// Takes a host's measured answer time into the service's.
+    pub fn note(&mut self, mean: f32) {
+        /// Every host counts, so that one of them weighs little.
+        const NEW_PART: f32 = 0.05;
+        self.usual = if self.usual > 0.0 { self.usual + NEW_PART * (mean - self.usual) } else { mean };
+    }
+}
+
+/// What a merge changed, for those who hold connections or wait.
+#[derive(Debug, Default, PartialEq)]
+pub struct Changed {
+    /// Hosts that get no more requests.
+    pub left: Vec<Rc<str>>,
+    pub rows: bool,
+}
+
+/// ```
+/// use tidings::{HostNews, News, Stage};
+/// let mut book = course::Book::new("north");
+/// let host = |stage, calls| HostNews {
+///     ident: "i-1".into(), backend: "b".into(), address: "10.0.0.9:80".into(), stage, calls, ..HostNews::default()
+/// };
+/// book.merge(&News { hosts: vec![host(Stage::Emptying, 4)], ..News::default() }, 0);
+/// book.merge(&News { hosts: vec![host(Stage::Ready, 3)], ..News::default() }, 1);
+/// assert_eq!(book.host("i-1").unwrap().stage, Stage::Emptying);
+/// ```
+#[derive(Debug, Default)]
+pub struct Book {
+    area: String,
+    hosts: FxHashMap<Rc<str>, Host>,
+    parts: FxHashMap<Rc<str>, Part>,
+    ended: FxHashSet<Rc<str>>,
+    /// The most edges that any centre has told.
+    pub edges: u32,
+    /// Whether any centre has been heard.
+    pub heard: bool,
+}
+
+impl Book {
+    pub fn new(area: &str) -> Book {
+        Book { area: area.into(), ..Book::default() }
+    }
+
+    pub fn host(&self, ident: &str) -> Option<&Host> {
+        self.hosts.get(ident)
+    }
+
+    pub fn host_mut(&mut self, ident: &str) -> Option<&mut Host> {
+        self.hosts.get_mut(ident)
+    }
+
+    pub fn part(&self, service: &str) -> Option<&Part> {
+        self.parts.get(service)
+    }
+
+    pub fn part_mut(&mut self, service: &str) -> Option<&mut Part> {
+        self.parts.get_mut(service)
+    }
+
+    /// Whether requests for the service can be sent anywhere.
+    pub fn serves(&self, service: &str, divided: bool) -> bool {
+        self.parts.get(service).is_some_and(|part| {
+            !part.hosts.is_empty()
+                && (!divided
+                    || part.slices.as_ref().is_some_and(|s| s.rows.iter().any(|row| row.holder.is_some())))
+        })
+    }
+
+    /// Whether an edge that has heard from a centre for `heard_for` would do right by the services (name, divided).
+    pub fn able<'a>(
+        &self,
+        mut services: impl Iterator<Item = (&'a str, bool)>,
+        heard_for: Option<Ms>,
+    ) -> bool {
+        // A service whose hosts are all down must not keep the others from being served.
+        heard_for.is_some_and(|so_long| {
+            so_long >= YOUNG || services.all(|(name, divided)| self.serves(name, divided))
+        })
+    }
+
+    pub fn merge(&mut self, news: &News, now: Ms) -> Changed {
+        let mut changed = Changed::default();
+        // A centre that is out of touch neither speaks for hosts it misses nor is one that has heard of none trusted.
+        if news.whole && !news.alone && !news.hosts.is_empty() {
+            let until = now + YOUNG.saturating_sub(news.up_ms);
+            let named: FxHashSet<&str> = news.hosts.iter().map(|host| host.ident.as_str()).collect();
+            for host in self.hosts.values_mut().filter(|host| !named.contains(&*host.ident)) {
+                host.unnamed_until.get_or_insert(until);
+            }
+        }
+        for host in &news.hosts {
+            self.take_host(host, now, &mut changed);
+        }
+        for slices in &news.slices {
+            changed.rows |= self.take_slices(slices);
+        }
+        self.edges = self.edges.max(news.edges);
+        self.heard |= !news.alone;
+        self.sweep(now, &mut changed);
+        changed
+    }
+
+    fn take_host(&mut self, news: &HostNews, now: Ms, changed: &mut Changed) {
+        let Ok(address) = news.address.parse::<SocketAddr>() else { return };
+        if self.ended.contains(news.ident.as_str()) {
+            return;
+        }
+        if news.stage == Stage::Gone {
+            self.end(&news.ident, changed);
+            return;
+        }
+        if let Some(host) = self.hosts.get_mut(news.ident.as_str()) {
+            host.unnamed_until = None;
+            let newer = news.calls > host.calls;
+            if host.stage < news.stage {
+                host.stage = news.stage;
+                changed.left.push(host.ident.clone());
+            }
+            if newer {
+                // Its own beat speaks for the address.
+                (host.spurned_until, host.address) = (0, address);
+                host.calls = news.calls;
+                host.cold_until = now + news.cold_ms;
+            }
+            if news.calls >= host.calls {
+                host.silent = news.silent;
+                if host.capacity != news.capacity {
+                    host.capacity = news.capacity;
+                    host.load.capacity(news.capacity);
+                }
+            }
+            return;
+        }
+        // Whoever had the address before has ended without a word.
+        for host in self.hosts.values_mut().filter(|host| host.address == address) {
+            host.spurned_until = Ms::MAX;
+            changed.left.push(host.ident.clone());
+        }
+        let (ident, service): (Rc<str>, Rc<str>) = (news.ident.as_str().into(), news.backend.as_str().into());
+        let part = self.parts.entry(service.clone()).or_default();
+        part.hosts.push(ident.clone());
+        let host = Host {
+            ident: ident.clone(),
+            service,
+            address,
+            near: news.area == self.area,
+            capacity: news.capacity,
+            stage: news.stage,
+            silent: news.silent,
+            cold_until: now + news.cold_ms,
+            calls: news.calls,
+            unnamed_until: None,
+            spurned_until: 0,
+            load: Load::new(news.capacity),
+            health: Health::default(),
+        };
+        self.hosts.insert(ident, host);
+    }
+
+    fn end(&mut self, ident: &str, changed: &mut Changed) {
+        if self.ended.len() >= MOST_ENDED {
+            self.ended.clear();
+        }
+        let ident: Rc<str> = ident.into();
+        self.ended.insert(ident.clone());
+        self.drop_host(&ident);
+        changed.left.push(ident);
+    }
+
+    fn drop_host(&mut self, ident: &str) {
+        let Some(host) = self.hosts.remove(ident) else { return };
+        if let Some(part) = self.parts.get_mut(&host.service) {
+            part.hosts.retain(|other| &**other != ident);
+        }
+    }
+
+    /// Hosts that no centre names any more are dropped once their grace is over.
+    pub fn sweep(&mut self, now: Ms, changed: &mut Changed) {
+        let over = |host: &&Host| host.unnamed_until.is_some_and(|until| until <= now);
+        let gone: Vec<Rc<str>> = self.hosts.values().filter(over).map(|host| host.ident.clone()).collect();
+        for ident in gone {
+            // One that was leaving must not come back as ready.
+            if self.hosts[&ident].stage > Stage::Ready {
+                self.end(&ident, changed);
+            } else {
+                self.drop_host(&ident);
+                changed.left.push(ident);
+            }
+        }
+    }
+
+    fn take_slices(&mut self, news: &SliceNews) -> bool {
+        if news.slices == 0 || news.slices > 65_536 {
+            return false;
+        }
+        let part = self.parts.entry(news.backend.as_str().into()).or_default();
+        let slices = part.slices.get_or_insert_with(Slices::default);
+        if slices.rows.len() != news.slices as usize {
+            slices.rows = vec![Row::default(); news.slices as usize];
+        }
+        let mut any = false;
+        for (slice, ident, fence) in &news.rows {
+            let Some(row) = slices.rows.get_mut(*slice as usize) else { continue };
+            if *fence < row.fence || (*fence == row.fence && (row.holder.is_some() || ident.is_empty())) {
+                continue;
+            }
+            let known = self.hosts.get_key_value(ident.as_str()).map(|(ident, _)| ident.clone());
+            let holder = (!ident.is_empty()).then(|| known.unwrap_or_else(|| ident.as_str().into()));
+            *row = Row { holder, fence: *fence, doubted_until: 0 };
+            any = true;
+        }
+        any
+    }
+
+    pub fn slice(&self, service: &str, key: u16) -> Option<u32> {
+        let rows = self.parts.get(service)?.slices.as_ref()?.rows.len();
+        Some((u64::from(key) * rows as u64 / 65_536) as u32)
+    }
+
+    /// The holder of a key, if it is known and not in doubt.
+    pub fn holder(&self, service: &str, key: u16, now: Ms) -> Option<&Rc<str>> {
+        let slice = self.slice(service, key)?;
+        let row = self.parts.get(service)?.slices.as_ref()?.rows.get(slice as usize)?;
+        row.holder.as_ref().filter(|_| now >= row.doubted_until)
+    }
+
+    /// The host says that the address is not (or no more) that of `ident`.
+    pub fn spurn(&mut self, ident: &str, now: Ms) {
+        if let Some(host) = self.hosts.get_mut(ident) {
+            host.spurned_until = host.spurned_until.max(now + SPURNED);
+        }
+    }
+
+    /// The host says that it does not hold the key.
+    pub fn doubt(&mut self, service: &str, key: u16, ident: &str, now: Ms) {
+        let Some(slice) = self.slice(service, key) else { return };
+        let slices = self.parts.get_mut(service).and_then(|part| part.slices.as_mut());
+        if let Some(row) = slices.and_then(|slices| slices.rows.get_mut(slice as usize)) {
+            if row.holder.as_deref() == Some(ident) {
+                row.doubted_until = now + DOUBTED;
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn host(ident: &str, address: &str, calls: u64) -> HostNews {
+        let (ident, backend) = (ident.into(), "b".into());
+        HostNews { ident, backend, address: address.into(), calls, capacity: 2, ..HostNews::default() }
+    }
+
+    fn book(hosts: Vec<HostNews>) -> Book {
+        let mut book = Book::new("north");
+        book.merge(&News { hosts, ..News::default() }, 0);
+        book
+    }
+
+    #[test]
+    fn a_young_centre_drops_nobody_at_once() {
+        let mut book = book(vec![host("i-1", "10.0.0.1:80", 1), host("i-2", "10.0.0.2:80", 1)]);
+        let hosts = vec![host("i-1", "10.0.0.1:80", 2)];
+        book.merge(&News { whole: true, up_ms: 1_000, hosts: hosts.clone(), ..News::default() }, 100);
+        assert!(book.host("i-2").is_some());
+        let changed = book.merge(&News::default(), 4_100);
+        assert_eq!(changed.left, ["i-2".into()]);
+        book.merge(&News { whole: true, up_ms: 60_000, ..News::default() }, 4_200);
+        assert!(book.host("i-1").is_some(), "a centre that names nobody knows nothing");
+    }
+
+    #[test]
+    fn the_ended_stay_ended_and_addresses_change_hands() {
+        let mut book = book(vec![host("i-1", "10.0.0.1:80", 1)]);
+        book.merge(&News { hosts: vec![host("i-2", "10.0.0.1:80", 1)], ..News::default() }, 5);
+        assert!(!book.host("i-1").unwrap().usable(1_000_000) && book.host("i-2").unwrap().usable(5));
+        let gone = HostNews { stage: Stage::Gone, ..host("i-1", "10.0.0.1:80", 2) };
+        book.merge(&News { hosts: vec![gone], ..News::default() }, 10);
+        book.merge(&News { hosts: vec![host("i-1", "10.0.0.1:80", 9)], ..News::default() }, 11);
+        assert!(book.host("i-1").is_none());
+    }
+
+    #[test]
+    fn a_higher_fence_wins_and_a_doubted_row_comes_back() {
+        let mut book = book(vec![host("i-1", "10.0.0.1:80", 1), host("i-2", "10.0.0.2:80", 1)]);
+        let rows = |rows| News {
+            slices: vec![SliceNews { backend: "b".into(), slices: 4, rows }],
+            ..News::default()
+        };
+        assert!(book.merge(&rows(vec![(3, "i-1".into(), 7)]), 0).rows);
+        assert!(!book.merge(&rows(vec![(3, "i-2".into(), 6)]), 0).rows);
+        assert_eq!(book.holder("b", 65_535, 0).map(|ident| &**ident), Some("i-1"));
+        book.doubt("b", 65_535, "i-1", 0);
+        assert!(book.holder("b", 65_535, 10).is_none() && book.holder("b", 65_535, 400).is_some());
+        assert!(
+            book.merge(&rows(vec![(3, "".into(), 8)]), 0).rows && book.holder("b", 65_535, 400).is_none()
+        );
+    }
+}
--- /dev/null
+++ b/crates/course/src/pick.rs
@@ -0,0 +1,221 @@
+//! The host that a request goes to.
+use crate::book::{Book, Host};
+use crate::load::UNMEASURED;
+use crate::{pause, Ms};
+use rustc_hash::FxHasher;
+use std::hash::Hasher;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Bytes between zones are priced, but far below a late answer.
+const FAR: f32 = 1.15;
+/// A host that has just started is slow by about this.
+const COLD: f32 = 3.0;
+/// A silent host is the last resort.
+const SILENT: f32 = 20.0;
+/// Estimates of hosts within this of each other are equal; chance decides, so that edges do not run together.
+const ALIKE: f32 = 0.1;
+/// A request of the first rank is refused when its answer is expected this much past its deadline (what is known of
+/// the others' requests is old); each rank below stands aside sooner.
+const PATIENCE: f32 = 1.3;
+const PATIENCE_PER_RANK: f32 = 0.15;
+
+pub struct Ask<'a> {
+    pub service: &'a str,
+    /// The key, where the service is divided and the request carries one.
+    pub key: Option<u16>,
+    pub repeatable: bool,
+    pub rank: u32,
+    pub left: Ms,
+    /// Hosts that this request has been to.
+    pub tried: &'a [Rc<str>],
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum Choice {
+    Host(Rc<str>),
+    /// Nobody is known to hold the key; a newer row may come.
+    Unheld,
+    /// No host is left to go to.
+    Nobody,
+    /// Every host would answer too late.
+    Overrun,
+}
+
+/// ```
+/// use course::{pick, Ask, Book, Choice};
+/// let ask = Ask { service: "b", key: None, repeatable: true, rank: 0, left: 900, tried: &[] };
+/// assert_eq!(pick::pick(&Book::new("north"), &ask, 0, &mut fastrand::Rng::with_seed(1)), Choice::Nobody);
+/// ```
+pub fn pick(book: &Book, ask: &Ask, now: Ms, chance: &mut fastrand::Rng) -> Choice {
+    let Some(part) = book.part(ask.service) else { return Choice::Nobody };
+    let usual = if part.usual > 0.0 { part.usual } else { UNMEASURED };
+    if let Some(key) = ask.key {
+        let Some(ident) = book.holder(ask.service, key, now) else { return Choice::Unheld };
+        let unable = |host: &Host| host.health.unreachable && host.health.aside(ask.repeatable, now);
+        return match book.host(ident) {
+            Some(host) if !host.usable(now) || unable(host) => Choice::Unheld,
+            Some(host) if overrun(host.load.expected(now, usual), ask, part.usual) => Choice::Overrun,
+            Some(_) => Choice::Host(ident.clone()),
+            None => Choice::Unheld,
+        };
+    }
+    let usable: Vec<&Host> =
+        part.hosts.iter().filter_map(|ident| book.host(ident)).filter(|host| host.usable(now)).collect();
+    // Judgement may be wrong about many hosts at once, such as when the trouble is this edge's own.
+    let mut aside: Vec<&Host> =
+        usable.iter().copied().filter(|host| host.health.aside(ask.repeatable, now)).collect();
+    aside.sort_by_key(|host| (host.health.until(), host.ident.clone()));
+    let kept_out = aside.len().min(usable.len() / 2);
+    let out = &aside[aside.len() - kept_out..];
+    let fresh = |host: &&&Host| !ask.tried.contains(&host.ident);
+    let mut best: Option<(f32, &Host)> = None;
+    for host in usable.iter().filter(fresh) {
+        if out.iter().any(|other| other.ident == host.ident) {
+            continue;
+        }
+        let score = expected(host, now, usual) * (1.0 + ALIKE * chance.f32());
+        if best.is_none_or(|(least, _)| score < least) {
+            best = Some((score, host));
+        }
+    }
+    match best {
+        None => Choice::Nobody,
+        Some((_, host)) if overrun(host.load.expected(now, usual), ask, part.usual) => Choice::Overrun,
+        Some((_, host)) => Choice::Host(host.ident.clone()),
+    }
+}
+
+fn expected(host: &Host, now: Ms, usual: f32) -> f32 {
+    let far = if host.near { 1.0 } else { FAR };
+    let cold = if now < host.cold_until { COLD } else { 1.0 };
+    let silent = if host.silent { SILENT } else { 1.0 };
+    host.load.expected(now, usual) * far * cold * silent
+}
+
+/// Only what was measured speaks for a refusal.
+fn overrun(expected: f32, ask: &Ask, measured: f32) -> bool {
+    let patience = PATIENCE / (1.0 + PATIENCE_PER_RANK * ask.rank as f32);
+    measured > 0.0 && expected > ask.left as f32 * patience && expected > measured * 2.0
+}
+
+/// The service of a request: by share and id, the same for the same id.
+pub fn service<'a>(shares: &'a [(String, f64)], id: &[u8]) -> Option<&'a str> {
+    let open = || shares.iter().filter(|(_, share)| *share > 0.0);
+    let whole: f64 = open().map(|(_, share)| share).sum();
+    let mut hash = FxHasher::default();
+    hash.write(id);
+    // The upper bits are the well mixed ones.
+    let mut at =
+        (hash.finish().wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 11) as f64 / (1u64 << 53) as f64 * whole;
+    for (name, share) in open() {
+        if at < *share {
+            return Some(name);
+        }
+        at -= share;
+    }
+    open().last().map(|(name, _)| name.as_str())
+}
+
+/// The time a request has: what the client says and what the operator allows.
+pub fn deadline(told: Option<Ms>, give_up: Option<Duration>) -> Ms {
+    let most = give_up.map(|give_up| give_up.as_millis() as Ms);
+    match (told, most) {
+        (Some(told), Some(most)) => told.min(most),
+        (Some(one), None) | (None, Some(one)) => one,
+        (None, None) => pause::UNTOLD.as_millis() as Ms,
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::health::Sign;
+    use tidings::{HostNews, News, SliceNews, Stage};
+
+    fn book(hosts: u32) -> Book {
+        let host = |n: u32| HostNews {
+            ident: format!("i-{n}"),
+            backend: "b".into(),
+            address: format!("10.0.0.{n}:80"),
+            area: "north".into(),
+            capacity: 2,
+            calls: 1,
+            ..HostNews::default()
+        };
+        let mut book = Book::new("north");
+        book.merge(&News { hosts: (0..hosts).map(host).collect(), ..News::default() }, 0);
+        book
+    }
+
+    fn ask(repeatable: bool) -> Ask<'static> {
+        Ask { service: "b", key: None, repeatable, rank: 0, left: 1_000, tried: &[] }
+    }
+
+    #[test]
+    fn the_least_busy_is_picked_and_the_leaving_never() {
+        let (mut book, mut chance) = (book(4), fastrand::Rng::with_seed(7));
+        for n in 0..3 {
+            book.host_mut(&format!("i-{n}")).unwrap().load.own = 2;
+        }
+        let picked = |book: &Book, chance: &mut _| pick(book, &ask(true), 0, chance);
+        assert_eq!(picked(&book, &mut chance), Choice::Host("i-3".into()));
+        let news = HostNews {
+            ident: "i-3".into(),
+            address: "10.0.0.3:80".into(),
+            stage: Stage::Emptying,
+            ..HostNews::default()
+        };
+        book.merge(&News { hosts: vec![news], ..News::default() }, 0);
+        assert!((0..50).all(|_| picked(&book, &mut chance) != Choice::Host("i-3".into())));
+    }
+
+    #[test]
+    fn half_of_the_hosts_stay_in_whatever_is_thought_of_them() {
+        let (mut book, mut chance) = (book(4), fastrand::Rng::with_seed(7));
+        for n in 0..4 {
+            book.host_mut(&format!("i-{n}")).unwrap().health.bad(Sign::Unreachable, n);
+        }
+        for _ in 0..50 {
+            let choice = pick(&book, &ask(false), 10, &mut chance);
+            assert!(
+                choice == Choice::Host("i-0".into()) || choice == Choice::Host("i-1".into()),
+                "{choice:?}"
+            );
+        }
+    }
+
+    #[test]
+    fn a_key_goes_to_its_holder_alone() {
+        let (mut book, mut chance) = (book(4), fastrand::Rng::with_seed(7));
+        let ask = Ask { key: Some(40_000), ..ask(true) };
+        let slices = vec![SliceNews { backend: "b".into(), slices: 2, rows: vec![(1, "i-2".into(), 1)] }];
+        book.merge(&News { slices, ..News::default() }, 0);
+        assert_eq!(pick(&book, &ask, 0, &mut chance), Choice::Host("i-2".into()));
+        book.spurn("i-2", 0);
+        assert_eq!(pick(&book, &ask, 0, &mut chance), Choice::Unheld);
+    }
+
+    #[test]
+    fn a_lower_rank_stands_aside_first() {
+        let (mut book, mut chance) = (book(1), fastrand::Rng::with_seed(7));
+        book.part_mut("b").unwrap().usual = 400.0;
+        let load = &mut book.host_mut("i-0").unwrap().load;
+        load.took(400, 1.0);
+        load.own = 4;
+        assert_eq!(pick(&book, &ask(true), 0, &mut chance), Choice::Host("i-0".into()));
+        assert_eq!(pick(&book, &Ask { rank: 3, ..ask(true) }, 0, &mut chance), Choice::Overrun);
+    }
+
+    #[test]
+    fn shares_are_kept_and_a_share_of_none_gets_none() {
+        let shares = [("a".to_string(), 90.0), ("b".to_string(), 10.0), ("c".to_string(), 0.0)];
+        let mut counts = [0; 3];
+        for n in 0..10_000u32 {
+            let id = format!("{:016x}", n.wrapping_mul(0x9e37_79b9));
+            let name = service(&shares, id.as_bytes()).unwrap();
+            counts[(name.as_bytes()[0] - b'a') as usize] += 1;
+        }
+        assert!((800..1_200).contains(&counts[1]) && counts[2] == 0, "{counts:?}");
+    }
+}
--- a/crates/transit/src/main.rs
+++ b/crates/transit/src/main.rs
@@ -1,1 +1,51 @@
-fn main() {}
+//! `transit`: the edge of the gateway.
+use std::process::ExitCode;
+
+const HELP: &str = "\
+transit: the edge of the gateway; takes requests of clients and passes them to hosts
+
+Usage: transit [--check]
+
+  --check    read the settings, say what is wrong with them, and end
+
+The settings file is named by COPPERSAIL_SETTINGS. SIGHUP reads it again; SIGTERM ends in order.
+";
+
+fn main() -> ExitCode {
+    let mut check = false;
+    let mut args = lexopt::Parser::from_env();
+    loop {
+        match args.next() {
+            Ok(None) => break,
+            Ok(Some(lexopt::Arg::Long("check"))) => check = true,
+            Ok(Some(lexopt::Arg::Long("help") | lexopt::Arg::Short('h'))) => {
+                print!("{HELP}");
+                return ExitCode::SUCCESS;
+            }
+            Ok(Some(other)) => return wrong(&other.unexpected().to_string()),
+            Err(fault) => return wrong(&fault.to_string()),
+        }
+    }
+    let boot = match terms::Boot::read() {
+        Ok(boot) => boot,
+        Err(fault) => return wrong(&fault.to_string()),
+    };
+    if let Err(fault) = transit::able(&boot) {
+        return wrong(&fault);
+    }
+    if check {
+        return ExitCode::SUCCESS;
+    }
+    match transit::run(boot, transit::log::root()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(fault) => {
+            eprintln!("edge: {fault:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn wrong(line: &str) -> ExitCode {
+    eprintln!("edge: {line}");
+    ExitCode::from(2)
+}
