Keys of hosts that went while they waited to be asked for pass on; new primaries wait

Change: such rows wait out their time; no judgement before all had time to beat; answers are bounded; a release is asked for when the new holder can be told; edges send keys to an emptying holder for two fifths of empty.

--- a/crates/council/src/lib.rs
+++ b/crates/council/src/lib.rs
@@ -282,6 +282,7 @@
         failed: 0,
         beats: BTreeMap::new(),
         keys: tenure::Keys::new(spans.keep),
+        settled_at: 0,
         shown: 0,
         laid: BTreeMap::new(),
         asked: BTreeMap::new(),
--- a/crates/council/src/state.rs
+++ b/crates/council/src/state.rs
@@ -126,6 +126,8 @@
     pub failed: u64,
     pub beats: BTreeMap<String, Beat>,
     pub keys: Keys,
+    /// Before this a primary may not know all hosts that are there.
+    pub settled_at: Ms,
     /// Counts what was told to edges about keys in this epoch.
     pub shown: u64,
     pub laid: BTreeMap<String, Ms>,
@@ -305,7 +307,10 @@
             }
             let deaf = parked.heard > 0 && !self.all_heard(now, parked.heard) && now < parked.until;
             let awaited = match &parked.kind {
-                Kind::Beat { ident, service: Some(s) } if now < parked.until => self.keys.awaited(s, ident),
+                Kind::Beat { ident, service: Some(s) } if now < parked.until => {
+                    let due = |b: &Beat| b.at + self.spans.beat <= parked.until;
+                    self.keys.awaited(s, ident, |holder| self.beats.get(holder).is_some_and(due))
+                }
                 _ => false,
             };
             if waits || deaf || awaited {
@@ -335,7 +340,10 @@
                 return (503, "{}".into());
             }
             let back = self.back(now);
-            let rows = self.keys.grant(now, service, ident, &back);
+            // A host that leaves has its keys taken within the time that it stays.
+            let leaves = self.feed.host(ident).is_some_and(|h| h.stage > Stage::Ready);
+            let patience = if leaves { self.spans.beat / 2 } else { self.spans.beat * 3 / 2 };
+            let rows = self.keys.grant(now, service, ident, &back, patience);
             let rows: Vec<_> = rows.iter().map(|g| (g.from, g.to, g.fence, &g.handover)).collect();
             answer["held"] = serde_json::json!(rows);
             answer["keep_time"] = serde_json::json!(format!("{}ms", self.keys.keep()));
@@ -369,6 +377,8 @@
             self.feed.put_settings(&settings);
             self.took_settings();
         }
+        // By then every host that is there has beaten here.
+        self.settled_at = now + self.spans.beat * 5 / 2;
         self.record = record.clone();
         self.role = Role::Acting(record);
     }
@@ -437,7 +447,8 @@
                 continue;
             }
             let most = self.keys.slices(&service) as usize / hosts.len().max(1) / 2 + 1;
-            self.keys.plan(now, &service, &hosts, most);
+            let settled = now >= self.settled_at;
+            self.keys.plan(now, &service, &hosts, most, settled);
             let puts = self.keys.expire(now, &service);
             if !puts.is_empty() {
                 self.queue(puts, None);
--- a/crates/course/src/book.rs
+++ b/crates/course/src/book.rs
@@ -25,6 +25,8 @@
     pub near: bool,
     pub capacity: u32,
     pub stage: Stage,
+    /// When this edge heard that it leaves: not later than that was acknowledged to it.
+    left_at: Ms,
     pub silent: bool,
     pub cold_until: Ms,
     calls: u64,
@@ -40,6 +42,18 @@
     pub fn usable(&self, now: Ms) -> bool {
         self.stage == Stage::Ready && now >= self.spurned_until
     }
+
+    /// Whether a request may be sent to it that was meant for it a moment ago.
+    pub fn serves(&self, now: Ms, key: Option<u16>, stays: Ms) -> bool {
+        self.stage == Stage::Ready || (key.is_some() && self.holds(now, stays))
+    }
+
+    /// Whether requests for keys that it holds may be sent to it: nobody else may run them, so also, for `stays`,
+    /// after it has said that it leaves.
+    pub fn holds(&self, now: Ms, stays: Ms) -> bool {
+        self.usable(now)
+            || (self.stage == Stage::Emptying && now >= self.spurned_until && now < self.left_at + stays)
+    }
 }
 
 #[derive(Debug, Clone, Default)]
@@ -178,7 +192,7 @@
             host.unnamed_until = None;
             let newer = news.calls > host.calls;
             if host.stage < news.stage {
-                host.stage = news.stage;
+                (host.stage, host.left_at) = (news.stage, now);
                 changed.left.push(host.ident.clone());
             }
             if newer {
@@ -211,6 +225,8 @@
             near: news.area == self.area,
             capacity: news.capacity,
             stage: news.stage,
+            // Since when is not known: it may be about to end.
+            left_at: 0,
             silent: news.silent,
             cold_until: now + news.cold_ms,
             calls: news.calls,
--- a/crates/course/src/pick.rs
+++ b/crates/course/src/pick.rs
@@ -27,6 +27,8 @@
     pub repeatable: bool,
     pub rank: u32,
     pub left: Ms,
+    /// For how long a host that leaves may still get requests for keys that it holds.
+    pub stays: Ms,
     /// Hosts that this request has been to.
     pub tried: &'a [Rc<str>],
 }
@@ -44,7 +46,7 @@
 
 /// ```
 /// use course::{pick, Ask, Book, Choice};
-/// let ask = Ask { service: "b", key: None, repeatable: true, rank: 0, left: 900, tried: &[] };
+/// let ask = Ask { service: "b", key: None, repeatable: true, rank: 0, left: 900, stays: 0, tried: &[] };
 /// assert_eq!(pick::pick(&Book::new("north"), &ask, 0, &mut fastrand::Rng::with_seed(1)), Choice::Nobody);
 /// ```
 pub fn pick(book: &Book, ask: &Ask, now: Ms, chance: &mut fastrand::Rng) -> Choice {
@@ -54,7 +56,7 @@
         let Some(ident) = book.holder(ask.service, key, now) else { return Choice::Unheld };
         let unable = |host: &Host| host.health.unreachable && host.health.aside(ask.repeatable, now);
         return match book.host(ident) {
-            Some(host) if !host.usable(now) || unable(host) => Choice::Unheld,
+            Some(host) if !host.holds(now, ask.stays) || unable(host) => Choice::Unheld,
             Some(host) if overrun(host.load.expected(now, usual), ask, part.usual) => Choice::Overrun,
             Some(_) => Choice::Host(ident.clone()),
             None => Choice::Unheld,
@@ -149,7 +151,7 @@
     }
 
     fn ask(repeatable: bool) -> Ask<'static> {
-        Ask { service: "b", key: None, repeatable, rank: 0, left: 1_000, tried: &[] }
+        Ask { service: "b", key: None, repeatable, rank: 0, left: 1_000, stays: 0, tried: &[] }
     }
 
     #[test]
--- a/crates/tenure/src/lib.rs
+++ b/crates/tenure/src/lib.rs
@@ -11,7 +11,7 @@
 //! let hosts = [Host::new("i-1", 0), Host::new("i-2", 1)];
 //! let puts = keys.lay(0, "shelf", 4, &hosts);
 //! keys.apply(0, &puts);
-//! let rows = keys.grant(10, "shelf", "i-1", &[]);
+//! let rows = keys.grant(10, "shelf", "i-1", &[], 500);
 //! assert_eq!(rows[0].from..=rows[0].to, 0..=16383);
 //! assert_eq!(rows.len(), 2, "neighbours go to different hosts");
 //! ```
@@ -32,6 +32,15 @@
     keep + keep * 25 / 1000 + 2
 }
 
+/// A host takes an answer of up to 4 KiB; the rest of it is for what stands around the rows.
+const ANSWER: usize = 3800;
+
+/// What a row takes in an answer: two keys, a fence, a handover, and what stands between.
+fn row_bytes(row: &Row) -> usize {
+    let digits = (row.fence.max(1).ilog10() + 1) as usize;
+    17 + digits + row.handover.len()
+}
+
 /// A change of what is durable: name and value; an empty value is no value.
 pub type Put = (String, String);
 
@@ -76,8 +85,9 @@
     until: Ms,
     /// Its holder was told of it by this primary.
     told: bool,
-    /// Where it is to go.
+    /// Where it is to go, and since when.
     wanted: Option<String>,
+    wanted_at: Ms,
     /// Its holder was told to let go.
     asked: bool,
     /// A change of it is being written.
@@ -238,14 +248,26 @@
     }
 
     /// Everything that a host is to hold, renewed from `now`. `back`: hosts whose beat is waiting, or due at once.
-    /// A slice that is to move is left out when its new holder can be told as soon as it is released.
-    pub fn grant(&mut self, now: Ms, service: &str, ident: &str, back: &[String]) -> Vec<Grant> {
-        let keep = stretched(self.keep);
+    /// A slice that is to move is left out when its new holder can be told as soon as it is released, or after
+    /// `patience`: beats come at fixed distances, and two may never meet.
+    pub fn grant(
+        &mut self,
+        now: Ms,
+        service: &str,
+        ident: &str,
+        back: &[String],
+        patience: Ms,
+    ) -> Vec<Grant> {
+        let (keep, mut bytes) = (stretched(self.keep), 0);
         let Some(table) = self.tables.get_mut(service) else { return Vec::new() };
         let width = KEYS / table.rows.len().max(1) as u32;
         let mut grants = Vec::new();
         for (n, row) in table.rows.iter_mut().enumerate().filter(|(_, r)| r.holder == ident) {
-            if row.wanted.as_ref().is_some_and(|w| back.contains(w)) && !row.asked {
+            let meet = |w: &String| back.contains(w) || now >= row.wanted_at + patience;
+            let (from, to) = (n as u32 * width, (n as u32 + 1) * width - 1);
+            bytes += row_bytes(row);
+            // What does not fit into an answer is not renewed: it is asked for, and goes to another.
+            if (row.wanted.as_ref().is_some_and(meet) || bytes > ANSWER) && !row.asked {
                 row.asked = true;
                 self.shown.push((service.into(), n as u32, String::new()));
             }
@@ -257,17 +279,16 @@
                 row.told = true;
                 self.shown.push((service.into(), n as u32, ident.into()));
             }
-            let (from, to) = (n as u32 * width, (n as u32 + 1) * width - 1);
             grants.push(Grant { from, to, fence: row.fence, handover: row.handover.clone() });
         }
         grants
     }
 
-    /// Is anything on its way to this host, so that it is worth letting its beat wait?
-    pub fn awaited(&self, service: &str, ident: &str) -> bool {
-        let table = self.tables.get(service);
-        table
-            .is_some_and(|t| t.rows.iter().any(|r| r.asked && (r.busy || r.wanted.as_deref() == Some(ident))))
+    /// Is anything on its way to this host, or about to be, so that it is worth letting its beat wait? `soon`: the
+    /// other's beat is due while this one waits.
+    pub fn awaited(&self, service: &str, ident: &str, soon: impl Fn(&str) -> bool) -> bool {
+        let due = |r: &Row| r.wanted.as_deref() == Some(ident) && (r.asked || soon(&r.holder));
+        self.tables.get(service).is_some_and(|t| t.rows.iter().any(due))
     }
 
     /// Does it hold anything that it is to be asked for?
@@ -277,6 +298,22 @@
             .is_some_and(|t| t.rows.iter().any(|r| r.holder == ident && r.wanted.is_some()))
     }
 
+    /// How many rows of a service are held, asked for, on their way, and nobody's; and the most that one host has.
+    pub fn summary(&self, service: &str) -> (usize, usize, usize, usize, usize) {
+        let rows = self.tables.get(service).map_or(&[][..], |t| &t.rows);
+        let many = |f: &dyn Fn(&Row) -> bool| rows.iter().filter(|r| f(r)).count();
+        let mut by: BTreeMap<&str, usize> = BTreeMap::new();
+        rows.iter().for_each(|r| *by.entry(&r.holder).or_default() += 1);
+        let most = by.iter().filter(|(h, _)| !h.is_empty()).map(|(_, n)| *n).max().unwrap_or(0);
+        (
+            many(&|r| r.told && !r.asked),
+            many(&|r| r.asked),
+            many(&|r| r.busy),
+            many(&|r| r.holder.is_empty()),
+            most,
+        )
+    }
+
     /// Requests counted by slice; older counts fade by half each time that `fade` is called.
     pub fn count(&mut self, service: &str, counts: &[(u32, u32)]) {
         if let Some(table) = self.tables.get_mut(service) {
@@ -292,8 +329,9 @@
         self.tables.values_mut().flat_map(|t| &mut t.counts).for_each(|c| *c /= 2.0);
     }
 
-    /// The paper's mechanism says which slices should go where. At most `most` are under way at a time.
-    pub fn plan(&mut self, now: Ms, service: &str, hosts: &[Host], most: usize) {
+    /// The paper's mechanism says which slices should go where. At most `most` are under way at a time. `settled`: all
+    /// hosts have had the time to beat here, so that one that is not known is gone.
+    pub fn plan(&mut self, now: Ms, service: &str, hosts: &[Host], most: usize, settled: bool) {
         let Some(table) = self.tables.get_mut(service) else { return };
         let at: BTreeMap<&str, usize> =
             hosts.iter().enumerate().map(|(n, h)| (h.ident.as_str(), n)).collect();
@@ -303,12 +341,22 @@
             if row.wanted.as_deref().is_some_and(|w| !open(w)) && !row.busy {
                 row.wanted = None;
             }
+            // One that can't be asked lets go by the end of its time.
+            let lost = |holder: &str| at.get(holder).map_or(settled, |n| hosts[*n].silent);
+            if row.wanted.is_some() && !row.holder.is_empty() && lost(&row.holder) {
+                row.asked = true;
+            }
             // It need not move any more, and was not asked for yet.
             if !row.asked && row.wanted.as_deref() == Some(row.holder.as_str()) {
                 row.wanted = None;
             }
         }
         let mut holders: Vec<Holder> = hosts.iter().map(|h| holder(h, mean(hosts))).collect();
+        // Of a host that has as many as an answer can tell, no more is asked.
+        for (host, holder) in hosts.iter().zip(&mut holders) {
+            let bytes: usize = table.rows.iter().filter(|r| r.holder == host.ident).map(row_bytes).sum();
+            holder.open &= bytes < ANSWER * 9 / 10;
+        }
         // A holder that is not known any more: its rows wait out their time.
         holders.push(Holder { listed_at: None, open: false, leaving: true, ..Holder::default() });
         let lost = holders.len() - 1;
@@ -321,7 +369,8 @@
             }
         };
         let owners = table.rows.iter().map(owner).collect();
-        let under_way = |row: &Row| row.busy || row.wanted.is_some();
+        let unsure = |row: &Row| !settled && !row.holder.is_empty() && !at.contains_key(row.holder.as_str());
+        let under_way = |row: &Row| row.busy || row.wanted.is_some() || unsure(row);
         let pinned = table.rows.iter().enumerate().filter(|(_, r)| under_way(r)).map(|(n, _)| n).collect();
         let counts: Vec<[f64; 1]> = table.counts.iter().map(|c| [*c]).collect();
         let board =
--- a/crates/tenure/src/tests.rs
+++ b/crates/tenure/src/tests.rs
@@ -20,16 +20,16 @@
 #[test]
 fn a_row_passes_on_by_release_with_its_handover_and_a_higher_fence() {
     let (mut keys, mut hosts) = laid(2, 64);
-    let before = keys.grant(0, "s", "i-0", &[]);
+    let before = keys.grant(0, "s", "i-0", &[], 5000);
     hosts[0].leaving = true;
-    keys.plan(5, "s", &hosts, 4);
-    let left = keys.grant(10, "s", "i-0", &["i-1".into()]);
+    keys.plan(5, "s", &hosts, 4, true);
+    let left = keys.grant(10, "s", "i-0", &["i-1".into()], 5000);
     assert!(left.is_empty(), "all that is to go is left out once its new holder can be told");
     assert!(keys.released("s", "i-1", &[(0, 65535, "x".into())]).is_empty(), "only its holder may release");
     let puts = keys.released("s", "i-0", &[(before[0].from, before[0].to, "token".into())]);
     assert_eq!(puts.len(), 1);
     keys.apply(20, &puts);
-    let got = keys.grant(20, "s", "i-1", &[]);
+    let got = keys.grant(20, "s", "i-1", &[], 5000);
     let row = got.iter().find(|g| g.from == before[0].from).unwrap();
     assert_eq!((row.handover.as_str(), row.fence > before[0].fence), ("token", true));
 }
@@ -37,24 +37,24 @@
 #[test]
 fn a_silent_holder_keeps_its_rows_until_its_slow_clock_has_run_out() {
     let (mut keys, mut hosts) = laid(2, 64);
-    keys.grant(100, "s", "i-0", &[]);
+    keys.grant(100, "s", "i-0", &[], 5000);
     hosts[0].silent = true;
-    keys.plan(500, "s", &hosts, 4);
+    keys.plan(500, "s", &hosts, 4, true);
     assert!(keys.expire(100 + 1020, "s").is_empty(), "its clock may be 2% slow");
     let puts = keys.expire(100 + 1030, "s");
     assert_eq!(puts.len(), 32);
     keys.apply(1130, &puts);
-    assert_eq!(keys.grant(1130, "s", "i-1", &[]).len(), 64);
+    assert_eq!(keys.grant(1130, "s", "i-1", &[], 5000).len(), 64);
 }
 
 #[test]
 fn a_takeover_waits_out_what_an_earlier_primary_may_have_renewed() {
     let (mut keys, mut hosts) = laid(2, 64);
-    keys.grant(990, "s", "i-0", &[]);
+    keys.grant(990, "s", "i-0", &[], 5000);
     let all = state(&keys);
     let mut next = Keys::recover(1000, 1000, all.iter().map(|(n, v)| (n.as_str(), v.as_str())));
     hosts[0].silent = true;
-    next.plan(1000, "s", &hosts, 4);
+    next.plan(1000, "s", &hosts, 4, true);
     assert!(next.expire(2020, "s").is_empty());
     let puts = next.expire(2030, "s");
     let fence = |v: &str| v.split(' ').next().unwrap().parse::<u64>().unwrap();
@@ -65,20 +65,20 @@
 #[test]
 fn a_handover_whose_old_host_dies_waits_and_whose_new_host_dies_goes_elsewhere() {
     let (mut keys, mut hosts) = laid(3, 96);
-    let held = keys.grant(0, "s", "i-0", &[]);
+    let held = keys.grant(0, "s", "i-0", &[], 5000);
     hosts[0].leaving = true;
-    keys.plan(0, "s", &hosts, 96);
-    keys.grant(10, "s", "i-0", &["i-1".into(), "i-2".into()]);
+    keys.plan(0, "s", &hosts, 96, true);
+    keys.grant(10, "s", "i-0", &["i-1".into(), "i-2".into()], 5000);
     hosts[1].silent = true;
-    keys.plan(20, "s", &hosts, 96);
+    keys.plan(20, "s", &hosts, 96, true);
     let released: Vec<_> = held.iter().map(|g| (g.from, g.to, "t".to_string())).collect();
     let puts = keys.released("s", "i-0", &released);
     keys.apply(30, &puts);
     assert!(keys.tables["s"].rows.iter().all(|r| r.holder != "i-0"));
-    keys.plan(40, "s", &hosts, 96);
+    keys.plan(40, "s", &hosts, 96, true);
     let puts = keys.expire(40, "s");
     keys.apply(40, &puts);
-    assert!(keys.grant(50, "s", "i-2", &[]).iter().filter(|g| g.handover == "t").count() == held.len());
+    assert!(keys.grant(50, "s", "i-2", &[], 5000).iter().filter(|g| g.handover == "t").count() == held.len());
 }
 
 /// Hosts with slow clocks, lost answers, moves and takeovers by lot: no key is ever held by two.
@@ -104,7 +104,7 @@
                     keys = Keys::recover(1000, now, all.iter().map(|(n, v)| (n.as_str(), v.as_str())));
                 }
                 3 => {
-                    keys.plan(now, "s", &hosts, 8);
+                    keys.plan(now, "s", &hosts, 8, luck.bool());
                     let puts = keys.expire(now, "s");
                     keys.apply(now, &puts);
                 }
@@ -113,7 +113,7 @@
                     keys.apply(now, &puts);
                     let back: Vec<String> =
                         (0..4).filter(|_| luck.bool()).map(|n| format!("i-{n}")).collect();
-                    let rows = keys.grant(now, "s", &ident, &back);
+                    let rows = keys.grant(now, "s", &ident, &back, 300);
                     if luck.u8(0..4) == 0 {
                         continue;
                     }
@@ -135,3 +135,38 @@
         }
     }
 }
+
+#[test]
+fn rows_of_a_host_that_goes_while_they_wait_to_be_asked_for_pass_on_by_time() {
+    let (mut keys, mut hosts) = laid(3, 96);
+    keys.grant(0, "s", "i-0", &[], 5000);
+    hosts[0].leaving = true;
+    keys.plan(0, "s", &hosts, 96, true);
+    // Its new holder's beat is not due, so it is not asked yet; then it signs off.
+    assert_eq!(keys.grant(10, "s", "i-0", &[], 5000).len(), 32);
+    let left = &hosts[1..];
+    keys.plan(20, "s", left, 96, true);
+    let puts = keys.expire(2000, "s");
+    assert_eq!(puts.len(), 32);
+}
+
+#[test]
+fn a_new_primary_gives_hosts_the_time_to_beat() {
+    let (mut keys, hosts) = laid(3, 96);
+    keys.plan(0, "s", &hosts[..1], 96, false);
+    assert!(keys.expire(5000, "s").is_empty(), "not heard yet is not gone");
+    keys.plan(0, "s", &hosts[..1], 96, true);
+    assert_eq!(keys.expire(5000, "s").len(), 64);
+}
+
+#[test]
+fn an_answer_never_grows_past_what_a_host_takes() {
+    let (mut keys, mut hosts) = laid(2, 512);
+    hosts[0].silent = true;
+    keys.plan(0, "s", &hosts, 512, true);
+    let puts = keys.expire(5000, "s");
+    keys.apply(5000, &puts);
+    let text = |g: &Grant| format!("[{},{},{},\"{}\"],", g.from, g.to, g.fence, g.handover).len();
+    let bytes: usize = keys.grant(5000, "s", "i-1", &[], 5000).iter().map(text).sum();
+    assert!((3000..3900).contains(&bytes), "{bytes}");
+}
--- a/crates/transit/src/edge.rs
+++ b/crates/transit/src/edge.rs
@@ -192,6 +192,12 @@
         self.ready.get()
     }
 
+    /// For how long a host that leaves gets requests for keys that only it holds: well within the time that it
+    /// serves on, with the rest of it for the way.
+    pub fn stays(&self) -> Ms {
+        self.boot.borrow().limits.empty.as_millis() as Ms * 2 / 5
+    }
+
     pub fn budget_terms(&self) -> budget::Terms {
         let boot = self.boot.borrow();
         let limits = &boot.limits;
--- a/crates/transit/src/pass.rs
+++ b/crates/transit/src/pass.rs
@@ -18,7 +18,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 use terms::Route;
-use tidings::Stage;
 use tokio::time::timeout_at;
 use verdict::{Broke, Closing, Tally, Turned, Unsent, Verdict};
 
@@ -235,6 +234,7 @@
             repeatable: taken.route.repeatable,
             rank: taken.route.rank,
             left,
+            stays: edge.stays(),
             tried: &tried,
         };
         let choice = pick::pick(&edge.book.borrow(), &ask, now, &mut edge.chance.borrow_mut());
@@ -332,7 +332,9 @@
     // News may have come while the connection did.
     let now = edge.now();
     let busy = match edge.book.borrow().host(ident) {
-        Some(host) if host.stage == Stage::Ready && host.address == address => host.load.busy(now, 0.0),
+        Some(host) if host.serves(now, taken.key, edge.stays()) && host.address == address => {
+            host.load.busy(now, 0.0)
+        }
         _ => return (Verdict::NotSent(Unsent::Leaving), Some(body)),
     };
     let mut request = Request::new(body);
