--- a/crates/course/src/pick.rs
+++ b/crates/course/src/pick.rs
@@ -93,7 +93,8 @@
     host.load.expected(now, usual) * far * cold * silent
 }
 
-/// Only what was measured speaks for a refusal.
+/// Only what was measured speaks for a refusal, and only a queue: were an idle host too slow for a request, refusing
+/// all of them would end the measuring as well.
 fn overrun(expected: f32, ask: &Ask, measured: f32) -> bool {
     let patience = PATIENCE / (1.0 + PATIENCE_PER_RANK * ask.rank as f32);
     measured > 0.0 && expected > ask.left as f32 * patience && expected > measured * 2.0
@@ -114,7 +115,7 @@
         }
         at -= share;
     }
-    open().last().map(|(name, _)| name.as_str())
+    open().next_back().map(|(name, _)| name.as_str())
 }
 
 /// The time a request has: what the client says and what the operator allows.
--- a/crates/transit/src/conns.rs
+++ b/crates/transit/src/conns.rs
@@ -7,6 +7,7 @@
 use hyper::rt::{Read, ReadBufCursor, Write};
 use rustc_hash::FxHashMap;
 use socket2::SockRef;
+use std::cell::RefCell;
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
@@ -14,6 +15,7 @@
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::{timeout, Instant};
 use verdict::Unsent;
@@ -26,9 +28,7 @@
 const HELD: usize = 16 * 1024;
 
 /// A socket that hyper drives while its pool can look at it.
-pub struct Wire {
-    pub stream: Rc<TcpStream>,
-}
+struct Wire(Rc<RefCell<TcpStream>>);
 
 impl Read for Wire {
     fn poll_read(
@@ -38,29 +38,16 @@
     ) -> Poll<io::Result<()>> {
         let mut bytes = [0; READ_SIZE];
         let most = cursor.remaining().min(READ_SIZE);
-        loop {
-            ready!(self.stream.poll_read_ready(cx))?;
-            match self.stream.try_read(&mut bytes[..most]) {
-                Ok(count) => {
-                    cursor.put_slice(&bytes[..count]);
-                    return Poll::Ready(Ok(()));
-                }
-                Err(wrong) if wrong.kind() == io::ErrorKind::WouldBlock => {}
-                Err(wrong) => return Poll::Ready(Err(wrong)),
-            }
-        }
+        let mut read = ReadBuf::new(&mut bytes[..most]);
+        ready!(Pin::new(&mut *self.0.borrow_mut()).poll_read(cx, &mut read))?;
+        cursor.put_slice(read.filled());
+        Poll::Ready(Ok(()))
     }
 }
 
 impl Write for Wire {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        loop {
-            ready!(self.stream.poll_write_ready(cx))?;
-            match self.stream.try_write(bytes) {
-                Err(wrong) if wrong.kind() == io::ErrorKind::WouldBlock => {}
-                other => return Poll::Ready(other),
-            }
-        }
+        Pin::new(&mut *self.0.borrow_mut()).poll_write(cx, bytes)
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -72,27 +59,21 @@
         cx: &mut Context<'_>,
         bytes: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        loop {
-            ready!(self.stream.poll_write_ready(cx))?;
-            match self.stream.try_write_vectored(bytes) {
-                Err(wrong) if wrong.kind() == io::ErrorKind::WouldBlock => {}
-                other => return Poll::Ready(other),
-            }
-        }
+        Pin::new(&mut *self.0.borrow_mut()).poll_write_vectored(cx, bytes)
     }
 
-    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(Ok(()))
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.0.borrow_mut()).poll_flush(cx)
     }
 
-    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(SockRef::from(&*self.stream).shutdown(std::net::Shutdown::Write))
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.0.borrow_mut()).poll_shutdown(cx)
     }
 }
 
 struct Idle {
     sender: SendRequest<Sent>,
-    stream: Rc<TcpStream>,
+    stream: Rc<RefCell<TcpStream>>,
     since: Instant,
     keep: Option<Duration>,
 }
@@ -123,12 +104,8 @@
         self.0.retain(|_, pool| pool.open > 0 || !pool.idle.is_empty());
     }
 
-    pub fn open(&self, ident: &str) -> u32 {
-        self.0.get(ident).map_or(0, |pool| pool.open)
-    }
-
     /// The connection used last that may safely carry a request now.
-    fn kept(&mut self, ident: &str, repeatable: bool) -> Option<(SendRequest<Sent>, Rc<TcpStream>)> {
+    fn kept(&mut self, ident: &str, repeatable: bool) -> Option<(SendRequest<Sent>, Rc<RefCell<TcpStream>>)> {
         let idle = &mut self.0.get_mut(ident)?.idle;
         while let Some(one) = idle.pop() {
             if one.since.elapsed() >= pause::kept(one.keep, true) || one.sender.is_closed() {
@@ -148,9 +125,9 @@
 }
 
 /// Whether nothing has come, neither bytes that nobody asked for nor the end.
-fn quiet(stream: &TcpStream) -> bool {
+fn quiet(stream: &RefCell<TcpStream>) -> bool {
     let mut byte = [MaybeUninit::uninit()];
-    matches!(SockRef::from(stream).peek(&mut byte), Err(wrong) if wrong.kind() == io::ErrorKind::WouldBlock)
+    matches!(SockRef::from(&*stream.borrow()).peek(&mut byte), Err(wrong) if wrong.kind() == io::ErrorKind::WouldBlock)
 }
 
 /// A connection's place in its host's count.
@@ -169,7 +146,7 @@
     edge: Rc<Edge>,
     ident: Rc<str>,
     pub sender: SendRequest<Sent>,
-    stream: Rc<TcpStream>,
+    stream: Rc<RefCell<TcpStream>>,
     pub keep: Option<Duration>,
     pub reused: bool,
 }
@@ -209,8 +186,8 @@
         let socket = SockRef::from(&stream);
         let _ = socket.set_tcp_nodelay(true);
         let _ = socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED));
-        let stream = Rc::new(stream);
-        let wire = Wire { stream: stream.clone() };
+        let stream = Rc::new(RefCell::new(stream));
+        let wire = Wire(stream.clone());
         let handshake = http1::Builder::new().max_buf_size(HELD).handshake(wire).await;
         let Ok((sender, connection)) = handshake else { return Err(Unsent::Unreachable) };
         tokio::task::spawn_local(async move {
--- a/crates/transit/src/follow.rs
+++ b/crates/transit/src/follow.rs
@@ -67,7 +67,7 @@
     pub fn bad(&mut self) -> Duration {
         self.at = self.at.wrapping_add(1);
         self.failed += 1;
-        if self.failed % self.all().count().max(1) != 0 {
+        if !self.failed.is_multiple_of(self.all().count().max(1)) {
             return Duration::ZERO;
         }
         self.pause = pause::round(self.pause);
--- a/crates/transit/src/front.rs
+++ b/crates/transit/src/front.rs
@@ -25,6 +25,9 @@
 /// Descriptors that are no connections: hosts' are at most half, listeners and the rest are few.
 const SPARE_FILES: u64 = 200;
 
+/// How often a connection is looked at while the process only waits for its end.
+const LOOK: Duration = Duration::from_millis(100);
+
 #[derive(Debug, Clone, Copy, PartialEq)]
 enum Phase {
     /// Between requests.
@@ -101,12 +104,12 @@
             match byte {
                 b'\n' if self.used == 0 => self.whole = self.begun,
                 b'\n' => (self.used, self.begun) = (0, true),
-                b'\r' => {}
+                b'\r' | b' ' | b'\t' => {}
                 _ if self.used < self.line.len() => {
                     self.line[self.used] = byte.to_ascii_lowercase();
                     self.used += 1;
                     if byte == b':' {
-                        let name = self.line[..self.used - 1].trim_ascii();
+                        let name = &self.line[..self.used - 1];
                         self.length |= name == b"content-length";
                         self.coding |= name == b"transfer-encoding";
                     }
@@ -233,11 +236,19 @@
     let mut stay = edge.stay.subscribe();
     let timer = tokio::time::sleep_until(Instant::now() + caps.head_wait.min(caps.quiet));
     tokio::pin!(timer);
+    let mut closing = false;
     loop {
         tokio::select! {
             _ = &mut connection => return,
             _ = &mut timer => {}
-            _ = stay.wait_for(|stay| *stay == Stay::Closing), if watch.phase.get() == Phase::Idle => return,
+            _ = stay.wait_for(|stay| *stay == Stay::Closing), if !closing => closing = true,
+        }
+        if closing {
+            if watch.phase.get() == Phase::Idle {
+                return;
+            }
+            timer.as_mut().reset(Instant::now() + LOOK);
+            continue;
         }
         let most = match watch.phase.get() {
             Phase::Head => caps.head_wait,
--- a/crates/transit/src/pass.rs
+++ b/crates/transit/src/pass.rs
@@ -87,7 +87,10 @@
     let (head, body) = request.into_parts();
     match read_head(edge, &told, head.method, head.uri, head.version, head.headers, now) {
         Ok(taken) => pass(edge, &told, taken, body).await,
-        Err(answer) => answer,
+        // What cannot be read may have more behind it that is no request.
+        Err(Unfit::Unreadable) => reply::closing(reply::own(400)),
+        Err(Unfit::TooLong) => reply::closing(reply::own(413)),
+        Err(Unfit::NoRoute) => reply::own(404),
     }
 }
 
@@ -95,17 +98,26 @@
     pause::back(left, for_key, edge.chance.borrow_mut().f64())
 }
 
-fn only<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Result<Option<&'a HeaderValue>, ()> {
+/// Why a head goes nowhere.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Unfit {
+    Unreadable,
+    TooLong,
+    NoRoute,
+}
+
+fn only<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Result<Option<&'a HeaderValue>, Unfit> {
     let mut all = headers.get_all(name).iter();
     match (all.next(), all.next()) {
         (one, None) => Ok(one),
-        _ => Err(()),
+        _ => Err(Unfit::Unreadable),
     }
 }
 
-fn number(value: Option<&HeaderValue>) -> Result<Option<u64>, ()> {
+fn number(value: Option<&HeaderValue>) -> Result<Option<u64>, Unfit> {
     let Some(value) = value else { return Ok(None) };
-    value.to_str().map_err(drop)?.trim().parse().map(Some).map_err(drop)
+    let number = value.to_str().ok().and_then(|text| text.trim().parse().ok());
+    number.map(Some).ok_or(Unfit::Unreadable)
 }
 
 fn read_head<'a>(
@@ -116,35 +128,32 @@
     version: Version,
     mut headers: HeaderMap,
     now: Ms,
-) -> Result<Taken<'a>, Response<Reply>> {
-    let bad = |()| reply::closing(reply::own(400));
-    let host = only(&headers, &HOST).and_then(|host| host.ok_or(())).map_err(bad)?;
-    let id = only(&headers, &TRY_ID).and_then(|id| id.ok_or(())).map_err(bad)?.clone();
-    let coding = only(&headers, &TRANSFER_ENCODING).map_err(bad)?;
+) -> Result<Taken<'a>, Unfit> {
+    let host = only(&headers, &HOST)?.ok_or(Unfit::Unreadable)?;
+    let id = only(&headers, &TRY_ID)?.ok_or(Unfit::Unreadable)?.clone();
+    let coding = only(&headers, &TRANSFER_ENCODING)?;
     if method == Method::CONNECT
         || version < Version::HTTP_10
         || coding.is_some_and(|coding| !coding.as_bytes().eq_ignore_ascii_case(b"chunked"))
     {
-        return Err(bad(()));
+        return Err(Unfit::Unreadable);
     }
-    let Some(route) = host.to_str().ok().and_then(|host| told.routes.lookup(host, uri.path())) else {
-        return Err(reply::own(404));
-    };
-    let Some(name) = pick::service(&route.shares, id.as_bytes()) else { return Err(reply::own(404)) };
+    let route = host.to_str().ok().and_then(|host| told.routes.lookup(host, uri.path()));
+    let route = route.ok_or(Unfit::NoRoute)?;
+    let name = pick::service(&route.shares, id.as_bytes()).ok_or(Unfit::NoRoute)?;
     let service = told.config.service(name);
     let divided = service.is_some_and(|service| service.split_up);
-    let most = service.map_or(0, |service| service.max_connections);
-    let edges = edge.book.borrow().edges;
-    let key = if divided { number(headers.get(&SHARD_KEY)).map_err(bad)? } else { None };
-    let key = key.map(u16::try_from).transpose().map_err(|_| bad(()))?;
-    let left = number(only(&headers, &TIME_LEFT).map_err(bad)?).map_err(bad)?;
-    let length = number(headers.get(&CONTENT_LENGTH)).map_err(bad)?;
+    let key = if divided { number(only(&headers, &SHARD_KEY)?)? } else { None };
+    let key = key.map(u16::try_from).transpose().map_err(|_| Unfit::Unreadable)?;
+    let left = number(only(&headers, &TIME_LEFT)?)?;
+    let length = number(headers.get(&CONTENT_LENGTH))?;
     if length.is_some_and(|length| length > told.config.caps.body_size) {
-        return Err(reply::closing(reply::own(413)));
+        return Err(Unfit::TooLong);
     }
     strip(&mut headers);
     headers.remove(EXPECT);
-    let part = pause::part(most, edges);
+    let most = service.map_or(0, |service| service.max_connections);
+    let part = pause::part(most, edge.book.borrow().edges);
     let until = now + pick::deadline(left, route.give_up);
     // In absolute form the authority is the client's business with this edge.
     let uri = match uri.path_and_query() {
@@ -330,21 +339,20 @@
         }
     };
     // News may have come while the connection did.
-    let now = edge.now();
+    let sent_at = edge.now();
     let busy = match edge.book.borrow().host(ident) {
-        Some(host) if host.stage == Stage::Ready && host.address == address => host.load.busy(now, 0.0),
+        Some(host) if host.stage == Stage::Ready && host.address == address => host.load.busy(sent_at, 0.0),
         _ => return (Verdict::NotSent(Unsent::Leaving), Some(body)),
     };
+    let Ok(wanted) = HeaderValue::from_str(ident) else {
+        return (Verdict::NotSent(Unsent::Leaving), Some(body));
+    };
     let mut request = Request::new(body);
     *request.method_mut() = taken.method.clone();
     *request.uri_mut() = taken.uri.clone();
-    let mut headers = taken.headers.clone();
-    headers.insert(TIME_LEFT, HeaderValue::from(taken.left(now)));
-    let Ok(wanted) = HeaderValue::from_str(ident) else {
-        return (Verdict::NotSent(Unsent::Leaving), Some(request.into_body()));
-    };
-    headers.insert(WANTED_SERVER, wanted);
-    *request.headers_mut() = headers;
+    *request.headers_mut() = taken.headers.clone();
+    request.headers_mut().insert(TIME_LEFT, HeaderValue::from(taken.left(sent_at)));
+    request.headers_mut().insert(WANTED_SERVER, wanted);
     let until = edge.at(taken.until);
     let answer = match timeout_at(until, lease.sender.try_send_request(request)).await {
         Ok(Ok(answer)) => answer,
@@ -365,8 +373,8 @@
             return (Verdict::MayHaveRun(Broke::Silent), None);
         }
     };
-    let verdict = read(edge, taken, ident, answer, lease, &mut working, told_back, (now, busy)).await;
-    match verdict {
+    let one = Try { edge, taken, ident, lease, sent_at, busy };
+    match one.read(answer, &mut working, told_back).await {
         Ok(verdict) => (verdict, None),
         Err(broke) => {
             working.bad(if broke == Broke::Silent { Sign::Silent } else { Sign::Broken });
@@ -375,124 +383,138 @@
     }
 }
 
-fn seconds(value: Option<&HeaderValue>) -> Option<Ms> {
-    let seconds: f64 = value?.to_str().ok()?.trim().parse().ok()?;
-    (0.0..86_400.0).contains(&seconds).then_some((seconds * 1000.0) as Ms)
-}
-
-fn kept_for(headers: &HeaderMap) -> Option<Duration> {
-    let told = headers.get(&KEEP_ALIVE)?.to_str().ok()?;
-    let timeout = told.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
-    timeout.parse().ok().map(Duration::from_secs)
+/// A request that is out at a host.
+struct Try<'a> {
+    edge: &'a Rc<Edge>,
+    taken: &'a Taken<'a>,
+    ident: &'a Rc<str>,
+    lease: Lease,
+    sent_at: Ms,
+    /// Requests at the host when it was sent.
+    busy: f32,
 }
 
-fn closes(headers: &HeaderMap) -> bool {
-    let words = headers.get_all(CONNECTION).iter().filter_map(|value| value.to_str().ok());
-    words.flat_map(|value| value.split(',')).any(|word| word.trim().eq_ignore_ascii_case("close"))
-}
-
-#[allow(clippy::too_many_arguments)]
-async fn read(
-    edge: &Rc<Edge>,
-    taken: &Taken<'_>,
-    ident: &Rc<str>,
-    answer: Response<Incoming>,
-    mut lease: Lease,
-    working: &mut Working,
-    told_back: &mut Option<Ms>,
-    (sent_at, busy): (Ms, f32),
-) -> Result<Verdict<Answer>, Broke> {
-    let (head, body) = answer.into_parts();
-    let (status, mut headers) = (head.status, head.headers);
-    // One answer too many may have been waiting on the connection.
-    if headers.get(&TRY_ID) != Some(&taken.id) || status == StatusCode::SWITCHING_PROTOCOLS {
-        return Err(Broke::Foreign);
-    }
-    let now = edge.now();
-    note_load(edge, ident, &headers, now);
-    lease.keep = kept_for(&headers);
-    let kept = (head.version == Version::HTTP_11 && !closes(&headers)).then_some(lease);
-    let framed = body.size_hint().exact().is_some() || headers.contains_key(TRANSFER_ENCODING);
-    let until = edge.at(taken.until);
-    let turned = if status == StatusCode::MISDIRECTED_REQUEST {
-        let other = headers.get(&SERVER_ID).is_some_and(|id| id.as_bytes() != ident.as_bytes());
-        Some(if taken.key.is_some() && !other { Turned::Unheld } else { Turned::Elsewhere })
-    } else {
-        headers.contains_key(&NOT_RUN).then_some(Turned::Full)
-    };
-    if let Some(turned) = turned {
-        if turned == Turned::Full {
-            *told_back = seconds(headers.get(RETRY_AFTER)).or(*told_back);
-            if let Some(host) = edge.book.borrow_mut().host_mut(ident) {
-                host.load.full(now);
+impl Try<'_> {
+    async fn read(
+        mut self,
+        answer: Response<Incoming>,
+        working: &mut Working,
+        told_back: &mut Option<Ms>,
+    ) -> Result<Verdict<Answer>, Broke> {
+        let (head, body) = answer.into_parts();
+        let (status, mut headers) = (head.status, head.headers);
+        // One answer too many may have been waiting on the connection.
+        if only(&headers, &TRY_ID) != Ok(Some(&self.taken.id)) || status == StatusCode::SWITCHING_PROTOCOLS {
+            return Err(Broke::Foreign);
+        }
+        self.note_load(&headers);
+        self.lease.keep = kept_for(&headers);
+        let keeps = head.version == Version::HTTP_11 && !closes(&headers);
+        let framed = body.size_hint().exact().is_some() || headers.contains_key(TRANSFER_ENCODING);
+        let until = self.edge.at(self.taken.until);
+        if let Some(turned) = self.turned(status, &headers) {
+            if turned == Turned::Full {
+                *told_back = seconds(headers.get(RETRY_AFTER)).or(*told_back);
+                let now = self.edge.now();
+                if let Some(host) = self.edge.book.borrow_mut().host_mut(self.ident) {
+                    host.load.full(now);
+                }
             }
+            working.good();
+            // Without a length it would have to be read until the host closes, which the next try need not wait for.
+            if keeps && framed && body.size_hint().exact().is_some_and(|length| length <= WHOLE as u64) {
+                if let Ok(Ok(_)) = timeout_at(until, hold(body, WHOLE as u64)).await {
+                    self.lease.give_back();
+                }
+            }
+            return Ok(Verdict::TurnedAway(turned));
         }
-        working.good();
-        if let (Some(lease), true, Ok(Ok(Held::Whole(_)))) =
-            (kept, framed, timeout_at(until, hold(body, WHOLE as u64)).await)
-        {
-            lease.give_back();
+        // A promise that the host did not make must not be passed on as one.
+        if [408, 429, 503].contains(&status.as_u16()) {
+            return Err(Broke::Unsealed);
         }
-        return Ok(Verdict::TurnedAway(turned));
-    }
-    // A promise that the host did not make must not be passed on as one.
-    if [408, 429, 503].contains(&status.as_u16()) {
-        return Err(Broke::Unsealed);
-    }
-    let sealed = !status.is_success() || headers.contains_key(&SERVER_SEAL);
-    if !sealed || headers.contains_key(CONTENT_ENCODING) {
-        return Err(Broke::Unsealed);
-    }
-    // A body that ends with its connection cannot be told from one that was cut.
-    if !framed {
-        return Err(Broke::Cut);
+        let sealed = !status.is_success() || headers.contains_key(&SERVER_SEAL);
+        if !sealed || headers.contains_key(CONTENT_ENCODING) {
+            return Err(Broke::Unsealed);
+        }
+        // A body that ends with its connection cannot be told from one that was cut.
+        if !framed {
+            return Err(Broke::Cut);
+        }
+        strip(&mut headers);
+        let held = match timeout_at(until, hold(body, u64::MAX)).await {
+            Ok(Ok(held)) => held,
+            Ok(Err(_)) => return Err(Broke::Cut),
+            Err(_) => return Err(Broke::Silent),
+        };
+        if status.is_success() {
+            self.note_time();
+        }
+        let lease = keeps.then_some(self.lease);
+        let body = match held {
+            Held::Whole(bytes) => {
+                if let Some(lease) = lease {
+                    lease.give_back();
+                }
+                working.good();
+                Reply::whole(bytes)
+            }
+            Held::Long(flow) => {
+                let flow = flow.expect("just read");
+                let until = Box::pin(tokio::time::sleep_until(until));
+                let working = Working::new(self.edge, self.ident);
+                Reply { kind: Kind::Long(Box::new(Long { flow, lease, working, until })), done: None }
+            }
+        };
+        Ok(Verdict::Ran(Answer { status, headers, body }))
     }
-    strip(&mut headers);
-    let held = match timeout_at(until, hold(body, u64::MAX)).await {
-        Ok(Ok(held)) => held,
-        Ok(Err(_)) => return Err(Broke::Cut),
-        Err(_) => return Err(Broke::Silent),
-    };
-    if status.is_success() {
-        note_time(edge, taken.service, ident, edge.now().saturating_sub(sent_at), busy);
+
+    fn turned(&self, status: StatusCode, headers: &HeaderMap) -> Option<Turned> {
+        if status != StatusCode::MISDIRECTED_REQUEST {
+            return headers.contains_key(&NOT_RUN).then_some(Turned::Full);
+        }
+        let other = headers.get(&SERVER_ID).is_some_and(|id| id.as_bytes() != self.ident.as_bytes());
+        Some(if self.taken.key.is_some() && !other { Turned::Unheld } else { Turned::Elsewhere })
     }
-    let body = match held {
-        Held::Whole(bytes) => {
-            if let Some(lease) = kept {
-                lease.give_back();
+
+    /// "running,waiting,slots"
+    fn note_load(&self, headers: &HeaderMap) {
+        let Some(told) = headers.get(&SERVER_LOAD).and_then(|told| told.to_str().ok()) else { return };
+        let mut numbers = told.split(',').map(|part| part.trim().parse::<u32>());
+        if let (Some(Ok(running)), Some(Ok(waiting)), Some(Ok(slots))) =
+            (numbers.next(), numbers.next(), numbers.next())
+        {
+            let now = self.edge.now();
+            if let Some(host) = self.edge.book.borrow_mut().host_mut(self.ident) {
+                host.load.told(running, waiting, slots, now);
             }
-            working.good();
-            Reply::whole(bytes)
-        }
-        Held::Long(flow) => {
-            let flow = flow.expect("just read");
-            let until = Box::pin(tokio::time::sleep_until(until));
-            let working = Working::new(edge, ident);
-            Reply { kind: Kind::Long(Box::new(Long { flow, lease: kept, working, until })), done: None }
         }
-    };
-    Ok(Verdict::Ran(Answer { status, headers, body }))
-}
+    }
 
-/// "running,waiting,slots"
-fn note_load(edge: &Edge, ident: &str, headers: &HeaderMap, now: Ms) {
-    let Some(told) = headers.get(&SERVER_LOAD).and_then(|told| told.to_str().ok()) else { return };
-    let mut numbers = told.split(',').map(|part| part.trim().parse::<u32>());
-    if let (Some(Ok(running)), Some(Ok(waiting)), Some(Ok(slots))) =
-        (numbers.next(), numbers.next(), numbers.next())
-    {
-        if let Some(host) = edge.book.borrow_mut().host_mut(ident) {
-            host.load.told(running, waiting, slots, now);
+    fn note_time(&self) {
+        let took = self.edge.now().saturating_sub(self.sent_at);
+        let mut book = self.edge.book.borrow_mut();
+        let Some(host) = book.host_mut(self.ident) else { return };
+        host.load.took(took, self.busy);
+        let mean = host.load.mean();
+        if let Some(part) = book.part_mut(self.taken.service) {
+            part.note(mean);
         }
     }
 }
 
-fn note_time(edge: &Edge, service: &str, ident: &str, took: Ms, busy: f32) {
-    let mut book = edge.book.borrow_mut();
-    let Some(host) = book.host_mut(ident) else { return };
-    host.load.took(took, busy);
-    let mean = host.load.mean();
-    if let Some(part) = book.part_mut(service) {
-        part.note(mean);
-    }
+fn seconds(value: Option<&HeaderValue>) -> Option<Ms> {
+    let seconds: f64 = value?.to_str().ok()?.trim().parse().ok()?;
+    (0.0..86_400.0).contains(&seconds).then_some((seconds * 1000.0) as Ms)
+}
+
+fn kept_for(headers: &HeaderMap) -> Option<Duration> {
+    let told = headers.get(&KEEP_ALIVE)?.to_str().ok()?;
+    let timeout = told.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
+    timeout.parse().ok().map(Duration::from_secs)
+}
+
+fn closes(headers: &HeaderMap) -> bool {
+    let words = headers.get_all(CONNECTION).iter().filter_map(|value| value.to_str().ok());
+    words.flat_map(|value| value.split(',')).any(|word| word.trim().eq_ignore_ascii_case("close"))
 }
--- /dev/null
+++ b/crates/transit/tests/transit/follow.rs
@@ -0,0 +1,97 @@
+//! The follower among centres that fail, and when an edge calls itself ready.
+use crate::stand_ins::*;
+use slog::{o, Discard, Logger};
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::sync::mpsc::{channel, Receiver};
+use terms::Boot;
+use tidings::{Follow, News, Stage};
+
+/// A centre that answers polls one after the other as told, and hands out what it was asked.
+fn centre(listener: TcpListener, answers: Vec<(u16, News)>) -> Receiver<Follow> {
+    let (told, asked) = channel();
+    std::thread::spawn(move || {
+        let mut answers = answers.into_iter();
+        for stream in listener.incoming() {
+            let mut stream = stream.unwrap();
+            while let Some(poll) = read_poll(&mut stream) {
+                let Some((status, news)) = answers.next() else { return };
+                told.send(poll).unwrap();
+                let body = serde_json::to_string(&news).unwrap();
+                write!(stream, "HTTP/1.1 {status} x\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+                    .unwrap();
+            }
+        }
+    });
+    asked
+}
+
+fn read_poll(stream: &mut TcpStream) -> Option<Follow> {
+    let (mut bytes, mut more) = (Vec::new(), [0; 4096]);
+    loop {
+        let text = String::from_utf8_lossy(&bytes);
+        if let Some((head, body)) = text.split_once("\r\n\r\n") {
+            if body.len() >= header(head, "content-length")?.parse().unwrap() {
+                return serde_json::from_str(body).ok();
+            }
+        }
+        match stream.read(&mut more) {
+            Ok(count @ 1..) => bytes.extend_from_slice(&more[..count]),
+            _ => return None,
+        }
+    }
+}
+
+#[test]
+fn a_failing_centre_is_left_and_nothing_counted_is_lost() {
+    // Both listen at the same port of different addresses, as centres do.
+    let first = TcpListener::bind("127.0.0.1:0").unwrap();
+    let port = first.local_addr().unwrap().port();
+    let second = TcpListener::bind(("127.0.0.2", port)).unwrap();
+    let news = |seq, alone| News { feed: 9, seq, alone, edges: 3, ..News::default() };
+    let failing = centre(first, vec![(500, News::default()); 3]);
+    let sound = centre(second, vec![(200, news(5, false)), (200, news(6, false)), (200, news(7, true))]);
+    let boot = Boot {
+        ip: "127.0.0.9".into(),
+        area: "north".into(),
+        spare_ports: (port, port),
+        known_peers: vec!["127.0.0.1:1".into(), "127.0.0.2:1".into()],
+        ..Boot::default()
+    };
+    let tallies = std::sync::Arc::new(transit::edge::Tallies::default());
+    tallies.count("parted", 4);
+    let (send, mut taken) = tokio::sync::mpsc::unbounded_channel();
+    transit::follow::start(&boot, Logger::root(Discard, o!()), tallies, send).unwrap();
+    for seq in 5..8 {
+        assert_eq!(taken.blocking_recv().map(|news| (news.feed, news.seq)), Some((9, seq)));
+    }
+    let polls: Vec<Follow> = sound.iter().take(3).collect();
+    assert_eq!(polls.iter().map(|poll| poll.seq).collect::<Vec<_>>(), [0, 5, 6]);
+    assert_eq!((polls[0].edge.as_str(), polls[0].asked[0].counts[0]), ("127.0.0.9", (4, 1)));
+    assert!(polls[1].asked.is_empty());
+    // The last one said that it is alone, so the other has its turn again.
+    assert!(failing.iter().any(|poll| poll.seq == 7));
+}
+
+#[test]
+fn an_edge_is_ready_once_it_would_do_right_and_stays_so() {
+    play(|| async {
+        let host = host("i-1", |_, head| Act::Send(good(head, ""))).await;
+        let rig = rig(&[&host]).await;
+        assert!(!rig.edge.ready(), "the divided service has no host yet");
+        let mut parted = host.news(Stage::Ready, 1);
+        (parted.ident, parted.backend, parted.address) =
+            ("i-2".into(), "parted".into(), "127.0.0.1:2".into());
+        rig.edge.take(News { hosts: vec![parted], ..News::default() });
+        assert!(!rig.edge.ready(), "and nobody holds its keys");
+        let slices = vec![tidings::SliceNews {
+            backend: "parted".into(),
+            slices: 4,
+            rows: vec![(0, "i-2".into(), 1)],
+        }];
+        rig.edge.take(News { slices, ..News::default() });
+        assert!(rig.edge.ready());
+        rig.edge.take(News { hosts: vec![host.news(Stage::Gone, 2)], ..News::default() });
+        assert!(rig.edge.ready());
+    });
+}
--- /dev/null
+++ b/crates/transit/tests/transit/main.rs
@@ -0,0 +1,331 @@
+//! The edge among hosts that fail in every way that the protocol tells of.
+mod follow;
+mod stand_ins;
+
+use stand_ins::*;
+use std::rc::Rc;
+use tidings::{News, Stage};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::sync::Notify;
+
+#[test]
+fn a_request_goes_through_unchanged() {
+    play(|| async {
+        let host = host("i-1", |_, head| {
+            Act::Send(answer(
+                head,
+                "200 OK",
+                "Server-Seal: s.1\r\nX-Own: 5\r\nKeep-Alive: timeout=5\r\n",
+                "whole",
+            ))
+        })
+        .await;
+        let rig = rig(&[&host]).await;
+        let body =
+            "POST /once/x%20y?q=/../1 HTTP/1.1\r\nHost: A.example:80\r\nTry-Id: 77\r\nTime-Left-Ms: 5000\r\n\
+            X-Mine: 1\r\nX-Hop: 2\r\nConnection: close, X-Hop\r\nTransfer-Encoding: chunked\r\n\r\n\
+            3\r\nabc\r\n4\r\ndefg\r\n0\r\n\r\n";
+        let answer = rig.raw(body.as_bytes()).await;
+        assert_eq!((status(&answer), answer.ends_with("\r\n\r\nwhole")), (200, true), "{answer}");
+        assert_eq!(header(&answer, "server-seal").as_deref(), Some("s.1"));
+        assert_eq!(header(&answer, "x-own").as_deref(), Some("5"));
+        assert_eq!(header(&answer, "keep-alive"), None);
+        let seen = host.seen.borrow()[0].clone();
+        assert!(
+            seen.starts_with("POST /once/x%20y?q=/../1 HTTP/1.1\r\n") && seen.ends_with("\r\n\r\nabcdefg")
+        );
+        assert_eq!(header(&seen, "wanted-server").as_deref(), Some("i-1"));
+        assert_eq!(header(&seen, "host").as_deref(), Some("A.example:80"));
+        assert_eq!(header(&seen, "x-mine").as_deref(), Some("1"));
+        assert_eq!((header(&seen, "x-hop"), header(&seen, "transfer-encoding")), (None, None));
+        assert!((1..=5000).contains(&header(&seen, "time-left-ms").unwrap().parse::<u32>().unwrap()));
+        assert_eq!(status(&rig.get("/unknown/", "78").await), 404);
+    });
+}
+
+#[test]
+fn heads_that_can_be_read_in_two_ways_go_nowhere() {
+    play(|| async {
+        let host = host("i-1", |_, head| Act::Send(good(head, ""))).await;
+        let rig = rig(&[&host]).await;
+        let inner = "GET /once/in HTTP/1.1\r\nHost: a.example\r\nTry-Id: 2\r\n\r\n";
+        let hidden = format!("0\r\n\r\n{inner}");
+        let length = hidden.len();
+        for more in [
+            format!("Content-Length: {length}\r\nTransfer-Encoding: chunked\r\n"),
+            format!("Transfer-Encoding: chunked\r\nContent-Length: {length}\r\n"),
+            format!("Transfer-Encoding: gzip, chunked\r\nContent-Length: {length}\r\n"),
+            format!("Content-Length: 5\r\nContent-Length: {length}\r\n"),
+            "Transfer-Encoding: gzip, chunked\r\n".into(),
+            "Transfer-Encoding: chunked, identity\r\n".into(),
+            "Content-Length: +5\r\n".into(),
+            "Try-Id: 3\r\n".into(),
+            "Host: b.example\r\n".into(),
+            "Time-Left-Ms: soon\r\n".into(),
+        ] {
+            let answer = rig.raw((request("/once/out", "1", &more) + &hidden).as_bytes()).await;
+            assert_eq!(status(&answer), 400, "{more}: {answer}");
+        }
+        assert_eq!(host.count(), 0);
+        // A second request in one piece with the first is sent away unrun, whatever it holds.
+        let two = rig.raw((request("/once/out", "1", "") + inner).as_bytes()).await;
+        assert!(two.starts_with("HTTP/1.1 200") && two.contains("HTTP/1.1 503"), "{two}");
+        assert_eq!(host.count(), 1);
+    });
+}
+
+#[test]
+fn what_is_too_large_or_too_slow_ends() {
+    play(|| async {
+        let host = host("i-1", |_, head| Act::Send(good(head, ""))).await;
+        let rig = rig_with(&[&host], "40ms").await;
+        let long = format!("X-Long: {}\r\n", "y".repeat(9_000));
+        assert_eq!(status(&rig.raw(request("/once/", "1", &long).as_bytes()).await), 431);
+        assert_eq!(
+            status(&rig.raw(request("/once/", "1", "Content-Length: 400001\r\n").as_bytes()).await),
+            413
+        );
+        assert_eq!(status(&rig.raw(b"GET /once/ HTTP/1.1\r\nHos").await), 408);
+        assert_eq!(host.count(), 0);
+    });
+}
+
+/// Whatever goes wrong once the request is out: what may run once ends in 502, what may be repeated is.
+#[test]
+fn broken_answers_are_neither_passed_on_nor_run_twice() {
+    type Break = fn(&str) -> Act;
+    let ways: [(&str, Break); 12] = [
+        ("reset before the answer", |_| Act::Reset),
+        ("closed before the answer", |_| Act::End(vec![])),
+        ("closed in the head", |_| Act::End(b"HTTP/1.1 200 OK\r\nTry-I".to_vec())),
+        ("closed after the head", |head| {
+            let mut bytes = good(head, "whole");
+            bytes.truncate(bytes.len() - 5);
+            Act::End(bytes)
+        }),
+        ("cut short of its length", |head| {
+            let mut bytes = good(head, "whole");
+            bytes.truncate(bytes.len() - 1);
+            Act::End(bytes)
+        }),
+        ("cut in its chunks", |head| {
+            let id = header(head, "try-id").unwrap();
+            let head = format!(
+                "HTTP/1.1 200 OK\r\nTry-Id: {id}\r\nServer-Seal: s\r\nTransfer-Encoding: chunked\r\n"
+            );
+            Act::End((head + "\r\n3\r\nabc\r\n").into_bytes())
+        }),
+        ("without any length", |head| {
+            let id = header(head, "try-id").unwrap();
+            Act::End(format!("HTTP/1.1 200 OK\r\nTry-Id: {id}\r\nServer-Seal: s\r\n\r\nwhole").into_bytes())
+        }),
+        ("to another request", |_| Act::Send(good("Try-Id: another\r\n", "other"))),
+        ("no answer at all", |_| Act::Send(b"\x16\x03\x01 what is this\r\n\r\n".to_vec())),
+        ("without its seal", |head| Act::Send(answer(head, "200 OK", "", "whole"))),
+        ("encoded", |head| {
+            Act::Send(answer(head, "200 OK", "Server-Seal: s\r\nContent-Encoding: gzip\r\n", "whole"))
+        }),
+        ("a promise that is none", |head| Act::Send(answer(head, "503 Busy", "", ""))),
+    ];
+    for (way, broken) in ways {
+        play(|| async move {
+            let failing = host("i-1", move |_, head| broken(head)).await;
+            let rig = rig(&[&failing]).await;
+            let answer = rig.get("/once/", "1").await;
+            assert_eq!((status(&answer), failing.count()), (502, 1), "{way}: {answer}");
+            let sound = host("i-2", |_, head| Act::Send(good(head, "sound"))).await;
+            rig.edge.take(News { hosts: vec![sound.news(Stage::Ready, 1)], ..News::default() });
+            for id in 0..4 {
+                let answer = rig.get("/again/", &format!("r{id}")).await;
+                assert!(answer.ends_with("\r\n\r\nsound"), "{way}: {answer}");
+            }
+        });
+    }
+}
+
+#[test]
+fn a_long_answer_that_is_cut_never_looks_whole() {
+    play(|| async {
+        let long = "z".repeat(300_000);
+        let whole = long.clone();
+        let host = host("i-1", move |number, head| match number {
+            0 => Act::Send(good(head, &long)),
+            1 => Act::End(answer(head, "200 OK", "Server-Seal: s\r\nConnection: close\r\n", &long)),
+            _ => Act::End({
+                let mut bytes = good(head, &long);
+                bytes.truncate(290_000);
+                bytes
+            }),
+        })
+        .await;
+        let rig = rig(&[&host]).await;
+        for id in ["1", "2"] {
+            assert!(rig.get("/once/", id).await.ends_with(&whole));
+        }
+        let cut = rig.get("/once/", "3").await;
+        let (head, body) = cut.split_once("\r\n\r\n").unwrap();
+        assert_eq!(header(head, "content-length").as_deref(), Some("300000"));
+        assert!(body.len() < 300_000);
+    });
+}
+
+#[test]
+fn a_second_answer_belongs_to_nobody() {
+    play(|| async {
+        let host = host("i-1", |_, head| {
+            let mut bytes = good(head, "first");
+            bytes.extend(good(head, "second"));
+            Act::Send(bytes)
+        })
+        .await;
+        let rig = rig(&[&host]).await;
+        for id in ["1", "2", "3"] {
+            let answer = rig.get("/once/", id).await;
+            assert!(answer.ends_with("first"), "{answer}");
+            assert_eq!(header(&answer, "try-id").as_deref(), Some(id));
+        }
+        assert_eq!(host.connections.get(), 3, "none of them is used again");
+    });
+}
+
+#[test]
+fn connections_are_kept_until_their_host_leaves() {
+    play(|| async {
+        let staying = host("i-2", |_, head| Act::Send(good(head, "staying"))).await;
+        let leaving = host("i-1", |_, head| Act::Send(good(head, "leaving"))).await;
+        let rig = rig(&[&leaving]).await;
+        let mut client = rig.connect().await;
+        for id in ["1", "2"] {
+            client.write_all(request("/once/", id, "").as_bytes()).await.unwrap();
+            assert!(read_message(&mut client).await.unwrap().ends_with("leaving"));
+        }
+        assert_eq!(leaving.connections.get(), 1);
+        let hosts = vec![leaving.news(Stage::Emptying, 2), staying.news(Stage::Ready, 1)];
+        rig.edge.take(News { hosts, ..News::default() });
+        leaving.ended(1).await;
+        client.write_all(request("/once/", "3", "").as_bytes()).await.unwrap();
+        assert!(read_message(&mut client).await.unwrap().ends_with("staying"));
+        assert_eq!(leaving.count(), 2);
+    });
+}
+
+#[test]
+fn what_was_turned_away_goes_elsewhere_or_comes_back_later() {
+    play(|| async {
+        let full = host("i-1", |_, head| {
+            Act::Send(answer(head, "503 Full", "Not-Run: 1\r\nRetry-After: 0.25\r\n", ""))
+        })
+        .await;
+        let rig = rig(&[&full]).await;
+        let answer = rig.get("/once/", "1").await;
+        assert_eq!((status(&answer), header(&answer, "retry-after").as_deref()), (503, Some("0.250")));
+        let sound = host("i-3", |_, head| Act::Send(good(head, "sound"))).await;
+        let moved = host("i-2", |_, head| {
+            Act::Send(stand_ins::answer(head, "421 Other", "Not-Run: 1\r\nServer-Id: i-9\r\n", ""))
+        })
+        .await;
+        let hosts = vec![sound.news(Stage::Ready, 1), moved.news(Stage::Ready, 1)];
+        rig.edge.take(News { hosts, ..News::default() });
+        for id in 0..6 {
+            assert!(rig.get("/once/", &format!("o{id}")).await.ends_with("sound"));
+        }
+        assert!(moved.count() <= 1, "an address that is another's is left alone");
+    });
+}
+
+#[test]
+fn a_dead_host_costs_no_request() {
+    play(|| async {
+        let sound = host("i-1", |_, head| Act::Send(good(head, "sound"))).await;
+        let mut dead = sound.news(Stage::Ready, 1);
+        (dead.ident, dead.address) = ("i-0".into(), "127.0.0.1:1".into());
+        let rig = rig(&[&sound]).await;
+        rig.edge.take(News { hosts: vec![dead], ..News::default() });
+        for id in 0..6 {
+            assert!(rig.get("/once/", &format!("o{id}")).await.ends_with("sound"));
+        }
+    });
+}
+
+#[test]
+fn silence_ends_at_the_deadline_and_not_with_a_promise() {
+    play(|| async {
+        let host = host("i-1", |_, _| Act::Hold(Rc::default())).await;
+        let rig = rig(&[&host]).await;
+        assert_eq!(status(&rig.get("/short/", "1").await), 504);
+        assert_eq!(host.count(), 1);
+    });
+}
+
+#[test]
+fn a_client_that_goes_takes_its_request_along() {
+    play(|| async {
+        let host = host("i-1", |_, _| Act::Hold(Rc::default())).await;
+        let rig = rig(&[&host]).await;
+        let mut client = rig.connect().await;
+        client.write_all(request("/once/", "1", "").as_bytes()).await.unwrap();
+        host.read(1).await;
+        drop(client);
+        host.ended(1).await;
+        assert_eq!(rig.edge.book.borrow().host("i-1").unwrap().load.own, 0);
+    });
+}
+
+#[test]
+fn a_key_waits_for_its_holder_and_no_longer_than_that() {
+    play(|| async {
+        let mut news = Vec::new();
+        let old = host("i-1", |_, head| Act::Send(answer(head, "421 Unheld", "Not-Run: 1\r\n", ""))).await;
+        let new = host("i-2", |_, head| Act::Send(good(head, "held"))).await;
+        for host in [&old, &new] {
+            news.push(tidings::HostNews { backend: "parted".into(), ..host.news(Stage::Ready, 1) });
+        }
+        let rig = rig(&[]).await;
+        rig.edge.take(News { hosts: news, ..News::default() });
+        let key = "Shard-Key: 20000\r\nConnection: close\r\n";
+        let unheld = rig.raw(request("/key/", "1", key).as_bytes()).await;
+        assert_eq!(status(&unheld), 503);
+        assert!(header(&unheld, "retry-after").is_some());
+        rig.rows(vec![(1, "i-1".into(), 1)]);
+        let asked = request("/key/", "2", key);
+        let waiting = rig.raw(asked.as_bytes());
+        let moved = async {
+            old.read(1).await;
+            rig.rows(vec![(1, "i-2".into(), 2)]);
+        };
+        let (answer, ()) = tokio::join!(waiting, moved);
+        assert!(answer.ends_with("held"), "{answer}");
+        assert_eq!(rig.edge.tallies.take()[0].counts, [(1, 1)], "counted once slices are known");
+    });
+}
+
+#[test]
+fn leaving_lets_what_is_under_way_end() {
+    play(|| async {
+        let go: Rc<Notify> = Rc::default();
+        let held = go.clone();
+        let host = host("i-1", move |number, head| match number {
+            0 => Act::Hold(held.clone()),
+            _ => Act::Send(good(head, "late")),
+        })
+        .await;
+        let rig = rig(&[&host]).await;
+        let mut client = rig.connect().await;
+        client.write_all(request("/once/", "1", "").as_bytes()).await.unwrap();
+        host.read(1).await;
+        let edge = rig.edge.clone();
+        let left = tokio::task::spawn_local(async move { transit::leave(&edge).await });
+        tokio::task::yield_now().await;
+        let mut asked = tokio::net::TcpStream::connect(rig.readiness).await.unwrap();
+        asked.write_all(b"GET /readiness HTTP/1.1\r\nHost: a\r\n\r\n").await.unwrap();
+        assert_eq!(status(&read_message(&mut asked).await.unwrap()), 503);
+        // Clients still come for a while.
+        let late = rig.raw(request("/once/", "2", "").as_bytes()).await;
+        assert!(late.ends_with("late") && header(&late, "connection").as_deref() == Some("close"));
+        go.notify_one();
+        let mut answer = String::new();
+        client.read_to_string(&mut answer).await.unwrap();
+        assert!(answer.ends_with("held") && header(&answer, "connection").as_deref() == Some("close"));
+        left.abort();
+    });
+}
--- /dev/null
+++ b/crates/transit/tests/transit/stand_ins.rs
@@ -0,0 +1,248 @@
+//! An edge on loopback, hosts that do as a script says, and clients that write raw bytes.
+use slog::{o, Discard, Logger};
+use std::cell::{Cell, RefCell};
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use terms::Boot;
+use tidings::{HostNews, News, Settings, SliceNews, Stage};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc::UnboundedSender, Notify};
+use tokio::task::{spawn_local, LocalSet};
+use transit::edge::Edge;
+
+/// Far longer than anything here takes; only a test that hangs meets it.
+const HANGS: Duration = Duration::from_secs(20);
+
+pub fn play<F: Future<Output = ()>>(test: impl FnOnce() -> F) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    LocalSet::new()
+        .block_on(&runtime, async { tokio::time::timeout(HANGS, test()).await.expect("it hangs") });
+}
+
+/// What a host does when a request's head has been read.
+pub enum Act {
+    Send(Vec<u8>),
+    /// Sends, then closes.
+    End(Vec<u8>),
+    Reset,
+    /// Answers nothing until the test says so.
+    Hold(Rc<Notify>),
+}
+
+pub struct Host {
+    pub ident: String,
+    pub address: SocketAddr,
+    /// Heads of the requests read, with their bodies as they came.
+    pub seen: Rc<RefCell<Vec<String>>>,
+    pub connections: Rc<Cell<usize>>,
+    /// Told at each request and at each connection's end.
+    pub event: Rc<Notify>,
+    pub ended: Rc<Cell<usize>>,
+}
+
+pub fn header(head: &str, name: &str) -> Option<String> {
+    let line = head
+        .lines()
+        .find(|line| line.split_once(':').is_some_and(|(one, _)| one.eq_ignore_ascii_case(name)))?;
+    Some(line.split_once(':')?.1.trim().into())
+}
+
+/// A sealed answer with the request's own id.
+pub fn good(head: &str, body: &str) -> Vec<u8> {
+    answer(head, "200 OK", "Server-Seal: 1a.2b\r\n", body)
+}
+
+pub fn answer(head: &str, status: &str, more: &str, body: &str) -> Vec<u8> {
+    let (id, length) = (header(head, "try-id").unwrap_or_default(), body.len());
+    format!("HTTP/1.1 {status}\r\nTry-Id: {id}\r\n{more}Content-Length: {length}\r\n\r\n{body}").into_bytes()
+}
+
+/// The number of a request counts from 0 over all connections.
+pub async fn host(ident: &str, script: impl Fn(usize, &str) -> Act + 'static) -> Host {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (seen, event): (Rc<RefCell<Vec<String>>>, Rc<Notify>) = Default::default();
+    let (connections, ended): (Rc<Cell<usize>>, Rc<Cell<usize>>) = Default::default();
+    let host = Host { ident: ident.into(), address, seen, event, connections, ended };
+    let (seen, event) = (host.seen.clone(), host.event.clone());
+    let (connections, ended) = (host.connections.clone(), host.ended.clone());
+    let script = Rc::new(script);
+    spawn_local(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            connections.set(connections.get() + 1);
+            let (seen, event, ended, script) = (seen.clone(), event.clone(), ended.clone(), script.clone());
+            spawn_local(async move {
+                talk(stream, &seen, &event, &*script).await;
+                ended.set(ended.get() + 1);
+                event.notify_waiters();
+            });
+        }
+    });
+    host
+}
+
+async fn talk(
+    mut stream: TcpStream,
+    seen: &RefCell<Vec<String>>,
+    event: &Notify,
+    script: &dyn Fn(usize, &str) -> Act,
+) {
+    while let Some(head) = read_message(&mut stream).await {
+        let number = seen.borrow().len();
+        seen.borrow_mut().push(head.clone());
+        event.notify_waiters();
+        match script(number, &head) {
+            Act::Send(bytes) => stream.write_all(&bytes).await.unwrap_or_default(),
+            Act::End(bytes) => {
+                let _ = stream.write_all(&bytes).await;
+                return;
+            }
+            Act::Reset => {
+                let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+                return;
+            }
+            Act::Hold(until) => {
+                let mut byte = [0];
+                tokio::select! {
+                    _ = until.notified() => stream.write_all(&good(&head, "held")).await.unwrap_or_default(),
+                    _ = stream.read(&mut byte) => return,
+                }
+            }
+        }
+    }
+}
+
+/// Head and body by `Content-Length` or chunks (kept as they came).
+pub async fn read_message(stream: &mut TcpStream) -> Option<String> {
+    let (mut bytes, mut more) = (Vec::new(), [0; 4096]);
+    loop {
+        if let Some(end) = bytes.windows(4).position(|four| four == b"\r\n\r\n") {
+            let head = String::from_utf8_lossy(&bytes[..end + 4]).into_owned();
+            let chunked = header(&head, "transfer-encoding").is_some();
+            let length = header(&head, "content-length").map_or(0, |length| length.parse().unwrap());
+            let whole = if chunked { bytes.ends_with(b"0\r\n\r\n") } else { bytes.len() >= end + 4 + length };
+            if whole {
+                return Some(String::from_utf8_lossy(&bytes).into_owned());
+            }
+        }
+        match stream.read(&mut more).await {
+            Ok(count @ 1..) => bytes.extend_from_slice(&more[..count]),
+            _ => return None,
+        }
+    }
+}
+
+impl Host {
+    pub fn count(&self) -> usize {
+        self.seen.borrow().len()
+    }
+
+    /// Until so many requests have been read.
+    pub async fn read(&self, count: usize) {
+        loop {
+            let event = self.event.notified();
+            if self.count() >= count {
+                return;
+            }
+            event.await;
+        }
+    }
+
+    pub async fn ended(&self, count: usize) {
+        loop {
+            let event = self.event.notified();
+            if self.ended.get() >= count {
+                return;
+            }
+            event.await;
+        }
+    }
+
+    pub fn news(&self, stage: Stage, calls: u64) -> HostNews {
+        HostNews {
+            ident: self.ident.clone(),
+            backend: "plain".into(),
+            address: self.address.to_string(),
+            area: "north".into(),
+            capacity: 4,
+            stage,
+            calls,
+            ..HostNews::default()
+        }
+    }
+}
+
+pub struct Rig {
+    pub edge: Rc<Edge>,
+    pub news: UnboundedSender<News>,
+    pub clients: SocketAddr,
+    pub readiness: SocketAddr,
+}
+
+const SETTINGS: &str = r#"{"revision":"r4","routes":{"columns":["name","domain","pathStart","sort","giveUp","target_time","rank","shares","tries","backend"],"rows":[
+["again","a.example","/again/","repeatable","9000ms","1000ms",0,null,3,"plain"],
+["once","a.example","/once/","single_shot","9000ms","1000ms",0,null,3,"plain"],
+["short","a.example","/short/","single_shot","150ms","100ms",0,null,3,"plain"],
+["key","a.example","/key/","repeatable","9000ms","1000ms",0,null,3,"parted"]]},
+"backends":{"columns":["name","checkPath","maxConnections","protocol","encrypted","splitUp"],"rows":[["plain","/well",100,"h1",false,null],["parted","/well",100,"h1",false,true]]},
+"caps":{"headSizeBytes":9000,"bodySizeBytes":400000,"headWait":"HEADWAIT","quiet":"15000ms"}}"#;
+
+pub async fn rig(hosts: &[&Host]) -> Rig {
+    rig_with(hosts, "3000ms").await
+}
+
+pub async fn rig_with(hosts: &[&Host], head_wait: &str) -> Rig {
+    let mut boot = Boot { area: "north".into(), ip: "127.0.0.1".into(), open_files: 4000, ..Boot::default() };
+    // Enough that the budget never decides here; it has tests of its own.
+    boot.limits.retry_ratio = 100.0;
+    boot.limits.retry_window = Duration::from_secs(10);
+    boot.limits.leeway = Duration::from_secs(6);
+    let edge = Edge::new(boot, Logger::root(Discard, o!()));
+    let clients = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let readiness = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let at = (clients.local_addr().unwrap(), readiness.local_addr().unwrap());
+    let (news, taken) = tokio::sync::mpsc::unbounded_channel();
+    transit::start(&edge, clients, readiness, taken);
+    let body = SETTINGS.replace("HEADWAIT", head_wait);
+    edge.take(News {
+        settings: Some(Settings { revision: 4, body }),
+        hosts: hosts.iter().map(|host| host.news(Stage::Ready, 1)).collect(),
+        ..News::default()
+    });
+    Rig { edge, news, clients: at.0, readiness: at.1 }
+}
+
+impl Rig {
+    pub fn rows(&self, rows: Vec<(u32, String, u64)>) {
+        let slices = vec![SliceNews { backend: "parted".into(), slices: 4, rows }];
+        self.news.send(News { slices, ..News::default() }).unwrap();
+    }
+
+    pub async fn connect(&self) -> TcpStream {
+        TcpStream::connect(self.clients).await.unwrap()
+    }
+
+    /// One request on a connection of its own; everything that comes back until it closes.
+    pub async fn raw(&self, bytes: &[u8]) -> String {
+        let mut stream = self.connect().await;
+        let _ = stream.write_all(bytes).await;
+        let mut all = Vec::new();
+        let _ = stream.read_to_end(&mut all).await;
+        String::from_utf8_lossy(&all).into_owned()
+    }
+
+    pub async fn get(&self, path: &str, id: &str) -> String {
+        self.raw(request(path, id, "Connection: close\r\n").as_bytes()).await
+    }
+}
+
+pub fn request(path: &str, id: &str, more: &str) -> String {
+    format!("GET {path} HTTP/1.1\r\nHost: A.example:80\r\nTry-Id: {id}\r\nTime-Left-Ms: 5000\r\n{more}\r\n")
+}
+
+pub fn status(answer: &str) -> u16 {
+    answer.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0)
+}
