Edge: refusals come early enough to count, and no thread is started for each poll

They wait for an eighth now, connections as long as that; clients are told to come back after the new holder's beat. ureq's resolver started a thread for every poll; centres are numbers and need none.

--- a/crates/course/src/pause.rs
+++ b/crates/course/src/pause.rs
@@ -3,11 +3,14 @@
 use std::time::Duration;
 
 /// A queue of a few requests has gone by then, and clients that were refused together come back apart.
-const BACK: (Ms, Ms) = (200, 600);
-/// A key whose holder changes is granted anew within a beat or two of the new holder.
-const BACK_FOR_KEY: (Ms, Ms) = (200, 500);
+const BACK: (Ms, Ms) = (250, 750);
+/// A key whose holder changes is granted anew with a beat of the new holder, and those come about every second.
+const BACK_FOR_KEY: (Ms, Ms) = (400, 1_000);
 /// Longest wait inside the edge for a key's new holder.
 const FOR_HOLDER: Ms = 250;
+/// A refusal within a quarter of the target time costs little; the way to the client and back, and a try that does not
+/// come to anything, take their part of it.
+const OF_TARGET: Ms = 8;
 /// Requests of which nobody says how long they may take.
 pub const UNTOLD: Duration = Duration::from_secs(30);
 
@@ -20,14 +23,17 @@
 
 /// How long a request may wait inside the edge for its key's new holder.
 pub fn for_holder(target: Option<Duration>, left: Ms) -> Ms {
-    let quarter = target.map_or(FOR_HOLDER, |target| target.as_millis() as Ms / 4);
-    quarter.min(FOR_HOLDER).min(left / 3)
+    target.map_or(FOR_HOLDER, |target| target.as_millis() as Ms / OF_TARGET).min(FOR_HOLDER).min(left / 3)
 }
 
-/// How long a connection to a host may take to come up.
-pub fn for_connect(left: Ms) -> Duration {
-    // Three round trips between zones are far below this; what takes longer is cut off or dead.
-    Duration::from_millis(300.min(left / 2).max(1))
+/// How long a connection to a host may take to come up. Zones are milliseconds apart, and a host that does not answer
+/// is dead or cut off: another may still serve in time. An opening packet that was lost comes again after a second,
+/// which no try waits for.
+pub fn for_connect(target: Option<Duration>, left: Ms) -> Duration {
+    const LEAST: Ms = 60;
+    const MOST: Ms = 300;
+    let part = target.map_or(MOST, |target| target.as_millis() as Ms / OF_TARGET);
+    Duration::from_millis(part.clamp(LEAST, MOST).min(left / 2).max(1))
 }
 
 /// A kept connection is used only well before its host closes it: the closing crosses the request otherwise.
--- a/crates/transit/src/conns.rs
+++ b/crates/transit/src/conns.rs
@@ -2,7 +2,7 @@
 use crate::edge::Edge;
 use crate::reply::Sent;
 use course::health::Sign;
-use course::{pause, Ms};
+use course::pause;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::rt::{Read, ReadBufCursor, Write};
 use rustc_hash::FxHashMap;
@@ -159,7 +159,7 @@
         address: SocketAddr,
         repeatable: bool,
         part: u32,
-        left: Ms,
+        most: Duration,
     ) -> Result<Lease, Unsent> {
         let (edge, ident) = (edge.clone(), ident.clone());
         let kept = edge.pools.borrow_mut().kept(&ident, repeatable);
@@ -179,7 +179,7 @@
             pool.open += 1;
             Seat(edge.clone(), ident.clone())
         };
-        let stream = match timeout(pause::for_connect(left), TcpStream::connect(address)).await {
+        let stream = match timeout(most, TcpStream::connect(address)).await {
             Ok(Ok(stream)) => stream,
             _ => return Err(Unsent::Unreachable),
         };
--- a/crates/transit/src/follow.rs
+++ b/crates/transit/src/follow.rs
@@ -7,6 +7,10 @@
 use terms::Boot;
 use tidings::{Follow, News};
 use tokio::sync::mpsc::UnboundedSender;
+use ureq::config::Config;
+use ureq::http::Uri;
+use ureq::unversioned::resolver::{ResolvedSocketAddrs, Resolver};
+use ureq::unversioned::transport::{DefaultConnector, NextTimeout};
 use ureq::Agent;
 
 /// How long a centre may hold a poll that has nothing new.
@@ -75,8 +79,21 @@
     }
 }
 
+/// Centres are numbers. ureq's own resolver starts a thread for every call that has a timeout.
+#[derive(Debug)]
+struct Numbers;
+
+impl Resolver for Numbers {
+    fn resolve(&self, uri: &Uri, _: &Config, _: NextTimeout) -> Result<ResolvedSocketAddrs, ureq::Error> {
+        let address = uri.authority().and_then(|authority| authority.as_str().parse().ok());
+        let mut found = self.empty();
+        found.push(address.ok_or(ureq::Error::HostNotFound)?);
+        Ok(found)
+    }
+}
+
 pub fn agent() -> Agent {
-    Agent::config_builder()
+    let config = Agent::config_builder()
         .http_status_as_error(false)
         .proxy(None)
         .max_redirects(0)
@@ -88,8 +105,8 @@
         .max_idle_age(WHOLE)
         .input_buffer_size(16 * 1024)
         .output_buffer_size(16 * 1024)
-        .build()
-        .into()
+        .build();
+    Agent::with_parts(config, DefaultConnector::default(), Numbers)
 }
 
 /// One poll.
--- a/crates/transit/src/pass.rs
+++ b/crates/transit/src/pass.rs
@@ -327,8 +327,8 @@
     let Some(address) = edge.book.borrow().host(ident).map(|host| host.address) else {
         return (Verdict::NotSent(Unsent::Leaving), Some(body));
     };
-    let left = taken.left(edge.now());
-    let lease = Lease::take(edge, ident, address, taken.route.repeatable, taken.part, left).await;
+    let most = pause::for_connect(taken.route.target_time, taken.left(edge.now()));
+    let lease = Lease::take(edge, ident, address, taken.route.repeatable, taken.part, most).await;
     let mut lease = match lease {
         Ok(lease) => lease,
         Err(unsent) => {
