Decisions split by concern; balancing and scores come from poise

src/logic.rs had grown to hold every decision, and the new directors need the same mechanism. Hosts, tables, owners, standbys, gate and channel have files of their own; scores, unit of weight, gap and moves are poise's.

--- a/crates/poise/src/lib.rs
+++ b/crates/poise/src/lib.rs
@@ -25,7 +25,7 @@
 //! while let Some(next) = balance.plan(&board, 1).pop() {
 //!     board.owners[next.slice] = Some(next.to);
 //! }
-//! assert!(board.gap().unwrap() < 2.0);
+//! assert!(board.gap().unwrap().2 < 2.0);
 //! ```
 
 mod mechanism;
@@ -34,6 +34,6 @@
 #[cfg(test)]
 mod tests;
 
-pub use mechanism::{scores, units, Balance, Board, Holder, Move};
+pub use mechanism::{scores, seat, unit, Balance, Board, Holder, Move};
 pub use relief::HOT;
-pub use seats::lay;
+pub use seats::{lay, units};
--- a/crates/poise/src/mechanism.rs
+++ b/crates/poise/src/mechanism.rs
@@ -1,3 +1,4 @@
+use std::cmp::Ordering;
 use std::collections::BTreeSet;
 
 /// One that may hold slices.
@@ -45,11 +46,15 @@
     pub to: usize,
 }
 
-/// Listed weights, scaled to an average of 1; where none is listed, counts are taken plainly.
-pub fn units(weights: &[Option<f64>]) -> Vec<f64> {
-    let listed: Vec<f64> = weights.iter().filter_map(|weight| *weight).collect();
-    let mean = listed.iter().sum::<f64>() / listed.len().max(1) as f64;
-    weights.iter().map(|w| w.filter(|_| mean > 0.0).map_or(1.0, |w| (w / mean).max(0.01))).collect()
+/// A listed weight, scaled so that the average is 1; a hundredth at least, as counts are divided by it.
+pub fn unit(weight: f64, mean: f64) -> f64 {
+    (weight / mean).max(0.01)
+}
+
+/// Of those that may take a slice the first by its key: whether they lack the room, how many slices per unit of
+/// weight they would hold with it, and when they were listed.
+pub fn seat<L: PartialOrd, H>(keys: impl Iterator<Item = ((bool, f64, L), H)>) -> Option<H> {
+    keys.min_by(|a, b| a.0.partial_cmp(&b.0).unwrap_or(Ordering::Equal)).map(|(_, holder)| holder)
 }
 
 /// The paper's score of each slice, from its counts by class: `inc` times its share of the heavy class plus its
@@ -87,12 +92,19 @@
         ranked
     }
 
-    /// Between fullest and emptiest, in slices per unit of weight.
-    pub fn gap(&self) -> Option<f64> {
-        let (sums, full) = (self.sums(), |h: usize, many: f64| many / self.holders[h].unit);
+    /// The fullest, the emptiest that could take anything of it, and the gap between them, in slices per unit
+    /// of weight. One that is full must not hold up all.
+    pub fn gap(&self) -> Option<(usize, usize, f64)> {
+        let sums = self.sums();
         let ranked = self.ranked(&sums);
-        let (to, from) = (*ranked.first()?, *ranked.last()?);
-        Some(full(from, sums[from].0) - full(to, sums[to].0))
+        let [_, .., from] = ranked[..] else { return None };
+        let held = self.owners.iter().zip(&self.scores).filter(|(owner, _)| **owner == Some(from));
+        let least = held.map(|(_, score)| *score).fold(f64::INFINITY, f64::min);
+        let takes = |to: &usize| self.holders[*to].open && self.holders[*to].room >= least;
+        let to = ranked.into_iter().find(takes)?;
+        let full = |h: usize| sums[h].0 / self.holders[h].unit;
+        // Of several boards the gaps of all, as chance has it, add up by the root.
+        Some((from, to, (full(from) - full(to)) / self.part.unwrap_or(1.0).sqrt()))
     }
 
     pub(crate) fn free(&self, slice: usize, to: usize) -> bool {
@@ -109,23 +121,16 @@
 impl Balance {
     /// The next move from fullest to emptiest, if one is due.
     pub fn step(&mut self, board: &Board) -> Option<Move> {
-        let sums = board.sums();
-        let full = |h: usize, more: f64| (sums[h].0 + more) / board.holders[h].unit;
-        let ranked = board.ranked(&sums);
-        let [_, .., from] = ranked[..] else { return None };
-        let held = || (0..board.owners.len()).filter(|slice| board.owners[*slice] == Some(from));
-        // The emptiest that could take anything of the fullest's: one without room must not hold up all.
-        let least = held().map(|slice| board.scores[slice]).fold(f64::INFINITY, f64::min);
-        let takes = |to: &usize| board.holders[*to].open && board.holders[*to].room >= least;
-        let to = ranked.iter().copied().find(takes)?;
-        // Of several boards the gaps of all, as chance has it, add up by the root.
-        let gap = (full(from, 0.0) - full(to, 0.0)) / board.part.unwrap_or(1.0).sqrt();
+        let (from, to, gap) = board.gap()?;
         self.moving = gap > 8.0 || (self.moving && gap >= 2.0);
+        let sums = board.sums();
         // Reckoned per unit of weight, a move may overshoot: the receiver must not end up the fuller one.
+        let full = |h: usize, more: f64| (sums[h].0 + more) / board.holders[h].unit;
         let eased = full(to, 1.0) - full(from, -1.0) < full(from, 0.0) - full(to, 0.0);
         let hottest = !board.holders[to].young && sums[from].1 > sums[to].1;
         let key = |slice: &usize| if hottest { -board.scores[*slice] } else { board.scores[*slice] };
-        let free = held().filter(|slice| board.free(*slice, to));
+        let held = (0..board.owners.len()).filter(|slice| board.owners[*slice] == Some(from));
+        let free = held.filter(|slice| board.free(*slice, to));
         let slice = free.min_by(|a, b| key(a).total_cmp(&key(b)))?;
         let due = self.moving && eased && board.holders[to].room >= board.scores[slice];
         due.then_some(Move { slice, from: Some(from), to })
--- a/crates/poise/src/seats.rs
+++ b/crates/poise/src/seats.rs
@@ -1,4 +1,11 @@
-use crate::mechanism::{Balance, Board, Holder, Move};
+use crate::mechanism::{seat, unit, Balance, Board, Holder, Move};
+
+/// Listed weights, scaled to an average of 1; where none is listed, counts are taken plainly.
+pub fn units(weights: &[Option<f64>]) -> Vec<f64> {
+    let listed: Vec<f64> = weights.iter().filter_map(|weight| *weight).collect();
+    let mean = listed.iter().sum::<f64>() / listed.len().max(1) as f64;
+    weights.iter().map(|w| w.filter(|_| mean > 0.0).map_or(1.0, |w| unit(w, mean))).collect()
+}
 
 /// An even layout for a start: each in turn as its weight says, so that neighbours, and with them busy keys
 /// that sit close together, go to different holders.
@@ -51,18 +58,19 @@
         let mut slices: Vec<usize> = (0..self.owners.len()).filter(lost).collect();
         slices.sort_by(|a, b| self.scores[*b].total_cmp(&self.scores[*a]));
         let (mut sums, mut moves) = (self.sums(), Vec::new());
+        let open = |h: &usize| self.holders[*h].open && !self.holders[*h].leaving;
+        let known: Vec<usize> = (0..self.holders.len()).filter(open).collect();
+        let listed: Vec<usize> =
+            known.iter().copied().filter(|h| self.holders[*h].listed_at.is_some()).collect();
+        let seats = if listed.is_empty() { known } else { listed };
         for slice in slices {
-            let score = self.scores[slice];
             let key = |h: usize| {
                 let holder = &self.holders[h];
-                let listed = holder.listed_at.unwrap_or(f64::INFINITY);
-                let (unlisted, cramped) = (holder.listed_at.is_none(), holder.room < score);
-                (unlisted, cramped, (sums[h].0 + 1.0) / holder.unit, listed)
+                let cramped = holder.room < self.scores[slice];
+                ((cramped, (sums[h].0 + 1.0) / holder.unit, holder.listed_at), h)
             };
-            let fits = |h: &usize| self.holders[*h].open && !self.holders[*h].leaving && self.free(slice, *h);
-            let seats = (0..self.holders.len()).filter(fits).map(|h| (key(h), h));
-            let seat = seats.min_by(|a, b| a.partial_cmp(b).unwrap_or(a.1.cmp(&b.1)));
-            let Some((_, to)) = seat.filter(|_| moves.len() < most) else { continue };
+            let fits = seats.iter().copied().filter(|h| self.free(slice, *h));
+            let Some(to) = seat(fits.map(key)).filter(|_| moves.len() < most) else { continue };
             let next = Move { slice, from: self.owners[slice], to };
             next.from.iter().for_each(|from| sums[*from].0 -= 1.0);
             sums[to].0 += 1.0;
--- a/src/logic_tests.rs
+++ b/src/logic/tests.rs
@@ -99,12 +99,12 @@
 #[test_case(&[4, 3, 4], true, 4.0; "begun, a gap under two ends it")]
 fn gaps(held_at_first: &[usize], balancing: bool, fullest: f64) {
     let mut tables = tables(held_at_first);
-    tables.balancing = balancing;
+    tables.balancing.moving = balancing;
     let gap = held(&tables, 0) - held(&tables, 1);
     let figures = Figures { all_slices: tables.slices.len() as f64, ..figures() };
     tables.balance(100.0, &figures, &mut Post::default());
     let moves = gap > 8.0 || (balancing && gap >= 2.0);
-    assert_eq!(tables.balancing, moves);
+    assert_eq!(tables.balancing.moving, moves);
     assert_eq!(held(&tables, 0), if moves { fullest - 1.0 } else { fullest });
     assert_eq!(held(&tables, 2), 4.0);
 }
@@ -117,7 +117,7 @@
     let mut tables = tables(&[5, 0, 2]);
     let figures = Figures { all_slices: 7.0 * of, ..figures() };
     tables.balance(100.0, &figures, &mut Post::default());
-    assert_eq!(tables.balancing, moves);
+    assert_eq!(tables.balancing.moving, moves);
 }
 
 #[test]
@@ -162,7 +162,7 @@
     let mut tables = tables(&[12, 5]);
     tables.views.get_mut(&id(0)).unwrap().weight = 3.0;
     tables.balance(100.0, &figures(), &mut Post::default());
-    assert!(!tables.balancing, "8 per unit against 10 per unit");
+    assert!(!tables.balancing.moving, "8 per unit against 10 per unit");
 }
 
 #[test]
