--- a/crates/poise/src/lib.rs
+++ b/crates/poise/src/lib.rs
@@ -1,5 +1,5 @@
 //! The paper's mechanism, pure: scores of slices and holders, counts per unit of weight, gaps, moves from the
-//! fullest to the emptiest. `mechanism` is what every user shares; `seats` lays slices out and takes them off
+//! fullest to the emptiest. `board` has the types, `mechanism` what every user shares; `seats` lays slices out and takes them off
 //! holders that leave; `relief` is our addition for hot slices at an even count. Why: `docs/design.md`.
 //!
 //! A round of one who keeps slices with their holders: scores from counts, then a few moves at a time.
@@ -28,12 +28,14 @@
 //! assert!(board.gap().unwrap().2 < 2.0);
 //! ```
 
+mod board;
 mod mechanism;
 mod relief;
 mod seats;
 #[cfg(test)]
 mod tests;
 
-pub use mechanism::{scores, seat, unit, Balance, Board, Holder, Move};
+pub use board::{Balance, Board, Holder, Move};
+pub use mechanism::{scores, seat, unit};
 pub use relief::HOT;
 pub use seats::{lay, units};
--- a/crates/poise/src/relief.rs
+++ b/crates/poise/src/relief.rs
@@ -1,4 +1,4 @@
-use crate::mechanism::{Balance, Board, Move};
+use crate::board::{Balance, Board, Move};
 
 /// A holder is hot from so many times the mean load on: beyond the noise of counts over a few seconds, and
 /// well under twice, at which it would fill while the others are half empty.
--- a/crates/poise/src/seats.rs
+++ b/crates/poise/src/seats.rs
@@ -1,4 +1,5 @@
-use crate::mechanism::{seat, unit, Balance, Board, Holder, Move};
+use crate::board::{Balance, Board, Holder, Move};
+use crate::mechanism::{seat, unit};
 
 /// Listed weights, scaled to an average of 1; where none is listed, counts are taken plainly.
 pub fn units(weights: &[Option<f64>]) -> Vec<f64> {
@@ -79,12 +80,4 @@
         }
         moves
     }
-
-    /// Carries a move out.
-    pub(crate) fn take(&mut self, next: &Move) {
-        let score = self.scores[next.slice];
-        next.from.iter().for_each(|from| self.holders[*from].room += score);
-        self.holders[next.to].room -= score;
-        self.owners[next.slice] = Some(next.to);
-    }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,4 +9,4 @@
 mod notes;
 mod state;
 
-pub use logic::Director;
+pub use state::Director;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -7,11 +7,11 @@
 
 use crate::figures::Figures;
 use crate::interface::*;
-use crate::measure::{median, Bins, Chance, Histogram};
+use crate::measure::{median, Bins, Histogram};
 use crate::notes::{add, Item, Note, Plan, Post, Seat, Sums, To, View};
-use crate::state::{Channel, Gate, Host, Slice, Tables, Watch};
+use crate::state::{Channel, Director, Gate, Host, Slice, Tables, Watch};
 use std::cmp::Ordering;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 
 mod channel;
 mod gate;
@@ -53,28 +53,7 @@
     }
 }
 
-pub struct Director {
-    pub(crate) figures: Figures,
-    chance: Chance,
-    pub(crate) hosts: BTreeMap<HostId, Host>,
-    pub(crate) tables: Tables,
-    pub(crate) gate: Gate,
-    pub(crate) channel: Channel,
-    pub(crate) watch: Watch,
-    version: Option<u64>,
-    listed: u64,
-    tick_at: f64,
-}
-
 impl Director {
-    pub fn new(settings: Settings, seed: u64) -> Self {
-        let figures = Figures::new(&settings);
-        let gate = Gate::new(figures.importance.len());
-        let (tables, channel, watch) = (Tables::default(), Channel::default(), Watch::default());
-        let (hosts, chance, tick_at) = (BTreeMap::new(), Chance::new(seed), f64::NEG_INFINITY);
-        Director { figures, chance, hosts, tables, gate, channel, watch, version: None, listed: 0, tick_at }
-    }
-
     pub fn handle(&mut self, now: f64, inputs: &[Input]) -> Vec<Order> {
         let mut post = Post::default();
         inputs.iter().for_each(|input| self.take(input, &mut post));
@@ -93,7 +72,7 @@
     }
 
     /// The host's inbox, and its actor made when it is first heard of.
-    fn host(&mut self, id: HostId) -> To {
+    pub(crate) fn host(&mut self, id: HostId) -> To {
         // Probes start spread over their interval, so that they don't come in bursts.
         let phase = self.chance.share() * 0.5;
         // What a director finds at its start is trusted until it fails; who comes later proves itself first.
@@ -102,21 +81,7 @@
         To::Host(id)
     }
 
-    fn take(&mut self, input: &Input, post: &mut Post) {
-        match input {
-            Input::Hosts { scope, version, entries } => self.list(*scope, *version, entries, post),
-            Input::StoredLine { host, .. } => _ = self.host(*host),
-            Input::Tries { host, .. } | Input::Probed { host, .. } => {
-                return post.note(To::Host(*host), Note::In(input.clone()));
-            }
-            _ => {}
-        }
-        for to in [To::Tables, To::Gate, To::Watch, To::Channel] {
-            post.note(to, Note::In(input.clone()));
-        }
-    }
-
-    fn list(&mut self, scope: ListScope, version: u64, entries: &[Listing], post: &mut Post) {
+    pub(crate) fn list(&mut self, scope: ListScope, version: u64, entries: &[Listing], post: &mut Post) {
         // An answer may be older than what was followed since.
         if scope == ListScope::Failed || self.version.is_some_and(|known| version < known) {
             return;
--- a/src/logic/channel.rs
+++ b/src/logic/channel.rs
@@ -73,26 +73,6 @@
         items
     }
 
-    /// What the proxies know once this is sent.
-    fn keep(&mut self, now: f64, order: &Order, post: &mut Post) {
-        match *order {
-            Order::Line { slice, host, weight } => {
-                let told = self.told.entry(slice).or_default();
-                _ = if weight > 0.0 { told.insert(host, weight) } else { told.remove(&host) };
-                self.wanted.entry(slice).and_modify(|(since, _)| *since = now);
-            }
-            Order::Withdraw { host, out } => {
-                self.shuts.remove(&host);
-                self.out.remove(&host);
-                self.out.extend(out.then_some(host));
-                if !out {
-                    post.note(To::Tables, self.let_in(host));
-                }
-            }
-            _ => drop(self.levels.remove(0)),
-        }
-    }
-
     /// Sends what waits: at once if urgent, else in steps, and never past a part of what the rules allow.
     pub(super) fn flush(&mut self, now: f64, f: &Figures, post: &mut Post) {
         // A channel slower than stated shows in its receipts; where these are held up, less is written then.
--- a/src/logic/tables.rs
+++ b/src/logic/tables.rs
@@ -5,35 +5,10 @@
 impl Tables {
     pub(crate) fn work(&mut self, now: f64, f: &Figures, note: Note, post: &mut Post) {
         match note {
-            Note::View(host, view) => drop(self.views.insert(host, view)),
-            Note::Back(host) => _ = self.withdrawn.remove(&host),
-            Note::Over(host) => {
-                _ = (self.withdrawn.remove(&host), self.views.remove(&host));
-                post.note(To::Host(host), Note::Over(host));
-            }
-            Note::In(Input::Given(id)) => {
-                let demand = vec![0.0; f.importance.len()];
-                self.slices.insert(id, Slice { demand, ..Slice::default() });
-                (self.given_at, self.again) = (now, true);
-            }
-            Note::In(Input::Joined { .. }) => self.again = true,
             // Weights set by hand must show: balancing goes on until the gap is under 2, not past 8 only.
             Note::In(Input::Wishes(wishes)) => (self.wishes, self.balancing.moving) = (wishes, true),
-            Note::In(Input::Refused { slice, host, lines }) => {
-                self.refused.extend(host.map(|host| ((slice, host), now)));
-                self.slices.entry(slice).and_modify(|slice| (slice.lines, slice.owner) = (lines, None));
-            }
-            Note::In(Input::Taken(id)) => drop(self.slices.remove(&id)),
-            Note::In(Input::StoredLine { slice, host, weight }) => {
-                self.slices.entry(slice).and_modify(|slice| add(&mut slice.lines, Some(host), weight));
-            }
-            Note::In(Input::Demand { slice, route, calls, .. }) => {
-                self.came += calls as f64;
-                let sum = self.slices.get_mut(&slice).and_then(|s| s.demand.get_mut(route.0 as usize));
-                sum.into_iter().for_each(|sum| *sum += calls as f64);
-            }
             Note::Tick => self.tick(now, f, post),
-            _ => {}
+            note => self.heard(now, f, note, post),
         }
     }
 
@@ -88,19 +63,12 @@
         hosts.chain([To::Gate]).for_each(|to| post.note(to, Note::Fleet { rt, busy }));
     }
 
-    pub(super) fn open(&self) -> Vec<HostId> {
-        self.views.keys().copied().filter(|host| self.is_open(*host)).collect()
-    }
     /// A stranger on the list, which has answered nobody yet, is none of ours to use.
-    pub(super) fn is_open(&self, host: HostId) -> bool {
+    pub(crate) fn is_open(&self, host: HostId) -> bool {
         let fit = self.views.get(&host).is_some_and(|v| v.ready && v.proven);
         fit && !self.withdrawn.contains_key(&host) && !self.drained(host)
     }
 
-    pub(super) fn drained(&self, host: HostId) -> bool {
-        !self.alone && self.wishes.drained.contains(&host)
-    }
-
     /// A slice is kept away from a host by hand or by the guard, as long as another warm one could have it.
     pub(super) fn apart(&self, id: SliceId, host: HostId) -> bool {
         let apart = |h: HostId| self.wishes.apart.contains(&(id, h)) || self.refused.contains_key(&(id, h));
--- /dev/null
+++ b/src/logic/tests/director.rs
@@ -0,0 +1,102 @@
+//! The list, the beat, and what is given back.
+
+use super::*;
+use test_case::test_case;
+
+#[test_case(true, 1.1, vec![Order::Follow(true)] ; "after a failure it follows anew")]
+#[test_case(false, 1.1, vec![] ; "a list that is followed is left alone")]
+#[test_case(false, 3.1, vec![Order::FetchList] ; "after long silence it asks")]
+fn the_list_is_kept_up_with(failed: bool, now: f64, expected: Vec<Order>) {
+    let (mut watch, mut post) = (Watch { following: true, asked_at: Some(0.0) }, Post::default());
+    if failed {
+        let lost = Input::Hosts { scope: ListScope::Failed, version: 0, entries: vec![] };
+        watch.work(0.5, &figures(), Note::In(lost), &mut post);
+    }
+    watch.work(now, &figures(), Note::Tick, &mut post);
+    assert_eq!(post.orders, expected);
+}
+
+#[test]
+fn beats_survive_rounding() {
+    let mut director = Director::new(settings(), 7);
+    director.tick_at = 8.200000000000001;
+    let orders = director.handle(8.2, &[Input::Wake(WakeId(1))]);
+    assert!(orders.iter().any(|order| matches!(order, Order::WakeAt { .. })));
+}
+
+#[test]
+fn an_old_list_version_changes_nothing() {
+    let mut director = Director::new(settings(), 7);
+    director.version = Some(5);
+    let mut post = Post::default();
+    director.list(ListScope::Whole, 4, &[], &mut post);
+    assert!(post.collect().is_none());
+}
+
+fn listing(n: usize, state: HostState) -> Listing {
+    let (zone, cell, kind) = (ZoneId(0), CellId(0), KindId(0));
+    Listing { host: id(n), state, born: None, weight: 1.0, zone, cell, kind }
+}
+
+/// Each second a host comes and another goes; proxies and hosts answer at once.
+#[test]
+fn what_is_kept_of_hosts_that_went_is_given_back() {
+    let mut director = Director::new(Settings { list_is_pushed: true, ..settings() }, 7);
+    let first = (0..5).map(|n| listing(n, HostState::Ready)).collect();
+    let (proxy, zone) = (ProxyId(0), ZoneId(0));
+    let mut inputs = vec![
+        Input::Hosts { scope: ListScope::Whole, version: 0, entries: first },
+        Input::Joined { proxy, zone, calls_per_s: 9.0, fresh: false },
+        Input::Given(SliceId(0)),
+        Input::StoredLine { slice: SliceId(0), host: id(0), weight: 1.0 },
+    ];
+    let (mut shut, mut forgotten) = (BTreeSet::new(), 0);
+    for beat in 0..20_000 {
+        let (n, now) = (5 + beat / 10, beat as f64 / 10.0);
+        if beat % 10 == 0 {
+            let entries = vec![listing(n, HostState::Ready), listing(n - 5, HostState::Gone)];
+            inputs.push(Input::Hosts { scope: ListScope::Changes, version: n as u64, entries });
+        }
+        for order in director.handle(now, &std::mem::take(&mut inputs)) {
+            match order {
+                Order::Probe(host) => {
+                    let (outcome, took, load) = (Outcome::Answered, 0.01, Load::default());
+                    inputs.push(Input::Probed { host, outcome, took, load });
+                }
+                Order::Mark { mark, .. } => inputs.push(Input::Applied { proxy, mark, took: 0.1 }),
+                Order::Withdraw { host, out } => {
+                    assert!(if out { shut.insert(host) } else { shut.remove(&host) })
+                }
+                Order::Forget(host) => {
+                    assert!(!shut.contains(&host), "the proxies would keep it out if its name came back");
+                    forgotten += 1;
+                }
+                _ => {}
+            }
+        }
+    }
+    let (tables, channel) = (&director.tables, &director.channel);
+    let kept = [director.hosts.len(), tables.views.len(), tables.withdrawn.len(), tables.full.len()];
+    let more = [channel.out.len(), channel.shuts.len(), channel.over.len(), shut.len()];
+    assert!(
+        forgotten > 1900 && kept.iter().chain(&more).all(|many| *many < 60),
+        "{forgotten} {kept:?} {more:?}"
+    );
+}
+
+#[test_case(Some(HostState::Ready), false ; "listed again")]
+#[test_case(Some(HostState::Draining), false ; "draining is not gone")]
+#[test_case(None, true ; "gone")]
+fn one_that_is_listed_is_not_forgotten(again: Option<HostState>, forgotten: bool) {
+    let mut director = Director::new(settings(), 7);
+    let list = |version, entries| Input::Hosts { scope: ListScope::Changes, version, entries };
+    director.handle(0.0, &[list(1, vec![listing(3, HostState::Gone)])]);
+    let entries = again.into_iter().map(|state| listing(3, state)).collect();
+    let mut orders = director.handle(5.0, &[list(2, entries)]);
+    orders.extend((51..200).flat_map(|beat| director.handle(beat as f64 / 10.0, &[])));
+    // The channel may have let it go in the moment in which it was listed again.
+    let mut post = Post::default();
+    post.note(To::Tables, Note::Over(id(3)));
+    director.settle(21.0, &mut post);
+    assert_eq!((orders.contains(&Order::Forget(id(3))), director.hosts.is_empty()), (forgotten, forgotten));
+}
--- a/src/notes.rs
+++ b/src/notes.rs
@@ -1,7 +1,7 @@
 //! What the parts of the module tell each other, and the inboxes in which it waits. No decisions.
 
 use crate::interface::*;
-use crate::logic::Director;
+use crate::state::Director;
 use std::collections::{BTreeMap, VecDeque};
 
 /// A figure for each host.
@@ -129,6 +129,21 @@
         self.channel.ledger.out()
     }
 
+    /// Puts what came in into the inboxes that it concerns.
+    pub(crate) fn take(&mut self, input: &Input, post: &mut Post) {
+        match input {
+            Input::Hosts { scope, version, entries } => self.list(*scope, *version, entries, post),
+            Input::StoredLine { host, .. } => _ = self.host(*host),
+            Input::Tries { host, .. } | Input::Probed { host, .. } => {
+                return post.note(To::Host(*host), Note::In(input.clone()));
+            }
+            _ => {}
+        }
+        for to in [To::Tables, To::Gate, To::Watch, To::Channel] {
+            post.note(to, Note::In(input.clone()));
+        }
+    }
+
     /// Empties the inboxes, in the order of `To`, until all is quiet.
     pub(crate) fn settle(&mut self, now: f64, post: &mut Post) {
         let f = &self.figures;
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,9 +1,11 @@
-//! What each actor of the module remembers, and what can be read off it. What is made of it is in `logic`.
+//! What each actor of the module remembers, what can be read off it, and what is noted down
+//! as it is heard. What is made of it is in `logic`.
 
+use crate::figures::Figures;
 use crate::interface::*;
 use crate::ledger::Ledger;
-use crate::measure::Histogram;
-use crate::notes::{add, Note, Seat, Sums, View};
+use crate::measure::{Chance, Histogram};
+use crate::notes::{add, Note, Post, Seat, Sums, To, View};
 use std::collections::{BTreeMap, BTreeSet};
 
 #[derive(Clone, Default)]
@@ -102,6 +104,46 @@
         counts
     }
 
+    /// What the notes that need no decision leave behind.
+    pub fn heard(&mut self, now: f64, f: &Figures, note: Note, post: &mut Post) {
+        match note {
+            Note::View(host, view) => drop(self.views.insert(host, view)),
+            Note::Back(host) => _ = self.withdrawn.remove(&host),
+            Note::Over(host) => {
+                _ = (self.withdrawn.remove(&host), self.views.remove(&host));
+                post.note(To::Host(host), Note::Over(host));
+            }
+            Note::In(Input::Given(id)) => {
+                let demand = vec![0.0; f.importance.len()];
+                self.slices.insert(id, Slice { demand, ..Slice::default() });
+                (self.given_at, self.again) = (now, true);
+            }
+            Note::In(Input::Joined { .. }) => self.again = true,
+            Note::In(Input::Refused { slice, host, lines }) => {
+                self.refused.extend(host.map(|host| ((slice, host), now)));
+                self.slices.entry(slice).and_modify(|slice| (slice.lines, slice.owner) = (lines, None));
+            }
+            Note::In(Input::Taken(id)) => drop(self.slices.remove(&id)),
+            Note::In(Input::StoredLine { slice, host, weight }) => {
+                self.slices.entry(slice).and_modify(|slice| add(&mut slice.lines, Some(host), weight));
+            }
+            Note::In(Input::Demand { slice, route, calls, .. }) => {
+                self.came += calls as f64;
+                let sum = self.slices.get_mut(&slice).and_then(|s| s.demand.get_mut(route.0 as usize));
+                sum.into_iter().for_each(|sum| *sum += calls as f64);
+            }
+            _ => {}
+        }
+    }
+
+    pub fn open(&self) -> Vec<HostId> {
+        self.views.keys().copied().filter(|host| self.is_open(*host)).collect()
+    }
+
+    pub fn drained(&self, host: HostId) -> bool {
+        !self.alone && self.wishes.drained.contains(&host)
+    }
+
     /// What operators make of a host's weight.
     pub fn wish(&self, host: HostId) -> f64 {
         let zone = self.views.get(&host).and_then(|v| self.wishes.zones.get(v.zone.0 as usize));
@@ -200,6 +242,26 @@
         self.shuts.insert(host, out);
     }
 
+    /// What the proxies know once this is sent.
+    pub fn keep(&mut self, now: f64, order: &Order, post: &mut Post) {
+        match *order {
+            Order::Line { slice, host, weight } => {
+                let told = self.told.entry(slice).or_default();
+                _ = if weight > 0.0 { told.insert(host, weight) } else { told.remove(&host) };
+                self.wanted.entry(slice).and_modify(|(since, _)| *since = now);
+            }
+            Order::Withdraw { host, out } => {
+                self.shuts.remove(&host);
+                self.out.remove(&host);
+                self.out.extend(out.then_some(host));
+                if !out {
+                    post.note(To::Tables, self.let_in(host));
+                }
+            }
+            _ => drop(self.levels.remove(0)),
+        }
+    }
+
     /// What the tables hear when the proxies have been told to let a host in.
     pub fn let_in(&mut self, host: HostId) -> Note {
         if self.over.remove(&host) {
@@ -215,3 +277,26 @@
     pub following: bool,
     pub asked_at: Option<f64>,
 }
+
+pub struct Director {
+    pub(crate) figures: Figures,
+    pub(crate) chance: Chance,
+    pub(crate) hosts: BTreeMap<HostId, Host>,
+    pub(crate) tables: Tables,
+    pub(crate) gate: Gate,
+    pub(crate) channel: Channel,
+    pub(crate) watch: Watch,
+    pub(crate) version: Option<u64>,
+    pub(crate) listed: u64,
+    pub(crate) tick_at: f64,
+}
+
+impl Director {
+    pub fn new(settings: Settings, seed: u64) -> Self {
+        let figures = Figures::new(&settings);
+        let gate = Gate::new(figures.importance.len());
+        let (tables, channel, watch) = (Tables::default(), Channel::default(), Watch::default());
+        let (hosts, chance, tick_at) = (BTreeMap::new(), Chance::new(seed), f64::NEG_INFINITY);
+        Director { figures, chance, hosts, tables, gate, channel, watch, version: None, listed: 0, tick_at }
+    }
+}
