--- a/crates/poise/src/lib.rs
+++ b/crates/poise/src/lib.rs
@@ -1,6 +1,7 @@
 //! The paper's mechanism, pure: scores of slices and holders, counts per unit of weight, gaps, moves from the
-//! fullest to the emptiest. `board` has the types, `mechanism` what every user shares; `seats` lays slices out and takes them off
-//! holders that leave; `relief` is our addition for hot slices at an even count. Why: `docs/design.md`.
+//! fullest to the emptiest. `board` has the types, `mechanism` what every user shares; `seats` lays slices out
+//! and takes them off holders that leave; `relief` is our addition for hot slices at an even count. Why:
+//! `docs/design.md`.
 //!
 //! A round of one who keeps slices with their holders: scores from counts, then a few moves at a time.
 //!
--- a/crates/poise/src/mechanism.rs
+++ b/crates/poise/src/mechanism.rs
@@ -6,14 +6,14 @@
     (weight / mean).max(0.01)
 }
 
-/// Of those that may take a slice the first by its key: whether they lack the room, how many slices per unit of
-/// weight they would hold with it, and when they were listed.
+/// Of those that may take a slice the first by its key: whether they lack the room, how many slices per unit
+/// of weight they would hold with it, and when they were listed.
 pub fn seat<L: PartialOrd, H>(keys: impl Iterator<Item = ((bool, f64, L), H)>) -> Option<H> {
     keys.min_by(|a, b| a.0.partial_cmp(&b.0).unwrap_or(Ordering::Equal)).map(|(_, holder)| holder)
 }
 
-/// The paper's score of each slice, from its counts by class: `inc` times its share of the heavy class plus its
-/// shares of the others. One without counted requests scores as the average slice.
+/// The paper's score of each slice, from its counts by class: `inc` times its share of the heavy class plus
+/// its shares of the others. One without counted requests scores as the average slice.
 pub fn scores<R: AsRef<[f64]>>(rows: &[R], heavy: Option<usize>, inc: f64) -> Vec<f64> {
     let classes = rows.iter().map(|row| row.as_ref().len()).max().unwrap_or(0);
     // Under one request in all there is nothing to have a share of.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,5 +1,5 @@
-//! All decisions of coppersail, by concern in `src/logic/`. One `Director` per instance: made by `new(settings,
-//! seed)`, then `handle(now, inputs) -> orders` for every batch for it; it asks for its own wake-ups.
+//! All decisions of coppersail, by concern in `src/logic/`. One `Director` per instance: `new(settings, seed)`
+//! once, then `handle(now, inputs) -> orders` for every batch for it; it asks for its own wake-ups.
 //! Types that go in and out: `src/interface.rs`; what actors remember: `src/state.rs`; why: `docs/design.md`.
 //!
 //! Inside, each host is a small actor; so are the tables, the gate, the list watch and the channel. They talk
