--- a/crates/poise/src/lib.rs
+++ b/crates/poise/src/lib.rs
@@ -1,5 +1,5 @@
 //! The paper's mechanism, pure: scores of slices and holders, counts per unit of weight, gaps, moves from the
-//! fullest to the emptiest. `board` has the types, `mechanism` what every user shares; `seats` lays slices out
+//! fullest to the emptiest. `board` has the types, `mechanism` what all users share; `seats` lays slices out
 //! and takes them off holders that leave; `relief` is our addition for hot slices at an even count. Why:
 //! `docs/design.md`.
 //!
