--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,4 +1,4 @@
-//! All decisions of coppersail, by concern in `src/logic/`. One `Director` each: `Director::new(settings, seed)`
+//! All decisions, by concern in `src/logic/`. One `Director` each: `Director::new(settings, seed)`
 //! once, then `handle(now, inputs) -> orders` for every batch for it; it asks for its own wake-ups.
 //! Types that go in and out: `src/interface.rs`; what actors remember: `src/state.rs`; why: `docs/design.md`.
 //!
