--- a/crates/poise/src/lib.rs
+++ b/crates/poise/src/lib.rs
@@ -1,6 +1,7 @@
 //! The paper's mechanism, pure: scores of slices and holders, counts per unit of weight, gaps, moves from the
-//! fullest to the emptiest. `mechanism` is what every user shares; `seats` lays slices out and takes them off
-//! holders that leave; `relief` is our addition for hot slices at an even count. Why: `docs/design.md`.
+//! fullest to the emptiest. `board` has the types, `mechanism` what all users share; `seats` lays slices out
+//! and takes them off holders that leave; `relief` is our addition for hot slices at an even count. Why:
+//! `docs/design.md`.
 //!
 //! A round of one who keeps slices with their holders: scores from counts, then a few moves at a time.
 //!
@@ -25,15 +26,17 @@
 //! while let Some(next) = balance.plan(&board, 1).pop() {
 //!     board.owners[next.slice] = Some(next.to);
 //! }
-//! assert!(board.gap().unwrap() < 2.0);
+//! assert!(board.gap().unwrap().2 < 2.0);
 //! ```
 
+mod board;
 mod mechanism;
 mod relief;
 mod seats;
 #[cfg(test)]
 mod tests;
 
-pub use mechanism::{scores, units, Balance, Board, Holder, Move};
+pub use board::{Balance, Board, Holder, Move};
+pub use mechanism::{scores, seat, unit};
 pub use relief::HOT;
-pub use seats::lay;
+pub use seats::{lay, units};
--- a/crates/poise/src/mechanism.rs
+++ b/crates/poise/src/mechanism.rs
@@ -1,59 +1,19 @@
-use std::collections::BTreeSet;
+use crate::board::{Balance, Board, Move};
+use std::cmp::Ordering;
 
-/// One that may hold slices.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Holder {
-    /// The weight by which its count is reckoned: see `units`.
-    pub unit: f64,
-    /// When it was listed, or its place in the list; none: it is known, but not listed.
-    pub listed_at: Option<f64>,
-    /// Newly listed: it takes only coldest slices.
-    pub young: bool,
-    /// It may take slices; one that may not, but isn't leaving, still gives them.
-    pub open: bool,
-    /// Draining or gone: its slices move first.
-    pub leaving: bool,
-    /// The score that it may still take.
-    pub room: f64,
+/// A listed weight, scaled so that the average is 1; a hundredth at least, as counts are divided by it.
+pub fn unit(weight: f64, mean: f64) -> f64 {
+    (weight / mean).max(0.01)
 }
 
-impl Default for Holder {
-    fn default() -> Self {
-        let (unit, room) = (1.0, f64::INFINITY);
-        Holder { unit, listed_at: Some(0.0), young: false, open: true, leaving: false, room }
-    }
-}
-
-/// Who holds what. A slice under way counts with the holder that it goes to, and is pinned.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct Board {
-    pub holders: Vec<Holder>,
-    pub owners: Vec<Option<usize>>,
-    pub scores: Vec<f64>,
-    /// Slices that are not to be moved.
-    pub pinned: BTreeSet<usize>,
-    /// Slices, and holders that must not get them.
-    pub barred: BTreeSet<(usize, usize)>,
-    /// The part of all slices that is on this board; none: all.
-    pub part: Option<f64>,
+/// Of those that may take a slice the first by its key: whether they lack the room, how many slices per unit
+/// of weight they would hold with it, and when they were listed.
+pub fn seat<L: PartialOrd, H>(keys: impl Iterator<Item = ((bool, f64, L), H)>) -> Option<H> {
+    keys.min_by(|a, b| a.0.partial_cmp(&b.0).unwrap_or(Ordering::Equal)).map(|(_, holder)| holder)
 }
 
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Move {
-    pub slice: usize,
-    pub from: Option<usize>,
-    pub to: usize,
-}
-
-/// Listed weights, scaled to an average of 1; where none is listed, counts are taken plainly.
-pub fn units(weights: &[Option<f64>]) -> Vec<f64> {
-    let listed: Vec<f64> = weights.iter().filter_map(|weight| *weight).collect();
-    let mean = listed.iter().sum::<f64>() / listed.len().max(1) as f64;
-    weights.iter().map(|w| w.filter(|_| mean > 0.0).map_or(1.0, |w| (w / mean).max(0.01))).collect()
-}
-
-/// The paper's score of each slice, from its counts by class: `inc` times its share of the heavy class plus its
-/// shares of the others. One without counted requests scores as the average slice.
+/// The paper's score of each slice, from its counts by class: `inc` times its share of the heavy class plus
+/// its shares of the others. One without counted requests scores as the average slice.
 pub fn scores<R: AsRef<[f64]>>(rows: &[R], heavy: Option<usize>, inc: f64) -> Vec<f64> {
     let classes = rows.iter().map(|row| row.as_ref().len()).max().unwrap_or(0);
     // Under one request in all there is nothing to have a share of.
@@ -69,15 +29,6 @@
 }
 
 impl Board {
-    /// How many slices each holder has, and the sum of their scores.
-    pub fn sums(&self) -> Vec<(f64, f64)> {
-        let mut sums = vec![(0.0, 0.0); self.holders.len()];
-        for (owner, score) in self.owners.iter().zip(&self.scores) {
-            owner.iter().for_each(|owner| sums[*owner] = (sums[*owner].0 + 1.0, sums[*owner].1 + score));
-        }
-        sums
-    }
-
     /// Those among whom counts are to be even, emptiest first; the last is the fullest.
     pub(crate) fn ranked(&self, sums: &[(f64, f64)]) -> Vec<usize> {
         let even = |h: &usize| self.holders[*h].listed_at.is_some() && !self.holders[*h].leaving;
@@ -87,45 +38,35 @@
         ranked
     }
 
-    /// Between fullest and emptiest, in slices per unit of weight.
-    pub fn gap(&self) -> Option<f64> {
-        let (sums, full) = (self.sums(), |h: usize, many: f64| many / self.holders[h].unit);
+    /// The fullest, the emptiest that could take anything of it, and the gap between them, in slices per unit
+    /// of weight. One that is full must not hold up all.
+    pub fn gap(&self) -> Option<(usize, usize, f64)> {
+        let sums = self.sums();
         let ranked = self.ranked(&sums);
-        let (to, from) = (*ranked.first()?, *ranked.last()?);
-        Some(full(from, sums[from].0) - full(to, sums[to].0))
-    }
-
-    pub(crate) fn free(&self, slice: usize, to: usize) -> bool {
-        !self.pinned.contains(&slice) && !self.barred.contains(&(slice, to))
+        let [_, .., from] = ranked[..] else { return None };
+        let held = self.owners.iter().zip(&self.scores).filter(|(owner, _)| **owner == Some(from));
+        let least = held.map(|(_, score)| *score).fold(f64::INFINITY, f64::min);
+        let takes = |to: &usize| self.holders[*to].open && self.holders[*to].room >= least;
+        let to = ranked.into_iter().find(takes)?;
+        let full = |h: usize| sums[h].0 / self.holders[h].unit;
+        // Of several boards the gaps of all, as chance has it, add up by the root.
+        Some((from, to, (full(from) - full(to)) / self.part.unwrap_or(1.0).sqrt()))
     }
 }
 
-/// What the mechanism remembers: past a gap of 8 slices it moves them until the gap is under 2.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct Balance {
-    pub moving: bool,
-}
-
 impl Balance {
     /// The next move from fullest to emptiest, if one is due.
     pub fn step(&mut self, board: &Board) -> Option<Move> {
-        let sums = board.sums();
-        let full = |h: usize, more: f64| (sums[h].0 + more) / board.holders[h].unit;
-        let ranked = board.ranked(&sums);
-        let [_, .., from] = ranked[..] else { return None };
-        let held = || (0..board.owners.len()).filter(|slice| board.owners[*slice] == Some(from));
-        // The emptiest that could take anything of the fullest's: one without room must not hold up all.
-        let least = held().map(|slice| board.scores[slice]).fold(f64::INFINITY, f64::min);
-        let takes = |to: &usize| board.holders[*to].open && board.holders[*to].room >= least;
-        let to = ranked.iter().copied().find(takes)?;
-        // Of several boards the gaps of all, as chance has it, add up by the root.
-        let gap = (full(from, 0.0) - full(to, 0.0)) / board.part.unwrap_or(1.0).sqrt();
+        let (from, to, gap) = board.gap()?;
         self.moving = gap > 8.0 || (self.moving && gap >= 2.0);
+        let sums = board.sums();
         // Reckoned per unit of weight, a move may overshoot: the receiver must not end up the fuller one.
+        let full = |h: usize, more: f64| (sums[h].0 + more) / board.holders[h].unit;
         let eased = full(to, 1.0) - full(from, -1.0) < full(from, 0.0) - full(to, 0.0);
         let hottest = !board.holders[to].young && sums[from].1 > sums[to].1;
         let key = |slice: &usize| if hottest { -board.scores[*slice] } else { board.scores[*slice] };
-        let free = held().filter(|slice| board.free(*slice, to));
+        let held = (0..board.owners.len()).filter(|slice| board.owners[*slice] == Some(from));
+        let free = held.filter(|slice| board.free(*slice, to));
         let slice = free.min_by(|a, b| key(a).total_cmp(&key(b)))?;
         let due = self.moving && eased && board.holders[to].room >= board.scores[slice];
         due.then_some(Move { slice, from: Some(from), to })
