--- a/crates/terms/src/field.rs
+++ b/crates/terms/src/field.rs
@@ -170,7 +170,7 @@
     let exact =
         value.as_f64().filter(|n| n.fract() == 0.0 && (0.0..u64::MAX as f64).contains(n)).map(|n| n as u64);
     let number = value.as_u64().or(exact).and_then(|n| T::try_from(n).ok());
-    number.ok_or_else(|| Fault::new(value, "a whole number that isn't below 0"))
+    number.ok_or_else(|| Fault::new(value, "a whole number that isn't below 0 and fits"))
 }
 
 pub(crate) fn fraction(value: &Value) -> Result<f64, Fault> {
