--- a/crates/keeper/src/main.rs
+++ b/crates/keeper/src/main.rs
@@ -6,6 +6,7 @@
 use signal_hook::consts::{SIGINT, SIGTERM};
 use slog::{info, o, warn, Logger};
 use std::io::Write;
+use std::process::ExitCode;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{mpsc, Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
@@ -256,7 +257,7 @@
     }
 }
 
-fn main() -> Result<()> {
+fn run() -> Result<()> {
     let Some((plan, centres, check)) = options()? else {
         print!("{USAGE}");
         return Ok(());
@@ -276,3 +277,13 @@
     beats(&host, way, &leave);
     Ok(())
 }
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(fault) => {
+            eprintln!("keeper: {fault:#}");
+            ExitCode::from(2)
+        }
+    }
+}
