--- a/crates/council/src/feed.rs
+++ b/crates/council/src/feed.rs
@@ -87,8 +87,10 @@
             self.put_host(h);
         });
         for table in &news.slices {
-            for (slice, ident, number) in &table.rows {
-                self.put_row(&table.backend, table.slices, *slice, ident, *number);
+            for (first, last, ident, number) in &table.rows {
+                for slice in *first..=(*last).min(table.slices.saturating_sub(1)) {
+                    self.put_row(&table.backend, table.slices, slice, ident, *number);
+                }
             }
         }
         self.seq > before
@@ -103,8 +105,14 @@
         let hosts =
             self.hosts.values().filter(|(h, at)| *at > seq && !gone(h)).map(|(h, _)| h.clone()).collect();
         let slices = self.slices.iter().filter_map(|(backend, all)| {
-            let new = all.iter().enumerate().filter(|(_, r)| r.2 > seq);
-            let rows: Vec<_> = new.map(|(n, r)| (n as u32, r.0.clone(), r.1)).collect();
+            let mut rows: Vec<(u32, u32, String, u64)> = Vec::new();
+            for (n, row) in all.iter().enumerate().filter(|(_, r)| r.2 > seq) {
+                let n = n as u32;
+                match rows.last_mut().filter(|r| r.1 + 1 == n && r.2 == row.0 && r.3 == row.1) {
+                    Some(run) => run.1 = n,
+                    None => rows.push((n, n, row.0.clone(), row.1)),
+                }
+            }
             let slices = all.len() as u32;
             (!rows.is_empty()).then(|| SliceNews { backend: backend.clone(), slices, rows })
         });
--- a/crates/council/src/state.rs
+++ b/crates/council/src/state.rs
@@ -355,8 +355,13 @@
     fn show(&mut self, _now: Ms) {
         let Role::Acting(record) = &self.role else { return };
         let base = record.epoch.n << 32;
+        let mut seen = std::collections::BTreeSet::new();
         for (service, slice, ident) in self.keys.shown() {
-            self.shown += 1;
+            // Neighbours with one number are told as one; a row that changes twice needs two.
+            if seen.is_empty() || !seen.insert((service.clone(), slice)) {
+                seen = std::collections::BTreeSet::from([(service.clone(), slice)]);
+                self.shown += 1;
+            }
             let slices = self.keys.slices(&service);
             self.feed.put_row(&service, slices, slice, &ident, base + self.shown);
         }
@@ -366,10 +371,9 @@
     pub fn took_over(&mut self, now: Ms, record: Record) {
         let state = self.held.iter().map(|(n, v)| (n.as_str(), v.as_str()));
         self.keys = Keys::recover(self.spans.keep, now, state);
-        self.shown = 0;
+        self.shown = 1;
         let base = record.epoch.n << 32;
         for (service, slice, ident) in self.keys.all_shown() {
-            self.shown += 1;
             let slices = self.keys.slices(&service);
             self.feed.put_row(&service, slices, slice, &ident, base + self.shown);
         }
@@ -440,13 +444,14 @@
                 if hosts.is_empty() {
                     self.laid.remove(&service);
                 } else if now >= first + self.spans.beat * 3 / 2 {
-                    let slices = tenure::slices_for(hosts.len());
-                    let puts = self.keys.lay(now, &service, slices, &hosts);
+                    let (slices, pieces) = (tenure::slices_for(hosts.len()), tenure::pieces_for(hosts.len()));
+                    let puts = self.keys.lay(now, &service, slices, pieces, &hosts);
                     self.queue(puts, None);
                 }
                 continue;
             }
-            let most = self.keys.slices(&service) as usize / hosts.len().max(1) / 2 + 1;
+            // Half of what a host has at first may be under way at a time.
+            let most = tenure::pieces_for(hosts.len()) as usize / hosts.len().max(1) / 2 + 1;
             let settled = now >= self.settled_at;
             self.keys.plan(now, &service, &hosts, most, settled);
             let puts = self.keys.expire(now, &service);
--- a/crates/course/src/book.rs
+++ b/crates/course/src/book.rs
@@ -280,15 +280,14 @@
             slices.rows = vec![Row::default(); news.slices as usize];
         }
         let mut any = false;
-        for (slice, ident, fence) in &news.rows {
-            let Some(row) = slices.rows.get_mut(*slice as usize) else { continue };
-            if *fence < row.fence || (*fence == row.fence && (row.holder.is_some() || ident.is_empty())) {
-                continue;
-            }
+        for (first, last, ident, fence) in &news.rows {
             let known = self.hosts.get_key_value(ident.as_str()).map(|(ident, _)| ident.clone());
             let holder = (!ident.is_empty()).then(|| known.unwrap_or_else(|| ident.as_str().into()));
-            *row = Row { holder, fence: *fence, doubted_until: 0 };
-            any = true;
+            let all = slices.rows.iter_mut().take(*last as usize + 1).skip(*first as usize);
+            for row in all.filter(|row| *fence > row.fence) {
+                *row = Row { holder: holder.clone(), fence: *fence, doubted_until: 0 };
+                any = true;
+            }
         }
         any
     }
@@ -369,13 +368,13 @@
             slices: vec![SliceNews { backend: "b".into(), slices: 4, rows }],
             ..News::default()
         };
-        assert!(book.merge(&rows(vec![(3, "i-1".into(), 7)]), 0).rows);
-        assert!(!book.merge(&rows(vec![(3, "i-2".into(), 6)]), 0).rows);
+        assert!(book.merge(&rows(vec![(3, 3, "i-1".into(), 7)]), 0).rows);
+        assert!(!book.merge(&rows(vec![(3, 3, "i-2".into(), 6)]), 0).rows);
         assert_eq!(book.holder("b", 65_535, 0).map(|ident| &**ident), Some("i-1"));
         book.doubt("b", 65_535, "i-1", 0);
         assert!(book.holder("b", 65_535, 10).is_none() && book.holder("b", 65_535, 400).is_some());
         assert!(
-            book.merge(&rows(vec![(3, "".into(), 8)]), 0).rows && book.holder("b", 65_535, 400).is_none()
+            book.merge(&rows(vec![(3, 3, "".into(), 8)]), 0).rows && book.holder("b", 65_535, 400).is_none()
         );
     }
 }
--- a/crates/course/src/pick.rs
+++ b/crates/course/src/pick.rs
@@ -192,7 +192,7 @@
     fn a_key_goes_to_its_holder_alone() {
         let (mut book, mut chance) = (book(4), fastrand::Rng::with_seed(7));
         let ask = Ask { key: Some(40_000), ..ask(true) };
-        let slices = vec![SliceNews { backend: "b".into(), slices: 2, rows: vec![(1, "i-2".into(), 1)] }];
+        let slices = vec![SliceNews { backend: "b".into(), slices: 2, rows: vec![(1, 1, "i-2".into(), 1)] }];
         book.merge(&News { slices, ..News::default() }, 0);
         assert_eq!(pick(&book, &ask, 0, &mut chance), Choice::Host("i-2".into()));
         book.spurn("i-2", 0);
--- a/crates/tenure/src/lib.rs
+++ b/crates/tenure/src/lib.rs
@@ -9,18 +9,19 @@
 //! use tenure::{Host, Keys};
 //! let mut keys = Keys::new(4000);
 //! let hosts = [Host::new("i-1", 0), Host::new("i-2", 1)];
-//! let puts = keys.lay(0, "shelf", 4, &hosts);
+//! let puts = keys.lay(0, "shelf", 4, 4, &hosts);
 //! keys.apply(0, &puts);
 //! let rows = keys.grant(10, "shelf", "i-1", &[], 500);
 //! assert_eq!(rows[0].from..=rows[0].to, 0..=16383);
 //! assert_eq!(rows.len(), 2, "neighbours go to different hosts");
 //! ```
-use poise::{Balance, Board, Holder};
-use std::collections::BTreeMap;
-
+mod place;
 #[cfg(test)]
 mod tests;
 
+use poise::Balance;
+use std::collections::BTreeMap;
+
 pub type Ms = u64;
 
 /// All keys.
@@ -94,13 +95,22 @@
     busy: bool,
 }
 
+/// Rows are for the finest slices there are. What moves is a piece: neighbouring rows that stand alike. A piece that
+/// gets much of the traffic is cut in two, down to a single row.
 #[derive(Debug, Clone, Default)]
 struct Table {
     rows: Vec<Row>,
+    pieces: Vec<Piece>,
     balance: Balance,
     counts: Vec<f64>,
 }
 
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Piece {
+    first: usize,
+    len: usize,
+}
+
 /// What edges are to know: who holds a slice now, or nobody while it changes hands.
 pub type Shown = (String, u32, String);
 
@@ -116,12 +126,20 @@
     format!("row/{service}/{slice:05}")
 }
 
-/// How many slices: each host begins with some 32, so that the gap of 8 that starts moves is a part of what it has,
-/// and one alone can still be told of three times as many in one answer.
-pub fn slices_for(hosts: usize) -> u32 {
+/// How many pieces a service begins with: each host some 32, so that the gap of 8 that starts moves is a part of what
+/// it has, and one alone can still be told of three times as many in one answer.
+pub fn pieces_for(hosts: usize) -> u32 {
     (hosts as u32 * 32).next_power_of_two().clamp(64, 4096)
 }
 
+/// Into how many rows a piece can be cut. Eight times finer, busy keys that sit close together can be parted; more
+/// would cost every follower.
+const FINER: u32 = 8;
+
+pub fn slices_for(hosts: usize) -> u32 {
+    (pieces_for(hosts) * FINER).min(4096.max(pieces_for(hosts)))
+}
+
 impl Keys {
     /// `keep`: for how long a host holds what it is told, in its own time.
     pub fn new(keep: Ms) -> Keys {
@@ -179,23 +197,33 @@
         all.flat_map(|(name, t)| t.rows.iter().enumerate().map(move |(n, r)| row(name, n, r))).collect()
     }
 
-    fn put(&mut self, service: &str, slice: usize, holder: &str, handover: &str) -> Put {
-        self.fence += 1;
-        if let Some(row) = self.tables.get_mut(service).and_then(|t| t.rows.get_mut(slice)) {
-            row.busy = true;
+    /// All changes of one call have one fence, so that neighbours that go the same way make one row for a host.
+    fn put(&mut self, service: &str, all: Vec<(usize, String, String)>) -> Vec<Put> {
+        if all.is_empty() {
+            return Vec::new();
         }
-        (row_name(service, slice), format!("{} {holder} {handover}", self.fence))
+        self.fence += 1;
+        let fence = self.fence;
+        let Some(table) = self.tables.get_mut(service) else { return Vec::new() };
+        let change = |(slice, holder, handover): (usize, String, String)| {
+            table.rows[slice].busy = true;
+            (row_name(service, slice), format!("{fence} {holder} {handover}"))
+        };
+        all.into_iter().map(change).collect()
     }
 
-    /// The first layout of a service.
-    pub fn lay(&mut self, now: Ms, service: &str, slices: u32, hosts: &[Host]) -> Vec<Put> {
-        let holders: Vec<Holder> = hosts.iter().map(|h| holder(h, mean(hosts))).collect();
+    /// The first layout of a service: `slices` rows in `pieces` pieces.
+    pub fn lay(&mut self, now: Ms, service: &str, slices: u32, pieces: u32, hosts: &[Host]) -> Vec<Put> {
         let rows = vec![Row { until: now, ..Row::default() }; slices as usize];
         let counts = vec![0.0; slices as usize];
         self.tables.insert(service.into(), Table { rows, counts, ..Table::default() });
-        let seats = poise::lay(slices as usize, &holders);
+        let len = (slices / pieces.max(1)).max(1) as usize;
+        let seats = place::lay(slices as usize / len, hosts);
         let given = seats.into_iter().enumerate().filter_map(|(n, h)| h.map(|h| (n, hosts[h].ident.clone())));
-        given.collect::<Vec<_>>().into_iter().map(|(n, ident)| self.put(service, n, &ident, "")).collect()
+        let rows =
+            given.flat_map(|(n, ident)| (n * len..(n + 1) * len).map(move |r| (r, ident.clone(), "".into())));
+        let rows = rows.collect();
+        self.put(service, rows)
     }
 
     /// Written on both disks: it holds from now on, though its holder has not been told yet.
@@ -228,7 +256,7 @@
                 }
             }
         }
-        found.into_iter().map(|(slice, to, handover)| self.put(service, slice, &to, &handover)).collect()
+        self.put(service, found)
     }
 
     /// Rows whose holder may not hold them any more, or that nobody holds, go to where they are wanted.
@@ -236,15 +264,10 @@
         let Some(table) = self.tables.get(service) else { return Vec::new() };
         let due = |row: &&Row| !row.busy && row.until <= now && row.wanted.is_some();
         let all = table.rows.iter().enumerate().filter(|(_, r)| due(r) && (r.holder.is_empty() || r.asked));
-        let due: Vec<_> =
-            all.map(|(n, r)| (n, r.wanted.clone().unwrap_or_default(), r.handover.clone())).collect();
-        let kept = |n: &usize| self.tables[service].rows[*n].holder.is_empty();
-        let with: Vec<bool> = due.iter().map(|(n, _, _)| kept(n)).collect();
         // A handover belongs to who released last; one whose time ran out has given none.
-        due.into_iter()
-            .zip(with)
-            .map(|((n, to, h), with)| self.put(service, n, &to, if with { &h } else { "" }))
-            .collect()
+        let handover = |r: &Row| if r.holder.is_empty() { r.handover.clone() } else { String::new() };
+        let due = all.map(|(n, r)| (n, r.wanted.clone().unwrap_or_default(), handover(r))).collect();
+        self.put(service, due)
     }
 
     /// Everything that a host is to hold, renewed from `now`. `back`: hosts whose beat is waiting, or due at once.
@@ -261,13 +284,17 @@
         let (keep, mut bytes) = (stretched(self.keep), 0);
         let Some(table) = self.tables.get_mut(service) else { return Vec::new() };
         let width = KEYS / table.rows.len().max(1) as u32;
-        let mut grants = Vec::new();
+        let mut grants: Vec<Grant> = Vec::new();
         for (n, row) in table.rows.iter_mut().enumerate().filter(|(_, r)| r.holder == ident) {
             let meet = |w: &String| back.contains(w) || now >= row.wanted_at + patience;
             let (from, to) = (n as u32 * width, (n as u32 + 1) * width - 1);
-            bytes += row_bytes(row);
+            let fits = |last: &Grant| {
+                last.to + 1 == from && last.fence == row.fence && last.handover == row.handover
+            };
+            let joins = grants.last().is_some_and(fits);
             // What does not fit into an answer is not renewed: it is asked for, and goes to another.
-            if (row.wanted.as_ref().is_some_and(meet) || bytes > ANSWER) && !row.asked {
+            let over = !joins && bytes + row_bytes(row) > ANSWER;
+            if (row.wanted.as_ref().is_some_and(meet) || over) && !row.asked {
                 row.asked = true;
                 self.shown.push((service.into(), n as u32, String::new()));
             }
@@ -279,7 +306,13 @@
                 row.told = true;
                 self.shown.push((service.into(), n as u32, ident.into()));
             }
-            grants.push(Grant { from, to, fence: row.fence, handover: row.handover.clone() });
+            match grants.last_mut().filter(|_| joins) {
+                Some(last) => last.to = to,
+                None => {
+                    bytes += row_bytes(row);
+                    grants.push(Grant { from, to, fence: row.fence, handover: row.handover.clone() });
+                }
+            }
         }
         grants
     }
@@ -291,13 +324,6 @@
         self.tables.get(service).is_some_and(|t| t.rows.iter().any(due))
     }
 
-    /// Does it hold anything that it is to be asked for?
-    pub fn leaving(&self, service: &str, ident: &str) -> bool {
-        self.tables
-            .get(service)
-            .is_some_and(|t| t.rows.iter().any(|r| r.holder == ident && r.wanted.is_some()))
-    }
-
     /// How many rows of a service are held, asked for, on their way, and nobody's; and the most that one host has.
     pub fn summary(&self, service: &str) -> (usize, usize, usize, usize, usize) {
         let rows = self.tables.get(service).map_or(&[][..], |t| &t.rows);
@@ -328,103 +354,4 @@
     pub fn fade(&mut self) {
         self.tables.values_mut().flat_map(|t| &mut t.counts).for_each(|c| *c /= 2.0);
     }
-
-    /// The paper's mechanism says which slices should go where. At most `most` are under way at a time. `settled`: all
-    /// hosts have had the time to beat here, so that one that is not known is gone.
-    pub fn plan(&mut self, now: Ms, service: &str, hosts: &[Host], most: usize, settled: bool) {
-        let Some(table) = self.tables.get_mut(service) else { return };
-        let at: BTreeMap<&str, usize> =
-            hosts.iter().enumerate().map(|(n, h)| (h.ident.as_str(), n)).collect();
-        let open = |ident: &str| at.get(ident).is_some_and(|n| !hosts[*n].leaving && !hosts[*n].silent);
-        for row in &mut table.rows {
-            // Who is to get it has gone meanwhile.
-            if row.wanted.as_deref().is_some_and(|w| !open(w)) && !row.busy {
-                row.wanted = None;
-            }
-            // One that can't be asked lets go by the end of its time.
-            let lost = |holder: &str| at.get(holder).map_or(settled, |n| hosts[*n].silent);
-            if row.wanted.is_some() && !row.holder.is_empty() && lost(&row.holder) {
-                row.asked = true;
-            }
-            // It need not move any more, and was not asked for yet.
-            if !row.asked && row.wanted.as_deref() == Some(row.holder.as_str()) {
-                row.wanted = None;
-            }
-        }
-        let mut holders: Vec<Holder> = hosts.iter().map(|h| holder(h, mean(hosts))).collect();
-        // Of a host that has as many as an answer can tell, no more is asked.
-        for (host, holder) in hosts.iter().zip(&mut holders) {
-            let bytes: usize = table.rows.iter().filter(|r| r.holder == host.ident).map(row_bytes).sum();
-            holder.open &= bytes < ANSWER * 9 / 10;
-        }
-        // A holder that is not known any more: its rows wait out their time.
-        holders.push(Holder { listed_at: None, open: false, leaving: true, ..Holder::default() });
-        let lost = holders.len() - 1;
-        let owner = |row: &Row| {
-            let who = row.wanted.as_deref().unwrap_or(&row.holder);
-            if who.is_empty() {
-                None
-            } else {
-                Some(at.get(who).copied().unwrap_or(lost))
-            }
-        };
-        let owners = table.rows.iter().map(owner).collect();
-        let unsure = |row: &Row| !settled && !row.holder.is_empty() && !at.contains_key(row.holder.as_str());
-        let under_way = |row: &Row| row.busy || row.wanted.is_some() || unsure(row);
-        let pinned = table.rows.iter().enumerate().filter(|(_, r)| under_way(r)).map(|(n, _)| n).collect();
-        let counts: Vec<[f64; 1]> = table.counts.iter().map(|c| [*c]).collect();
-        let board =
-            Board { holders, owners, scores: poise::scores(&counts, None, 1.0), pinned, ..Board::default() };
-        // What nobody holds or what its holder is about to drop is no choice: it is not paced.
-        let must = |row: &&Row| !under_way(row) && !open(&row.holder);
-        let (must, busy) =
-            (table.rows.iter().filter(must).count(), table.rows.iter().filter(|r| under_way(r)).count());
-        let most = must.max(most.saturating_sub(busy));
-        let mut moves = table.balance.plan(&board, most);
-        if moves.is_empty() && table.counts.iter().sum::<f64>() > 0.0 {
-            let able: Vec<f64> = board.holders.iter().map(|h| h.unit).collect();
-            moves = table.balance.relieve(&board, &able, most);
-        }
-        for next in moves {
-            if let Some(host) = hosts.get(next.to) {
-                let row = &mut table.rows[next.slice];
-                row.wanted = Some(host.ident.clone());
-                // One that can't be asked lets go by the end of its time.
-                row.asked |=
-                    !row.holder.is_empty() && at.get(row.holder.as_str()).is_none_or(|n| hosts[*n].silent);
-                if row.holder.is_empty() {
-                    row.until = row.until.min(now);
-                }
-            }
-        }
-        // One that beats again before its time is over keeps what it has.
-        for row in &mut table.rows {
-            if row.asked
-                && !row.busy
-                && row.told
-                && open(&row.holder)
-                && row.until > now
-                && row.wanted.is_none()
-            {
-                row.asked = false;
-            }
-        }
-    }
-}
-
-fn mean(hosts: &[Host]) -> f64 {
-    hosts.iter().map(|h| h.capacity).sum::<f64>().max(1.0) / hosts.len().max(1) as f64
-}
-
-fn holder(host: &Host, mean: f64) -> Holder {
-    let unit = (host.capacity / mean).max(0.01);
-    let open = !host.leaving && !host.silent;
-    Holder {
-        unit,
-        listed_at: Some(host.listed as f64),
-        young: host.young,
-        open,
-        leaving: !open,
-        ..Holder::default()
-    }
 }
--- a/crates/tenure/src/tests.rs
+++ b/crates/tenure/src/tests.rs
@@ -7,7 +7,7 @@
 
 fn laid(n: u64, slices: u32) -> (Keys, Vec<Host>) {
     let (mut keys, hosts) = (Keys::new(1000), hosts(n));
-    let puts = keys.lay(0, "s", slices, &hosts);
+    let puts = keys.lay(0, "s", slices, slices, &hosts);
     keys.apply(0, &puts);
     (keys, hosts)
 }
@@ -170,3 +170,33 @@
     let bytes: usize = keys.grant(5000, "s", "i-1", &[], 5000).iter().map(text).sum();
     assert!((3000..3900).contains(&bytes), "{bytes}");
 }
+
+#[test]
+fn a_busy_stretch_of_keys_is_cut_and_spread_though_counts_are_even() {
+    let (mut keys, hosts) = (Keys::new(1000), hosts(4));
+    let puts = keys.lay(0, "s", 1024, 128, &hosts);
+    keys.apply(0, &puts);
+    hosts.iter().for_each(|h| drop(keys.grant(0, "s", &h.ident, &[], 0)));
+    // Half of all requests go to the eight rows of one piece, the rest everywhere.
+    let counts: Vec<(u32, u32)> = (0..1024).map(|n| (n, if n < 8 { 128 } else { 1 })).collect();
+    keys.count("s", &counts);
+    for round in 0..60 {
+        let now = round * 10;
+        keys.plan(now, "s", &hosts, 16, true);
+        for host in &hosts {
+            let held = keys.tables["s"].rows.iter().enumerate();
+            let gone: Vec<_> = held.filter(|(_, r)| r.holder == host.ident && r.wanted.is_some()).collect();
+            let gone: Vec<_> =
+                gone.iter().map(|(n, _)| (*n as u32 * 64, *n as u32 * 64 + 63, "t".into())).collect();
+            keys.grant(now, "s", &host.ident, &[], 0);
+            let puts = keys.released("s", &host.ident, &gone);
+            keys.apply(now, &puts);
+        }
+    }
+    let load = |ident: &str| {
+        let rows = keys.tables["s"].rows.iter().enumerate().filter(|(_, r)| r.holder == ident);
+        rows.map(|(n, _)| counts[n].1).sum::<u32>()
+    };
+    let loads: Vec<u32> = hosts.iter().map(|h| load(&h.ident)).collect();
+    assert!(loads.iter().all(|l| (350..=700).contains(l)), "{loads:?}");
+}
--- a/crates/tidings/src/lib.rs
+++ b/crates/tidings/src/lib.rs
@@ -153,7 +153,7 @@
 pub struct SliceNews {
     pub backend: String,
     pub slices: u32,
-    /// (slice, ident of its holder or "" while it changes hands, number). A higher number replaces a lower one: it
+    /// (first, last, ident of their holder or "" while they change hands, number). A higher number replaces a lower one: it
     /// counts what a primary has told edges, on top of its epoch; the fences that hosts see are others.
-    pub rows: Vec<(u32, String, u64)>,
+    pub rows: Vec<(u32, u32, String, u64)>,
 }
--- a/crates/transit/tests/transit/follow.rs
+++ b/crates/transit/tests/transit/follow.rs
@@ -87,7 +87,7 @@
         let slices = vec![tidings::SliceNews {
             backend: "parted".into(),
             slices: 4,
-            rows: vec![(0, "i-2".into(), 1)],
+            rows: vec![(0, 0, "i-2".into(), 1)],
         }];
         rig.edge.take(News { slices, ..News::default() });
         assert!(rig.edge.ready());
--- a/crates/transit/tests/transit/stand_ins.rs
+++ b/crates/transit/tests/transit/stand_ins.rs
@@ -217,6 +217,7 @@
 
 impl Rig {
     pub fn rows(&self, rows: Vec<(u32, String, u64)>) {
+        let rows = rows.into_iter().map(|(slice, ident, number)| (slice, slice, ident, number)).collect();
         let slices = vec![SliceNews { backend: "parted".into(), slices: 4, rows }];
         self.news.send(News { slices, ..News::default() }).unwrap();
     }
