Edge: a host's answer time is learnt from the service's mean; a full holder is asked once more, later

A first slow answer made a slow host for twenty seconds, as one edge sees a host only now and then; the mean of its service now counts as two measurements. A host is only taken to have lost its address when it is silent: two well ones could shut each other out for good.

--- a/crates/course/src/book.rs
+++ b/crates/course/src/book.rs
@@ -210,10 +210,13 @@
             }
             return;
         }
-        // Whoever had the address before has ended without a word.
-        for host in self.hosts.values_mut().filter(|host| host.address == address) {
-            host.spurned_until = Ms::MAX;
-            changed.left.push(host.ident.clone());
+        // Whoever had the address before has ended without a word. Which of two that seem well came later cannot be
+        // told (news come in no order): that is left to the host that answers there.
+        if news.stage == Stage::Ready && !news.silent {
+            for host in self.hosts.values_mut().filter(|host| host.address == address && host.silent) {
+                host.spurned_until = Ms::MAX;
+                changed.left.push(host.ident.clone());
+            }
         }
         let (ident, service): (Rc<str>, Rc<str>) = (news.ident.as_str().into(), news.backend.as_str().into());
         let part = self.parts.entry(service.clone()).or_default();
@@ -354,6 +357,8 @@
     #[test]
     fn the_ended_stay_ended_and_addresses_change_hands() {
         let mut book = book(vec![host("i-1", "10.0.0.1:80", 1)]);
+        let silent = HostNews { silent: true, ..host("i-1", "10.0.0.1:80", 1) };
+        book.merge(&News { hosts: vec![silent], ..News::default() }, 4);
         book.merge(&News { hosts: vec![host("i-2", "10.0.0.1:80", 1)], ..News::default() }, 5);
         assert!(!book.host("i-1").unwrap().usable(1_000_000) && book.host("i-2").unwrap().usable(5));
         let gone = HostNews { stage: Stage::Gone, ..host("i-1", "10.0.0.1:80", 2) };
--- a/crates/course/src/load.rs
+++ b/crates/course/src/load.rs
@@ -1,8 +1,10 @@
 //! How long a request would wait at a host, as far as one edge can tell.
 use crate::Ms;
 
-/// The weight of a new measurement; about the last ten count.
+/// The least weight of a new measurement; one edge sees a host a few times in ten seconds.
 const NEW_PART: f32 = 0.1;
+/// Before that, the service's mean counts as so many measurements: one slow answer makes no slow host.
+const PRIOR: f32 = 2.0;
 /// What a host tells of others' requests is worth nothing once they have ended: two answer times.
 const TOLD_LASTS: f32 = 2.0;
 /// Hosts slow down when nearly full, so that a half full one is worth this part of an answer time.
@@ -19,6 +21,7 @@
     slots: u32,
     /// Answer time without a queue.
     mean: f32,
+    measured: u32,
 }
 
 impl Load {
@@ -45,10 +48,13 @@
         self.told_at = now;
     }
 
-    /// `busy` is what was under way when the request was sent.
-    pub fn took(&mut self, took: Ms, busy: f32) {
+    /// `busy` is what was under way when the request was sent, `usual` the service's mean.
+    pub fn took(&mut self, took: Ms, busy: f32, usual: f32) {
         let alone = took as f32 / (busy / self.slots as f32).max(1.0);
-        self.mean = if self.mean > 0.0 { self.mean + NEW_PART * (alone - self.mean) } else { alone };
+        let before = [alone, usual, self.mean].into_iter().rfind(|mean| *mean > 0.0).unwrap_or(alone);
+        let part = (1.0 / (self.measured as f32 + PRIOR)).max(NEW_PART);
+        self.measured = self.measured.saturating_add(1);
+        self.mean = before + part * (alone - before);
     }
 
     pub fn mean(&self) -> f32 {
--- a/crates/course/src/pick.rs
+++ b/crates/course/src/pick.rs
@@ -204,7 +204,7 @@
         let (mut book, mut chance) = (book(1), fastrand::Rng::with_seed(7));
         book.part_mut("b").unwrap().usual = 400.0;
         let load = &mut book.host_mut("i-0").unwrap().load;
-        load.took(400, 1.0);
+        load.took(400, 1.0, 400.0);
         load.own = 4;
         assert_eq!(pick(&book, &ask(true), 0, &mut chance), Choice::Host("i-0".into()));
         assert_eq!(pick(&book, &Ask { rank: 3, ..ask(true) }, 0, &mut chance), Choice::Overrun);
--- a/crates/transit/src/pass.rs
+++ b/crates/transit/src/pass.rs
@@ -286,6 +286,13 @@
                 let key = taken.key.unwrap_or_default();
                 edge.book.borrow_mut().doubt(taken.service, key, &ident, edge.now());
             }
+            // The holder alone can run it, so that it is asked again, but not before one of its slots may be free.
+            Verdict::TurnedAway(Turned::Full) if taken.key.is_some() => {
+                if edge.now() >= wait_until {
+                    break;
+                }
+                tokio::time::sleep_until(edge.at(wait_until)).await;
+            }
             Verdict::TurnedAway(Turned::Elsewhere) => edge.book.borrow_mut().spurn(&ident, edge.now()),
             _ => tried.push(ident),
         }
@@ -496,8 +503,9 @@
     fn note_time(&self) {
         let took = self.edge.now().saturating_sub(self.sent_at);
         let mut book = self.edge.book.borrow_mut();
+        let usual = book.part(self.taken.service).map_or(0.0, |part| part.usual);
         let Some(host) = book.host_mut(self.ident) else { return };
-        host.load.took(took, self.busy);
+        host.load.took(took, self.busy, usual);
         let mean = host.load.mean();
         if let Some(part) = book.part_mut(self.taken.service) {
             part.note(mean);
