--- a/crates/council/src/state.rs
+++ b/crates/council/src/state.rs
@@ -8,6 +8,9 @@
 use terms::{Boot, Config};
 use tidings::{Asked, Detail, Follow, HostNews, News, Settings, Stage, Standing};
 
+/// For how long news that does not press is gathered before followers are told.
+const GATHER: Ms = 150;
+
 /// Time spans that follow from the settings.
 #[derive(Debug, Clone, Copy)]
 pub struct Spans {
@@ -66,6 +69,7 @@
 pub struct Poll {
     pub request: tiny_http::Request,
     pub seq: u64,
+    pub since: Ms,
     pub until: Ms,
     /// The centre that asks, if it is one.
     pub centre: Option<Id>,
@@ -259,13 +263,15 @@
         let heard = if known { follow.seq } else { 0 };
         let follower = Follower { heard, seen: now, edge: centre.is_none() };
         self.followers.insert(follow.edge.clone(), follower);
-        if !known || follow.seq != self.feed.seq || self.alone(now) && centre.is_none() {
+        let behind = follow.seq < self.feed.urgent || follow.seq > self.feed.seq;
+        if !known || behind || self.alone(now) && centre.is_none() {
             say.push(Say::News(
                 request,
                 Box::new(self.news(now, follow.feed, follow.seq, centre.as_deref())),
             ));
         } else {
-            self.polls.push(Poll { request, seq: follow.seq, until: now + follow.wait_ms, centre });
+            let until = now + follow.wait_ms;
+            self.polls.push(Poll { request, seq: follow.seq, since: now, until, centre });
         }
     }
 
@@ -283,9 +289,11 @@
 
     /// Answers polls that have waited long enough, or for which there is news.
     pub fn flush(&mut self, now: Ms, say: &mut Vec<Say>) {
-        let (seq, id) = (self.feed.seq, self.feed.id);
+        let (seq, urgent, id) = (self.feed.seq, self.feed.urgent, self.feed.id);
         for poll in std::mem::take(&mut self.polls) {
-            if poll.seq < seq || now >= poll.until {
+            // Hosts come up in crowds: what is not pressing is gathered, so that a thousand of them are a few answers.
+            let gathered = poll.seq < seq && now >= poll.since + GATHER;
+            if poll.seq < urgent || gathered || now >= poll.until {
                 let news = self.news(now, id, poll.seq, poll.centre.as_deref());
                 say.push(Say::News(poll.request, Box::new(news)));
             } else {
