--- /dev/null
+++ b/crates/council/tests/centre.rs
@@ -0,0 +1,196 @@
+//! Three real centres on loopback, killed and wiped. Waits are polls that a centre holds, with an end.
+use errand::Caller;
+use serde_json::{json, Value};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+use tidings::{Follow, News};
+
+struct Core {
+    ips: Vec<String>,
+    folder: PathBuf,
+    children: Vec<Option<Child>>,
+    caller: Caller,
+}
+
+impl Drop for Core {
+    fn drop(&mut self) {
+        (0..3).for_each(|n| self.kill(n));
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+impl Core {
+    fn start(test: u8) -> Core {
+        let net = std::process::id() % 200 + 20;
+        let ips = (1..4).map(|n| format!("127.{net}.{test}.{n}")).collect();
+        let folder = std::env::temp_dir().join(format!("council-{}-{test}", std::process::id()));
+        let caller = Caller::new(Duration::from_millis(300), Duration::from_millis(1500));
+        let mut core = Core { ips, folder, children: vec![None, None, None], caller };
+        (0..3).for_each(|n| core.run(n, true));
+        core
+    }
+
+    fn data(&self, n: usize) -> PathBuf {
+        self.folder.join(n.to_string())
+    }
+
+    fn run(&mut self, n: usize, first: bool) {
+        std::fs::create_dir_all(self.data(n)).unwrap();
+        let peers: Vec<String> = self.ips.iter().map(|ip| format!("{ip}:8544")).collect();
+        let boot = json!({
+            "self": {"ipAddress": self.ips[n], "area": "a", "initialBoot": first, "dataFolder": self.data(n)},
+            "network": {"binds": {"admin": peers[n]}, "sparePorts": [7540, 7555], "knownPeers": peers},
+            "provider": {"heartbeat": "300ms"},
+            "terms": {"survive": {"boxes": 1}, "timeLimits": {"inContact": "1500ms", "keepMax": "2s"}}
+        });
+        let path = self.folder.join(format!("{n}.json"));
+        std::fs::write(&path, boot.to_string()).unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_council"));
+        command.env("COPPERSAIL_SETTINGS", &path).stderr(Stdio::null());
+        self.children[n] = Some(command.spawn().unwrap());
+    }
+
+    /// As SIGKILL ends it.
+    fn kill(&mut self, n: usize) {
+        if let Some(mut child) = self.children[n].take() {
+            child.kill().unwrap();
+            child.wait().unwrap();
+        }
+    }
+
+    fn admin(&self, method: &str, path: &str, body: &str) -> Option<(u16, String)> {
+        let config = ureq::Agent::config_builder()
+            .http_status_as_error(false)
+            .timeout_global(Some(Duration::from_millis(1500)))
+            .build();
+        let agent: ureq::Agent = config.into();
+        // As callers do: any centre, two 307s at most.
+        let mut url = String::new();
+        for ip in self.ips.iter().zip(&self.children).filter(|(_, c)| c.is_some()).map(|(ip, _)| ip) {
+            url = format!("http://{ip}:8544{path}");
+            for _ in 0..3 {
+                let call = match method {
+                    "POST" => agent.post(&url).config().max_redirects(0).build().send(body),
+                    _ => agent.get(&url).config().max_redirects(0).build().call(),
+                };
+                let Ok(mut answer) = call else { break };
+                match answer.status().as_u16() {
+                    307 => url = answer.headers()["location"].to_str().unwrap().into(),
+                    503 => break,
+                    status => return Some((status, answer.body_mut().read_to_string().unwrap())),
+                }
+            }
+        }
+        drop(url);
+        None
+    }
+
+    /// Until somebody answers for all; a held poll passes the time between.
+    fn order(&self, method: &str, path: &str, body: &str) -> (u16, String) {
+        let end = Instant::now() + Duration::from_secs(30);
+        while Instant::now() < end {
+            if let Some(answer) = self.admin(method, path, body) {
+                return answer;
+            }
+            self.held(200);
+        }
+        panic!("nobody took {method} {path}");
+    }
+
+    fn held(&self, wait_ms: u64) -> Option<News> {
+        let live = self.children.iter().position(|c| c.is_some()).unwrap_or(0);
+        let address = format!("{}:7540", self.ips[live]);
+        let mut follow = Follow { edge: "e".into(), ..Follow::default() };
+        let news: News = self.caller.post(&address, "/follow", &follow).ok()?;
+        (follow.feed, follow.seq, follow.wait_ms) = (news.feed, news.seq, wait_ms);
+        self.caller.post(&address, "/follow", &follow).ok().or(Some(news))
+    }
+
+    fn replace(&self, revision: u64, prefix: &str) -> u16 {
+        self.order("POST", "/settings/replace", &settings(revision, prefix).to_string()).0
+    }
+
+    fn read(&self) -> Value {
+        serde_json::from_str(&self.order("GET", "/settings/read", "").1).unwrap()
+    }
+}
+
+fn settings(revision: u64, prefix: &str) -> Value {
+    json!({
+        "revision": format!("r{revision}"),
+        "routes": {"columns": ["name", "domain", "pathStart", "sort", "giveUp", "target_time", "backend"],
+                   "rows": [["r", "d.example", prefix, "repeatable", "1000ms", "400ms", "s"]]},
+        "backends": {"columns": ["name", "checkPath", "maxConnections", "splitUp"], "rows": [["s", "/w", 10, null]]},
+        "caps": {"headSizeBytes": 16384, "bodySizeBytes": 1000, "headWait": "3000ms", "quiet": "15000ms"}
+    })
+}
+
+#[test]
+fn an_acknowledged_configuration_is_on_two_disks_and_outlives_any_one_of_them() {
+    for lost in 0..3 {
+        let mut core = Core::start(lost as u8);
+        assert_eq!(core.replace(5, "/five/"), 200);
+        (0..3).for_each(|n| core.kill(n));
+        let on = |n: &usize| {
+            let found = council::store::read(&core.data(*n)).unwrap();
+            found.state.get("config").is_some_and(|c| c.contains("/five/"))
+        };
+        assert!((0..3).filter(on).count() >= 2, "acknowledged with one disk only");
+        std::fs::remove_dir_all(core.data(lost)).unwrap();
+        (0..3).for_each(|n| core.run(n, false));
+        assert_eq!(core.read(), settings(5, "/five/"), "disk {lost} lost after the acknowledgement");
+        assert_eq!(core.replace(6, "/six/"), 200);
+    }
+}
+
+#[test]
+fn versions_in_any_order_leave_the_highest_also_after_a_takeover() {
+    let mut core = Core::start(10);
+    assert_eq!(core.replace(7, "/seven/"), 200);
+    assert_eq!(core.replace(4, "/four/"), 200, "an older one is acknowledged");
+    assert_eq!(core.replace(7, "/other/"), 200, "the same again is acknowledged");
+    assert_eq!(core.read(), settings(7, "/seven/"));
+    // The first of the seats is the first primary.
+    core.kill(0);
+    assert_eq!(core.replace(6, "/six/"), 200);
+    assert_eq!(core.read(), settings(7, "/seven/"));
+    assert_eq!(core.replace(9, "/nine/"), 200);
+    core.run(0, false);
+    core.kill(1);
+    assert_eq!(core.read(), settings(9, "/nine/"));
+}
+
+#[test]
+fn what_is_invalid_is_refused_and_in_force_nowhere() {
+    let core = Core::start(11);
+    assert_eq!(core.replace(1, "/one/"), 200);
+    let whole = settings(2, "/two/").to_string();
+    let mut bad: Vec<String> = (1..whole.len()).step_by(37).map(|n| whole[..n].to_string()).collect();
+    bad.push(whole.replace(r#""s"]]"#, r#""nobody"]]"#));
+    bad.push(whole.replace("1000ms", "601s"));
+    bad.push(whole.replace("400ms", "62s"));
+    bad.push(whole.replace("d.example", ""));
+    for text in bad {
+        let (status, why) = core.order("POST", "/settings/replace", &text);
+        assert!((400..500).contains(&status) && !why.contains('\n'), "{status} {why}: {text}");
+    }
+    assert_eq!(core.read(), settings(1, "/one/"));
+}
+
+#[test]
+fn a_host_that_leaves_is_known_before_it_is_told_and_late_calls_change_nothing() {
+    let core = Core::start(12);
+    assert_eq!(core.replace(1, "/one/"), 200);
+    let beat = |stage: &str, calls: u64| {
+        let body = json!({"backend": "s", "address": "127.0.0.1:9", "area": "a", "capacity": 2, "stage": stage, "callCount": calls});
+        core.order("POST", "/servers/i-1/pulse", &body.to_string()).0
+    };
+    assert_eq!((beat("ready", 3), beat("emptying", 5), beat("ready", 4)), (200, 200, 200));
+    for ip in &core.ips {
+        let follow = Follow { edge: "e".into(), ..Follow::default() };
+        let news: News = core.caller.post(&format!("{ip}:7540"), "/follow", &follow).unwrap();
+        let host = news.hosts.iter().find(|h| h.ident == "i-1").expect("every centre knows it");
+        assert_eq!(host.stage, tidings::Stage::Emptying);
+    }
+}
