Withdrawn hosts are told again for slices given late, as long as a table names them

`suspects` told withdrawals again for ten seconds after a host went only, as no table would name it any more; and a host that waited to be let in again (`over`) was let in even if a table given meanwhile names it. Proxies then go on sending there until the lines go with routine rounds.

Change: a withdrawal is told again to who joins and for slices given as long as a table names the host, which the channel checks already; a line found in the store takes a host out of those that are to be let in.

--- a/src/logic/channel.rs
+++ b/src/logic/channel.rs
@@ -14,6 +14,8 @@
             Note::Lines { slice, lines } => self.want(now, slice, lines),
             Note::In(Input::StoredLine { slice, host, weight }) => {
                 self.told.entry(slice).or_default().insert(host, weight);
+                // A table names it once more, so it is not over.
+                self.over.remove(&host);
             }
             // A host that is to be shut is shut before it may return: only then are its lines looked at.
             Note::Tell(Order::Withdraw { host, out: false }) if self.shuts.get(&host) == Some(&true) => {}
--- a/src/logic/tables.rs
+++ b/src/logic/tables.rs
@@ -93,9 +93,9 @@
             // Young behind our back, in full tables: out for a second, till its lines are fewer.
             let young = view.restarted.is_some_and(|at| now - at < 1.0);
             let shut = !view.ready || young || few && view.suspect;
-            // Ten seconds after a host went no table names it any more.
-            let missed = again && shut && since.is_some_and(|since| view.ready || now - since < 10.0);
-            if shut != since.is_some() || missed {
+            // Told again as long as a table names it, which the channel knows: however long it is gone, a slice that
+            // is given may bring it back.
+            if shut != since.is_some() || again && shut {
                 post.note(To::Channel, Note::Tell(Order::Withdraw { host: *host, out: shut }));
             }
             if shut && view.suspect && since.is_none() {
--- a/src/logic/tests/director.rs
+++ b/src/logic/tests/director.rs
@@ -100,3 +100,49 @@
     director.settle(21.0, &mut post);
     assert_eq!((orders.contains(&Order::Forget(id(3))), director.hosts.is_empty()), (forgotten, forgotten));
 }
+
+/// A slice whose table names a host that went long ago, as its director had not come to it, is given to us. Proxies that
+/// joined since have not heard of that host from us.
+#[test_case(None, 14.0 ; "it drains still")]
+#[test_case(Some(3.0), 11.0 ; "gone, and not forgotten")]
+#[test_case(Some(3.0), 14.0 ; "gone, and to be let in with other orders")]
+#[test_case(Some(3.0), 30.0 ; "gone, and long to be let in")]
+fn a_slice_given_late_may_name_who_went_long_ago(gone_at: Option<f64>, given_at: f64) {
+    let mut director = Director::new(Settings { list_is_pushed: true, may_probe: false, ..settings() }, 7);
+    let list = |scope, version, entries| Input::Hosts { scope, version, entries };
+    let stored = |slice, host| Input::StoredLine { slice: SliceId(slice), host: id(host), weight: 1.0 };
+    let joined = |proxy| {
+        let (proxy, zone) = (ProxyId(proxy), ZoneId(0));
+        Input::Joined { proxy, zone, calls_per_s: 9.0, fresh: false }
+    };
+    let hosts = (0..5).map(|n| listing(n, HostState::Ready)).collect();
+    let mut due = vec![
+        (0.0, vec![list(ListScope::Whole, 0, hosts), joined(0), Input::Given(SliceId(0)), stored(0, 0)]),
+        (1.0, vec![list(ListScope::Changes, 1, vec![listing(0, HostState::Draining)])]),
+        (given_at - 2.0, vec![joined(1)]),
+        (given_at, vec![Input::Given(SliceId(1)), stored(1, 0), stored(1, 1)]),
+    ];
+    due.extend(gone_at.map(|at| (at, vec![list(ListScope::Changes, 2, vec![listing(0, HostState::Gone)])])));
+    let (mut inputs, mut named, mut shut_at) = (Vec::new(), false, None);
+    for beat in 0..400 {
+        let now = beat as f64 / 10.0;
+        due.extract_if(.., |(at, _)| *at <= now).for_each(|(_, more)| inputs.extend(more));
+        named |= inputs.contains(&Input::Given(SliceId(1)));
+        for order in director.handle(now, &std::mem::take(&mut inputs)) {
+            match order {
+                Order::Mark { mark, .. } => inputs.extend([0, 1].map(|proxy| Input::Applied {
+                    proxy: ProxyId(proxy),
+                    mark,
+                    took: 0.1,
+                })),
+                Order::Withdraw { host, out } if named && host == id(0) => {
+                    assert!(out || shut_at.is_some(), "let in at {now} while a table names it");
+                    shut_at = shut_at.or(out.then_some(now));
+                }
+                _ => {}
+            }
+        }
+    }
+    // A fifth of a second gathers what is given, two beats more.
+    assert!(shut_at.is_some_and(|at| at <= given_at + 0.45), "{shut_at:?}");
+}
