The backup is sought in another zone first; more than one loss is said not to be borne

Cause: read against deployments with several centres a zone: primary and backup could share one. Change: a centre's zone is part of what it says of itself; the order of candidates. A log line where survive.boxes is above 1, as two disks and three seats are kept.

--- a/crates/council/src/helm.rs
+++ b/crates/council/src/helm.rs
@@ -65,15 +65,20 @@
     !state.peers.get(&record.primary).is_some_and(there) || unheard > 2 * state.spans.promise
 }
 
-/// Who may be the backup, best first: who is named already, then the others that are there and whose disk takes writes.
+/// Who may be the backup, of those that are there and whose disk takes writes; best first: of another zone, which may
+/// be lost whole; named already, as it holds all; with a seat.
 fn partners(state: &State, now: Ms, base: &Record, shunned: &[(Id, Ms)]) -> Vec<Id> {
     let near = |id: &Id| {
         state.peers.get(id).is_some_and(|p| now < p.seen + state.spans.promise && p.standing.fit)
             && *id != state.me
     };
+    let beside = |id: &Id| {
+        let detail = state.peers.get(id).and_then(|p| p.standing.detail.as_ref());
+        detail.is_some_and(|d| d.area == state.area)
+    };
     let shun = |id: &Id| shunned.iter().any(|(s, until)| s == id && now < *until);
     let mut all: Vec<Id> = state.members.iter().filter(|id| near(id)).cloned().collect();
-    all.sort_by_key(|id| (shun(id), !base.names(id), !state.seats.contains(id), id.clone()));
+    all.sort_by_key(|id| (shun(id), beside(id), !base.names(id), !state.seats.contains(id), id.clone()));
     all
 }
 
--- a/crates/council/src/lib.rs
+++ b/crates/council/src/lib.rs
@@ -179,6 +179,13 @@
         let say = |text: &str| slog::warn!(log, "{text}");
         let (scribe, found) = Scribe::start(std::path::Path::new(&folder), say)?;
         let spans = Spans::new(boot);
+        if boot.survive > 1 {
+            slog::warn!(
+                log,
+                "terms.survive.boxes is {}: two disks are kept of each change, and three seats.",
+                boot.survive
+            );
+        }
         let state = first_state(boot, &me, spans, found, &scribe)?;
         let (port, survive) = (boot.spare_ports.0, boot.survive);
         let (state, work, start) = (Mutex::new(state), Condvar::new(), Instant::now());
@@ -254,6 +261,7 @@
     Ok(State {
         me: me.clone(),
         port: boot.spare_ports.0,
+        area: boot.area.clone(),
         spans,
         seats,
         seat,
--- a/crates/council/src/state.rs
+++ b/crates/council/src/state.rs
@@ -108,6 +108,7 @@
     pub me: Id,
     /// Where directors listen for each other.
     pub port: u16,
+    pub area: String,
     pub spans: Spans,
     pub seats: Vec<Id>,
     pub seat: Option<Seat>,
@@ -184,6 +185,7 @@
             seats: self.seats.clone(),
             members: self.members.iter().cloned().collect(),
             edges: self.followers.iter().filter(live).map(|(e, _)| e.clone()).collect(),
+            area: self.area.clone(),
         };
         let (sum, other) = (detail.sum(), self.peers.get(peer).map(|p| &p.standing));
         let known = other.is_some_and(|o| o.seen == sum);
--- a/crates/tidings/src/lib.rs
+++ b/crates/tidings/src/lib.rs
@@ -59,6 +59,8 @@
     pub members: Vec<Id>,
     /// Edges that follow it.
     pub edges: Vec<String>,
+    /// Its zone: primary and backup are not to be lost with one.
+    pub area: String,
 }
 
 impl Detail {
