--- a/crates/council/src/state.rs
+++ b/crates/council/src/state.rs
@@ -96,6 +96,8 @@
     pub born: Ms,
     pub service: String,
     pub capacity: f64,
+    /// Until when it is slow after its start.
+    pub cold_until: Ms,
 }
 
 /// Directors listen for each other on the first spare port, the same everywhere.
@@ -456,6 +458,7 @@
                 ident: h.ident.clone(),
                 listed: beat.listed,
                 capacity: beat.capacity.max(1.0),
+                cold: now < beat.cold_until,
                 young: now < beat.born + 2 * self.spans.keep,
                 leaving: h.stage > Stage::Ready || silent,
                 silent,
