--- a/crates/director/src/reducer/channel_tests.rs
+++ b/crates/director/src/reducer/channel_tests.rs
@@ -319,8 +319,9 @@
             slowest = slowest.max(truth.slowest(&drained));
             drained.iter_mut().for_each(|(at, _)| *at = now);
             (truth.waiting, reducer) = (0.0, start());
-            (truth.waits.clear(), truth.receipts.clear(), truth.messages.clear(), truth.out.clear());
-            (truth.feeds.clear(), answers.clear(), owed.clear(), up.clear());
+            (truth.waits, truth.receipts, truth.feeds) = Default::default();
+            (truth.messages, truth.out) = Default::default();
+            (answers, owed, up) = Default::default();
             events = VecDeque::from([Event::Settle, whole(version, &hosts)]);
         }
         for (at, of_100, away) in std::mem::take(&mut crowds) {
