--- a/crates/council/src/state.rs
+++ b/crates/council/src/state.rs
@@ -9,7 +9,7 @@
 use tidings::{Asked, Detail, Follow, HostNews, News, Settings, Stage, Standing};
 
 /// For how long news that does not press is gathered before followers are told.
-const GATHER: Ms = 150;
+const GATHER: Ms = 0;
 
 /// Time spans that follow from the settings.
 #[derive(Debug, Clone, Copy)]
--- a/crates/tenure/src/place.rs
+++ b/crates/tenure/src/place.rs
@@ -8,7 +8,7 @@
 const HEAVY: f64 = 0.15;
 /// A host that is slow after its start weighs half: with a whole part of the keys its queue would be twice as long
 /// as the others'.
-const COLD: f64 = 0.5;
+const COLD: f64 = 1.0;
 /// So many counted requests, for each host, say something about how they are spread.
 const TELLING: f64 = 10.0;
 
