--- a/crates/council/src/feed.rs
+++ b/crates/council/src/feed.rs
@@ -9,8 +9,6 @@
     /// Which life of this centre speaks.
     pub id: u64,
     pub seq: u64,
-    /// The last change that followers must not wait for: who leaves, who holds what, a configuration.
-    pub urgent: u64,
     settings: Option<(Settings, u64)>,
     hosts: BTreeMap<String, (HostNews, u64)>,
     slices: BTreeMap<String, Vec<(String, u64, u64)>>,
@@ -39,7 +37,6 @@
             return false;
         }
         self.seq += 1;
-        self.urgent = self.seq;
         self.settings = Some((new.clone(), self.seq));
         true
     }
@@ -60,9 +57,6 @@
             }
         }
         self.seq += 1;
-        if new.stage > Stage::Ready {
-            self.urgent = self.seq;
-        }
         self.hosts.insert(new.ident.clone(), (new, self.seq));
         true
     }
@@ -79,7 +73,6 @@
         }
         let Some(row) = rows.get_mut(slice as usize).filter(|row| row.1 < number) else { return false };
         self.seq += 1;
-        self.urgent = self.seq;
         *row = (ident.into(), number, self.seq);
         true
     }
@@ -172,13 +165,4 @@
         assert_eq!(feed.host("i").unwrap().stage, Stage::Emptying);
         assert!(!feed.put_host(&host("i", 7, Stage::Emptying)), "a beat alone is no news");
     }
-
-    #[test]
-    fn only_what_followers_must_not_wait_for_is_urgent() {
-        let mut feed = Feed::new(7);
-        feed.put_host(&host("i", 1, Stage::Ready));
-        assert!(feed.urgent < feed.seq);
-        feed.put_host(&host("i", 2, Stage::Emptying));
-        assert_eq!(feed.urgent, feed.seq);
-    }
 }
--- a/crates/council/src/resources.rs
+++ b/crates/council/src/resources.rs
@@ -85,7 +85,6 @@
             pulse.warm_left.as_deref().and_then(terms::duration).map_or(0, |d| d.as_millis() as u64);
         (beat.at, beat.calls, beat.capacity, beat.service) =
             (now, pulse.calls, pulse.capacity, pulse.backend.clone());
-        beat.cold_until = now + cold_ms;
         let emptied =
             pulse.stage > Stage::Ready && state.feed.host(ident).is_none_or(|h| h.stage == Stage::Ready);
         let host = HostNews {
--- a/crates/council/src/state.rs
+++ b/crates/council/src/state.rs
@@ -8,9 +8,6 @@
 use terms::{Boot, Config};
 use tidings::{Asked, Detail, Follow, HostNews, News, Settings, Stage, Standing};
 
-/// For how long news that does not press is gathered before followers are told.
-const GATHER: Ms = 0;
-
 /// Time spans that follow from the settings.
 #[derive(Debug, Clone, Copy)]
 pub struct Spans {
@@ -69,7 +66,6 @@
 pub struct Poll {
     pub request: tiny_http::Request,
     pub seq: u64,
-    pub since: Ms,
     pub until: Ms,
     /// The centre that asks, if it is one.
     pub centre: Option<Id>,
@@ -96,8 +92,6 @@
     pub born: Ms,
     pub service: String,
     pub capacity: f64,
-    /// Until when it is slow after its start.
-    pub cold_until: Ms,
 }
 
 /// Directors listen for each other on the first spare port, the same everywhere.
@@ -267,15 +261,14 @@
         let heard = if known { follow.seq } else { 0 };
         let follower = Follower { heard, seen: now, edge: centre.is_none() };
         self.followers.insert(follow.edge.clone(), follower);
-        let behind = follow.seq < self.feed.urgent || follow.seq > self.feed.seq;
-        if !known || behind || self.alone(now) && centre.is_none() {
+        if !known || follow.seq != self.feed.seq || self.alone(now) && centre.is_none() {
             say.push(Say::News(
                 request,
                 Box::new(self.news(now, follow.feed, follow.seq, centre.as_deref())),
             ));
         } else {
             let until = now + follow.wait_ms;
-            self.polls.push(Poll { request, seq: follow.seq, since: now, until, centre });
+            self.polls.push(Poll { request, seq: follow.seq, until, centre });
         }
     }
 
@@ -293,11 +286,9 @@
 
     /// Answers polls that have waited long enough, or for which there is news.
     pub fn flush(&mut self, now: Ms, say: &mut Vec<Say>) {
-        let (seq, urgent, id) = (self.feed.seq, self.feed.urgent, self.feed.id);
+        let (seq, id) = (self.feed.seq, self.feed.id);
         for poll in std::mem::take(&mut self.polls) {
-            // Hosts come up in crowds: what is not pressing is gathered, so that a thousand of them are a few answers.
-            let gathered = poll.seq < seq && now >= poll.since + GATHER;
-            if poll.seq < urgent || gathered || now >= poll.until {
+            if poll.seq < seq || now >= poll.until {
                 let news = self.news(now, id, poll.seq, poll.centre.as_deref());
                 say.push(Say::News(poll.request, Box::new(news)));
             } else {
@@ -458,7 +449,6 @@
                 ident: h.ident.clone(),
                 listed: beat.listed,
                 capacity: beat.capacity.max(1.0),
-                cold: now < beat.cold_until,
                 young: now < beat.born + 2 * self.spans.keep,
                 leaving: h.stage > Stage::Ready || silent,
                 silent,
--- a/crates/tenure/src/lib.rs
+++ b/crates/tenure/src/lib.rs
@@ -62,8 +62,6 @@
     pub listed: u64,
     pub capacity: f64,
     pub young: bool,
-    /// It is slow after its start.
-    pub cold: bool,
     /// It will end, or has fallen silent: its slices move first.
     pub leaving: bool,
     /// It can't be asked to release anything: wait until its time is over.
@@ -74,8 +72,8 @@
 
 impl Host {
     pub fn new(ident: &str, listed: u64) -> Host {
-        let (capacity, young, cold, leaving, silent, beat_at) = (1.0, false, false, false, false, 0);
-        Host { ident: ident.into(), listed, capacity, young, cold, leaving, silent, beat_at }
+        let (capacity, young, leaving, silent, beat_at) = (1.0, false, false, false, 0);
+        Host { ident: ident.into(), listed, capacity, young, leaving, silent, beat_at }
     }
 }
 
--- a/crates/tenure/src/place.rs
+++ b/crates/tenure/src/place.rs
@@ -6,9 +6,6 @@
 /// A piece is cut in two when it alone brings this part of a mean host's requests: then a few of them even out what
 /// one host has too much.
 const HEAVY: f64 = 0.15;
-/// A host that is slow after its start weighs half: with a whole part of the keys its queue would be twice as long
-/// as the others'.
-const COLD: f64 = 1.0;
 /// So many counted requests, for each host, say something about how they are spread.
 const TELLING: f64 = 10.0;
 
@@ -158,7 +155,7 @@
 }
 
 fn holder(host: &Host, mean: f64) -> Holder {
-    let unit = (host.capacity / mean * if host.cold { COLD } else { 1.0 }).max(0.01);
+    let unit = (host.capacity / mean).max(0.01);
     let open = !host.leaving && !host.silent;
     Holder {
         unit,
