--- /dev/null
+++ b/crates/sojourn/src/desk.rs
@@ -0,0 +1,716 @@
+//! A site as the owner of sessions: claims, sendings, answers.
+use crate::site::{Out, Terms};
+use crate::{Answer, Attempt, Entry, Fault, Fence, Id, Ms, Msg, Outcome, Place, Record, Step, Ticket};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A confirmation or deposit.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Ask {
+    pub ticket: Ticket,
+    pub id: Id,
+    pub born: Ms,
+    pub seats: Vec<Place>,
+    pub key: String,
+    pub print: u64,
+    /// When its time is up, and with it the time to tell how it ended.
+    pub until: Ms,
+}
+
+/// What a confirmation gets that is not sent to a host now.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub enum Reply {
+    /// The answer of the first.
+    Kept(Answer),
+    /// It ran; its answer is no longer kept.
+    Past,
+    /// It is under way, here or at the site before.
+    UnderWay,
+    /// It may have run, and nobody knows.
+    Unknown,
+    /// Another request went under this key.
+    Other,
+    /// It has not run; come back soon.
+    NotNow,
+    /// The session is no longer known to enough sites: this has not run, and will not under this session.
+    Forgotten,
+    /// The session has had as many confirmations as it may: this has not run.
+    Spent,
+}
+
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Counts {
+    pub claims: u64,
+    /// Claims that took a session over from another site.
+    pub crossings: u64,
+    /// Sessions let go to another site.
+    pub let_go: u64,
+    /// Requests that had to wait for a claim.
+    pub waits: u64,
+    pub sent: u64,
+    pub repeats_answered: u64,
+    pub under_way: u64,
+    pub other_body: u64,
+    pub unknown: u64,
+    /// Refused with the promise that it has not run.
+    pub refused: u64,
+    pub forgotten: u64,
+    /// Seats filled again after a loss.
+    pub healed: u64,
+    /// Sessions dropped for room.
+    pub dropped: u64,
+}
+
+/// A session as people see it: no token, no key, no body.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Shown {
+    pub id: String,
+    pub owner: bool,
+    pub fence: Fence,
+    pub hosts: Vec<(String, String)>,
+    /// A print of each key, how it stands, and for how long.
+    pub confirmations: Vec<(String, String, Ms)>,
+}
+
+impl Shown {
+    pub(crate) fn of(id: Id, owner: bool, fence: Fence, record: &Record, now: Ms) -> Shown {
+        let one = |entry: &Entry| {
+            let stands = match &entry.step {
+                Step::Open { until } if now < *until => "under way".into(),
+                Step::Open { .. } | Step::Unknown => "unknown".into(),
+                Step::NotRun => "not run".into(),
+                Step::Past => "ran, answer dropped".into(),
+                Step::Ran(answer) => format!("ran, {}", answer.status),
+            };
+            (
+                format!("{:016x}", crate::token::print(&[entry.key.as_bytes()])),
+                stands,
+                now.saturating_sub(entry.at),
+            )
+        };
+        let confirmations = record.entries.iter().map(one).collect();
+        Shown { id: id.to_string(), owner, fence, hosts: record.hosts.clone(), confirmations }
+    }
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Sending {
+    ticket: Ticket,
+    key: String,
+    print: u64,
+    attempt: Attempt,
+    /// When the wait ends that is under way.
+    wait: Ms,
+    until: Ms,
+    /// Seats that have the last word on it.
+    at: Vec<Place>,
+    phase: Phase,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+enum Phase {
+    /// Being entered at the seats; no host has it.
+    Entering,
+    Running,
+    /// Its end is being told to the seats.
+    Telling,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Mine {
+    born: Ms,
+    seats: Vec<Place>,
+    fence: Fence,
+    /// Seats that promised this fence, and in which life.
+    promised: Vec<(Place, u64)>,
+    /// Seats that told that they are blank, when (in rounds), and in which life.
+    blank: Vec<(Place, u64)>,
+    round: u32,
+    /// Seats that promised in this round.
+    fresh: Vec<Place>,
+    refused: Vec<Place>,
+    owned: bool,
+    /// Claimed by another since: only what is under way keeps it here.
+    gone: bool,
+    seq: u32,
+    tries: u32,
+    record: Record,
+    waiting: Vec<(Ask, Ms)>,
+    sendings: Vec<Sending>,
+    used: u64,
+}
+
+impl Mine {
+    fn majority(&self) -> usize {
+        accord::majority(self.seats.len())
+    }
+
+    fn idle(&self) -> bool {
+        self.waiting.is_empty() && self.sendings.is_empty()
+    }
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub(crate) struct Desk {
+    pub me: Place,
+    mine: BTreeMap<Id, Mine>,
+    tickets: BTreeMap<Ticket, Id>,
+    /// By last use.
+    order: BTreeSet<(u64, Id)>,
+    uses: u64,
+    /// Those for which something is waited for.
+    busy: BTreeSet<Id>,
+    /// Sessions that were let go, and when.
+    left: BTreeMap<Id, Ms>,
+    start: u64,
+    /// The highest number that this start has claimed under: no fence is used twice.
+    last: u64,
+    pub counts: Counts,
+}
+
+impl Desk {
+    pub fn new(me: Place, start: u64) -> Desk {
+        Desk {
+            me,
+            mine: BTreeMap::new(),
+            tickets: BTreeMap::new(),
+            order: BTreeSet::new(),
+            uses: 0,
+            busy: BTreeSet::new(),
+            left: BTreeMap::new(),
+            start,
+            last: 0,
+            counts: Counts::default(),
+        }
+    }
+
+    pub fn ids(&self) -> impl Iterator<Item = Id> + '_ {
+        self.mine.keys().copied()
+    }
+
+    pub fn owns(&self, id: Id) -> bool {
+        self.mine.get(&id).is_some_and(|mine| mine.owned && !mine.gone)
+    }
+
+    pub fn host(&self, id: Id, service: &str) -> Option<&str> {
+        let record = &self.mine.get(&id)?.record;
+        record.hosts.iter().find(|(name, _)| name == service).map(|(_, host)| host.as_str())
+    }
+
+    pub fn show(&self, now: Ms, id: Id) -> Option<Shown> {
+        let mine = self.mine.get(&id).filter(|mine| mine.owned)?;
+        Some(Shown::of(id, !mine.gone, mine.fence, &mine.record, now))
+    }
+
+    /// Whether this can never change anything any more.
+    #[cfg(test)]
+    pub fn dead(&self, msg: &Msg) -> bool {
+        let at = |id: &Id, fence: &Fence| self.mine.get(id).is_some_and(|m| m.fence == *fence && !m.gone);
+        match msg {
+            Msg::Promised { id, fence, .. }
+            | Msg::Blank { id, fence, .. }
+            | Msg::Outranked { id, fence, .. }
+            | Msg::Full { id, fence } => !at(id, fence),
+            Msg::Kept { id, fence, attempt } => {
+                let waits = |s: &Sending| s.attempt == *attempt && s.phase == Phase::Entering;
+                !at(id, fence) || !self.mine[id].sendings.iter().any(waits)
+            }
+            _ => false,
+        }
+    }
+
+    #[cfg(test)]
+    pub fn plain(&mut self) {
+        let order = std::mem::take(&mut self.order);
+        for (rank, (_, id)) in order.into_iter().enumerate() {
+            self.order.insert((rank as u64, id));
+            self.mine.get_mut(&id).expect("ordered").used = rank as u64;
+        }
+        (self.uses, self.counts) = (self.order.len() as u64, Counts::default());
+    }
+
+    fn remove(&mut self, id: Id) {
+        if let Some(mine) = self.mine.remove(&id) {
+            self.order.remove(&(mine.used, id));
+        }
+        self.busy.remove(&id);
+    }
+
+    /// Begins a claim where none is under way and the session is not owned.
+    fn begin(&mut self, terms: &Terms, now: Ms, id: Id, born: Ms, seats: &[Place]) -> Vec<Out> {
+        self.uses += 1;
+        if let Some(mine) = self.mine.get_mut(&id) {
+            self.order.remove(&(mine.used, id));
+            mine.used = self.uses;
+            self.order.insert((mine.used, id));
+            if !mine.gone {
+                return vec![];
+            }
+            // It comes back before what was under way has ended.
+            return self.claim(id, now);
+        }
+        if self.mine.len() >= terms.sessions {
+            // What an owner has of an idle session, the seats have too.
+            let idle = |(_, id): &&(u64, Id)| !self.busy.contains(id);
+            if let Some(&(_, id)) = self.order.iter().find(idle) {
+                self.remove(id);
+            }
+        }
+        let mine = Mine {
+            born,
+            seats: seats.to_vec(),
+            fence: Fence::default(),
+            promised: vec![],
+            blank: vec![],
+            round: 0,
+            fresh: vec![],
+            refused: vec![],
+            owned: false,
+            gone: false,
+            seq: 0,
+            tries: 0,
+            record: Record::default(),
+            waiting: vec![],
+            sendings: vec![],
+            used: self.uses,
+        };
+        self.mine.insert(id, mine);
+        self.order.insert((self.uses, id));
+        self.claim(id, now)
+    }
+
+    /// Under a fence with that number or a higher one.
+    fn claim(&mut self, id: Id, n: u64) -> Vec<Out> {
+        let Some(mine) = self.mine.get_mut(&id) else { return vec![] };
+        self.counts.claims += 1;
+        self.last = n.max(self.last + 1);
+        let fence = Fence { n: self.last, by: self.me, start: self.start };
+        (mine.fence, mine.owned, mine.gone) = (fence, false, false);
+        mine.seq = 0;
+        mine.promised.clear();
+        mine.blank.clear();
+        mine.refused.clear();
+        self.call(id)
+    }
+
+    /// Asks all seats (again): what they promise from here on, they have promised after all that was heard.
+    fn call(&mut self, id: Id) -> Vec<Out> {
+        let Some(mine) = self.mine.get_mut(&id) else { return vec![] };
+        mine.round += 1;
+        mine.fresh.clear();
+        let msg = Msg::Claim { id, born: mine.born, fence: mine.fence, round: mine.round };
+        mine.seats.iter().map(|&to| Out::Send { to, msg: msg.clone() }).collect()
+    }
+
+    pub fn visit(&mut self, terms: &Terms, now: Ms, id: Id, born: Ms, seats: &[Place]) -> Vec<Out> {
+        let back = self.left.get(&id).is_some_and(|at| now < at + terms.rest);
+        if back && !self.mine.contains_key(&id) {
+            return vec![];
+        }
+        self.begin(terms, now, id, born, seats)
+    }
+
+    pub fn ask(&mut self, terms: &Terms, now: Ms, ask: Ask) -> Vec<Out> {
+        let (id, wait) = (ask.id, (now + terms.wait).min(ask.until));
+        let mut out = self.begin(terms, now, id, ask.born, &ask.seats);
+        self.busy.insert(id);
+        let Some(mine) = self.mine.get_mut(&id) else { return out };
+        if !mine.owned {
+            self.counts.waits += 1;
+            mine.waiting.push((ask, wait));
+            return out;
+        }
+        out.extend(self.decide(terms, now, ask));
+        out
+    }
+
+    fn answer(&mut self, ticket: Ticket, reply: Reply) -> Out {
+        let count = match reply {
+            Reply::Kept(_) | Reply::Past => &mut self.counts.repeats_answered,
+            Reply::UnderWay => &mut self.counts.under_way,
+            Reply::Unknown => &mut self.counts.unknown,
+            Reply::Other => &mut self.counts.other_body,
+            Reply::NotNow | Reply::Spent => &mut self.counts.refused,
+            Reply::Forgotten => &mut self.counts.forgotten,
+        };
+        *count += 1;
+        Out::Answer { ticket, reply }
+    }
+
+    /// A confirmation of a session that is owned.
+    fn decide(&mut self, terms: &Terms, now: Ms, ask: Ask) -> Vec<Out> {
+        let Some(mine) = self.mine.get_mut(&ask.id) else { return vec![] };
+        mine.record.age(now, terms.keep);
+        let held = mine.record.entry(&ask.key);
+        let running = mine.sendings.iter().any(|sending| sending.key == ask.key);
+        let reply = match held.map(|entry| (entry, &entry.step)) {
+            Some((entry, _)) if entry.print != ask.print => Some(Reply::Other),
+            Some((_, Step::Ran(answer))) => Some(Reply::Kept(answer.clone())),
+            Some((_, Step::Past)) => Some(Reply::Past),
+            _ if running => Some(Reply::UnderWay),
+            Some((_, Step::Unknown | Step::Open { .. })) if terms.fault(Fault::SentAgain) => None,
+            Some((_, Step::Unknown)) => Some(Reply::Unknown),
+            Some((_, Step::Open { until })) if now >= *until => Some(Reply::Unknown),
+            Some((_, Step::Open { .. })) => {
+                // The site before has it under way; what the seats have heard since helps the next repeat.
+                let mut out = self.call(ask.id);
+                out.push(self.answer(ask.ticket, Reply::UnderWay));
+                return out;
+            }
+            None if mine.record.entries.len() >= terms.keys => Some(Reply::Spent),
+            Some((_, Step::NotRun)) | None => None,
+        };
+        if let Some(reply) = reply {
+            return vec![self.answer(ask.ticket, reply)];
+        }
+        mine.seq += 1;
+        let attempt = (mine.fence, mine.seq);
+        let entry = Entry {
+            key: ask.key.clone(),
+            print: ask.print,
+            attempt,
+            step: Step::Open { until: ask.until },
+            at: now,
+        };
+        mine.record.put(&entry);
+        mine.sendings.push(Sending {
+            ticket: ask.ticket,
+            key: ask.key,
+            print: ask.print,
+            attempt,
+            wait: (now + terms.wait).min(ask.until),
+            until: ask.until,
+            at: vec![],
+            phase: Phase::Entering,
+        });
+        self.tickets.insert(ask.ticket, ask.id);
+        self.write(ask.id, vec![entry])
+    }
+
+    /// To the seats that promised: others may have promised another since.
+    fn write(&self, id: Id, entries: Vec<Entry>) -> Vec<Out> {
+        let Some(mine) = self.mine.get(&id) else { return vec![] };
+        let record = Record { hosts: mine.record.hosts.clone(), stamp: mine.record.stamp, entries };
+        let one = |&(to, life): &(Place, u64)| Out::Send {
+            to,
+            msg: Msg::Write { id, fence: mine.fence, life, record: record.clone() },
+        };
+        mine.promised.iter().map(one).collect()
+    }
+
+    pub fn served(&mut self, id: Id, service: &str, host: &str) -> Vec<Out> {
+        let Some(mine) = self.mine.get_mut(&id).filter(|mine| mine.owned && !mine.gone) else {
+            return vec![];
+        };
+        match mine.record.hosts.iter_mut().find(|(name, _)| name == service) {
+            Some((_, had)) if had == host => return vec![],
+            Some((_, had)) => *had = host.into(),
+            None => mine.record.hosts.push((service.into(), host.into())),
+        }
+        mine.seq += 1;
+        mine.record.stamp = (mine.fence, mine.seq);
+        self.write(id, vec![])
+    }
+
+    pub fn ran(&mut self, terms: &Terms, now: Ms, ticket: Ticket, outcome: Outcome) -> Vec<Out> {
+        let Some(id) = self.tickets.get(&ticket).copied() else { return vec![] };
+        let Some(mine) = self.mine.get_mut(&id) else { return vec![] };
+        let Some(sending) = mine.sendings.iter_mut().find(|sending| sending.ticket == ticket) else {
+            return vec![];
+        };
+        let step = match outcome {
+            Outcome::Ran(answer) if answer.body.len() > terms.answer => Step::Past,
+            Outcome::Ran(answer) => Step::Ran(answer),
+            Outcome::NotRun => Step::NotRun,
+            Outcome::Unknown => Step::Unknown,
+        };
+        (sending.phase, sending.wait) = (Phase::Telling, now + terms.wait);
+        sending.at.clear();
+        let (key, print, attempt) = (sending.key.clone(), sending.print, sending.attempt);
+        let entry = Entry { key, print, attempt, step, at: now };
+        self.tell(id, entry)
+    }
+
+    /// A fact, for all seats and whatever they have promised.
+    fn tell(&mut self, id: Id, entry: Entry) -> Vec<Out> {
+        let Some(mine) = self.mine.get_mut(&id) else { return vec![] };
+        mine.record.put(&entry);
+        let msg = Msg::Told { id, entry };
+        mine.seats.iter().map(|&to| Out::Send { to, msg: msg.clone() }).collect()
+    }
+
+    pub fn hear(&mut self, terms: &Terms, now: Ms, from: Place, msg: Msg) -> Vec<Out> {
+        match msg {
+            Msg::Promised { id, fence, round, life, former, record } => {
+                self.promised(terms, now, from, (id, fence), (round, life), former, &record)
+            }
+            Msg::Blank { id, fence, life } => self.blank(now, from, id, fence, life),
+            Msg::Outranked { id, fence, promised } => self.outranked(terms, now, from, id, fence, promised),
+            Msg::Full { id, fence } => self.outranked(terms, now, from, id, fence, fence),
+            Msg::Kept { id, fence, attempt } => self.kept(terms, now, from, id, fence, attempt),
+            Msg::Noted { id, attempt } => self.noted(from, id, attempt),
+            Msg::News { id, entry } => {
+                if let Some(mine) = self.mine.get_mut(&id) {
+                    mine.record.put(&entry);
+                }
+                vec![]
+            }
+            Msg::LetGo { id, fence } => {
+                let after = self.mine.get(&id).is_some_and(|mine| fence > mine.fence);
+                if !after {
+                    return vec![];
+                }
+                self.lose(now, id)
+            }
+            _ => vec![],
+        }
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn promised(
+        &mut self,
+        terms: &Terms,
+        now: Ms,
+        from: Place,
+        (id, fence): (Id, Fence),
+        (round, life): (u32, u64),
+        former: Option<Place>,
+        record: &Record,
+    ) -> Vec<Out> {
+        let Some(mine) = self.mine.get_mut(&id).filter(|mine| mine.fence == fence && !mine.gone) else {
+            return vec![];
+        };
+        mine.record.merge(record);
+        mine.promised.retain(|(place, _)| *place != from);
+        mine.promised.push((from, life));
+        mine.refused.retain(|place| *place != from);
+        let healed = round == 0;
+        if healed {
+            mine.blank.retain(|(place, _)| *place != from);
+        }
+        if round == mine.round && !mine.fresh.contains(&from) {
+            mine.fresh.push(from);
+        }
+        let mut out = vec![];
+        if let Some(former) = former {
+            out.push(Out::Send { to: former, msg: Msg::LetGo { id, fence } });
+        }
+        if healed {
+            self.counts.healed += 1;
+        }
+        if !mine.owned && mine.promised.len() >= mine.majority() {
+            (mine.owned, mine.tries) = (true, 0);
+            if former.is_some() {
+                self.counts.crossings += 1;
+            }
+            for (ask, _) in std::mem::take(&mut mine.waiting) {
+                out.extend(self.decide(terms, now, ask));
+            }
+        }
+        out.extend(self.heal(terms, id));
+        out
+    }
+
+    /// Fills a blank seat once all others have promised this fence after it told that it is blank.
+    fn heal(&mut self, terms: &Terms, id: Id) -> Vec<Out> {
+        let Some(mine) = self.mine.get(&id).filter(|mine| mine.owned && !mine.gone) else { return vec![] };
+        let [(blank, life)] = mine.blank[..] else { return vec![] };
+        let hasty = terms.fault(Fault::HastyHeal);
+        let has = |seat: &Place| match hasty {
+            true => mine.promised.iter().any(|(place, _)| place == seat),
+            false => mine.fresh.contains(seat),
+        };
+        if !mine.seats.iter().filter(|seat| **seat != blank).all(has) {
+            return vec![];
+        }
+        let record = mine.record.clone();
+        let msg = Msg::Install { id, born: mine.born, fence: mine.fence, life, record };
+        vec![Out::Send { to: blank, msg }]
+    }
+
+    fn blank(&mut self, now: Ms, from: Place, id: Id, fence: Fence, life: u64) -> Vec<Out> {
+        let Some(mine) = self.mine.get_mut(&id).filter(|mine| mine.fence == fence && !mine.gone) else {
+            return vec![];
+        };
+        let known = mine.blank.contains(&(from, life));
+        mine.promised.retain(|(place, _)| *place != from);
+        mine.blank.retain(|(place, _)| *place != from);
+        mine.blank.push((from, life));
+        if mine.seats.len() - mine.blank.len() < mine.majority() {
+            return self.give_up(now, id, Reply::Forgotten);
+        }
+        if mine.owned && mine.promised.len() < mine.majority() {
+            return self.lose(now, id);
+        }
+        // Once for each time that it is blank anew; with a single seat there is nobody to fill it from.
+        if known || mine.blank.len() > 1 {
+            return vec![];
+        }
+        self.call(id)
+    }
+
+    fn outranked(
+        &mut self,
+        terms: &Terms,
+        now: Ms,
+        from: Place,
+        id: Id,
+        fence: Fence,
+        promised: Fence,
+    ) -> Vec<Out> {
+        let Some(mine) = self.mine.get_mut(&id).filter(|mine| mine.fence == fence && !mine.gone) else {
+            return vec![];
+        };
+        mine.promised.retain(|(place, _)| *place != from);
+        if !mine.refused.contains(&from) {
+            mine.refused.push(from);
+        }
+        if mine.owned {
+            if mine.promised.len() < mine.majority() {
+                return self.lose(now, id);
+            }
+            return vec![];
+        }
+        if promised > fence && mine.tries < terms.tries {
+            mine.tries += 1;
+            return self.claim(id, now.max(promised.n + 1));
+        }
+        if mine.seats.len() - mine.refused.len() < mine.majority() {
+            return self.give_up(now, id, Reply::NotNow);
+        }
+        vec![]
+    }
+
+    fn kept(
+        &mut self,
+        terms: &Terms,
+        now: Ms,
+        from: Place,
+        id: Id,
+        fence: Fence,
+        attempt: Attempt,
+    ) -> Vec<Out> {
+        let Some(mine) = self.mine.get_mut(&id).filter(|mine| mine.fence == fence) else { return vec![] };
+        let need = if terms.fault(Fault::OneCopy) { 1 } else { mine.majority() };
+        let Some(sending) = mine.sendings.iter_mut().find(|sending| sending.attempt == attempt) else {
+            return vec![];
+        };
+        if sending.phase != Phase::Entering || sending.at.contains(&from) {
+            return vec![];
+        }
+        sending.at.push(from);
+        if sending.at.len() < need || now >= sending.wait {
+            return vec![];
+        }
+        sending.phase = Phase::Running;
+        let ticket = sending.ticket;
+        self.counts.sent += 1;
+        vec![Out::Run { ticket }]
+    }
+
+    fn noted(&mut self, from: Place, id: Id, attempt: Attempt) -> Vec<Out> {
+        let Some(mine) = self.mine.get_mut(&id) else { return vec![] };
+        let need = mine.majority();
+        let Some(at) = mine.sendings.iter().position(|sending| sending.attempt == attempt) else {
+            return vec![];
+        };
+        let sending = &mut mine.sendings[at];
+        if sending.phase != Phase::Telling || sending.at.contains(&from) {
+            return vec![];
+        }
+        sending.at.push(from);
+        match sending.at.len() >= need {
+            true => self.done(id, at),
+            false => vec![],
+        }
+    }
+
+    fn done(&mut self, id: Id, at: usize) -> Vec<Out> {
+        let Some(mine) = self.mine.get_mut(&id) else { return vec![] };
+        let ticket = mine.sendings.remove(at).ticket;
+        self.tickets.remove(&ticket);
+        if mine.gone && mine.idle() {
+            self.remove(id);
+        }
+        vec![Out::Done { ticket }]
+    }
+
+    /// Another site has it: what waits is refused, what is under way ends here and is told.
+    fn lose(&mut self, now: Ms, id: Id) -> Vec<Out> {
+        let Some(mine) = self.mine.get_mut(&id) else { return vec![] };
+        if !std::mem::replace(&mut mine.gone, true) && mine.owned {
+            self.counts.let_go += 1;
+            self.left.insert(id, now);
+        }
+        self.give_up(now, id, Reply::NotNow)
+    }
+
+    /// Ends what was not sent.
+    fn give_up(&mut self, now: Ms, id: Id, reply: Reply) -> Vec<Out> {
+        let Some(mine) = self.mine.get_mut(&id) else { return vec![] };
+        mine.gone = true;
+        let waiting = std::mem::take(&mut mine.waiting);
+        let mut out: Vec<Out> =
+            waiting.iter().map(|(ask, _)| self.answer(ask.ticket, reply.clone())).collect();
+        out.extend(self.unsent(now, id, Ms::MAX));
+        if self.mine.get(&id).is_some_and(Mine::idle) {
+            self.remove(id);
+        }
+        out
+    }
+
+    /// Ends sendings that waited for the seats until `now`: never sent, and never to be.
+    fn unsent(&mut self, now: Ms, id: Id, over: Ms) -> Vec<Out> {
+        let Some(mine) = self.mine.get_mut(&id) else { return vec![] };
+        let ended = |sending: &Sending| sending.phase == Phase::Entering && sending.wait <= over;
+        let (ended, left) = std::mem::take(&mut mine.sendings).into_iter().partition::<Vec<_>, _>(ended);
+        mine.sendings = left;
+        let mut out = vec![];
+        for Sending { ticket, key, print, attempt, .. } in ended {
+            out.extend(self.tell(id, Entry { key, print, attempt, step: Step::NotRun, at: now }));
+            self.tickets.remove(&ticket);
+            out.push(self.answer(ticket, Reply::NotNow));
+        }
+        out
+    }
+
+    pub fn tick(&mut self, terms: &Terms, now: Ms) -> Vec<Out> {
+        let mut out = vec![];
+        self.left.retain(|_, at| now < *at + terms.rest);
+        for id in self.busy.iter().copied().collect::<Vec<Id>>() {
+            out.extend(self.unsent(now, id, now));
+            let Some(mine) = self.mine.get_mut(&id) else { continue };
+            let over = |sending: &Sending| sending.phase == Phase::Telling && sending.wait <= now;
+            let told: Vec<Attempt> = mine.sendings.iter().filter(|s| over(s)).map(|s| s.attempt).collect();
+            let (ended, left) = std::mem::take(&mut mine.waiting)
+                .into_iter()
+                .partition::<Vec<_>, _>(|(_, wait)| *wait <= now);
+            mine.waiting = left;
+            let unowned = !mine.owned && mine.waiting.is_empty() && !ended.is_empty();
+            for (ask, _) in ended {
+                out.push(self.answer(ask.ticket, Reply::NotNow));
+            }
+            for attempt in told {
+                let at =
+                    self.mine.get(&id).and_then(|m| m.sendings.iter().position(|s| s.attempt == attempt));
+                if let Some(at) = at {
+                    out.extend(self.done(id, at));
+                }
+            }
+            if self.mine.get(&id).is_none_or(Mine::idle) {
+                self.busy.remove(&id);
+            }
+            // A claim that nobody waits for any more is made anew when the session is asked for.
+            if unowned {
+                if let Some(mine) = self.mine.get_mut(&id) {
+                    mine.gone = true;
+                    if mine.idle() {
+                        self.remove(id);
+                    }
+                }
+            }
+        }
+        out
+    }
+}
