--- a/crates/sojourn/src/desk.rs
+++ b/crates/sojourn/src/desk.rs
@@ -216,10 +216,18 @@
                 let waits = |s: &Sending| s.attempt == *attempt && s.phase == Phase::Entering;
                 !at(id, fence) || !self.mine[id].sendings.iter().any(waits)
             }
+            Msg::LetGo { id, fence } => self.mine.get(id).is_none_or(|mine| mine.fence >= *fence),
+            Msg::News { id, entry } => self.mine.get(id).is_none_or(|mine| mine.record.knows(entry)),
             _ => false,
         }
     }
 
+    /// Whether what a seat would say to this no longer matters here.
+    #[cfg(test)]
+    pub fn past(&self, id: &Id, fence: &Fence) -> bool {
+        self.mine.get(id).is_none_or(|mine| mine.fence != *fence || mine.gone)
+    }
+
     #[cfg(test)]
     pub fn plain(&mut self) {
         let order = std::mem::take(&mut self.order);
@@ -508,20 +516,15 @@
                 out.extend(self.decide(terms, now, ask));
             }
         }
-        out.extend(self.heal(terms, id));
+        out.extend(self.heal(id));
         out
     }
 
     /// Fills a blank seat once all others have promised this fence after it told that it is blank.
-    fn heal(&mut self, terms: &Terms, id: Id) -> Vec<Out> {
+    fn heal(&mut self, id: Id) -> Vec<Out> {
         let Some(mine) = self.mine.get(&id).filter(|mine| mine.owned && !mine.gone) else { return vec![] };
         let [(blank, life)] = mine.blank[..] else { return vec![] };
-        let hasty = terms.fault(Fault::HastyHeal);
-        let has = |seat: &Place| match hasty {
-            true => mine.promised.iter().any(|(place, _)| place == seat),
-            false => mine.fresh.contains(seat),
-        };
-        if !mine.seats.iter().filter(|seat| **seat != blank).all(has) {
+        if !mine.seats.iter().filter(|seat| **seat != blank).all(|seat| mine.fresh.contains(seat)) {
             return vec![];
         }
         let record = mine.record.clone();
--- a/crates/sojourn/src/lib.rs
+++ b/crates/sojourn/src/lib.rs
@@ -55,6 +55,4 @@
     Forgetful,
     /// An outcome that is unknown is taken for one that did not run.
     SentAgain,
-    /// A seat is filled again on promises from before it told that it is blank.
-    HastyHeal,
 }
--- a/crates/sojourn/src/record.rs
+++ b/crates/sojourn/src/record.rs
@@ -113,6 +113,11 @@
         }
     }
 
+    #[cfg(test)]
+    pub(crate) fn knows(&self, entry: &Entry) -> bool {
+        self.entry(&entry.key).is_some_and(|held| !entry.better(held))
+    }
+
     pub fn merge(&mut self, other: &Record) {
         if other.stamp > self.stamp {
             (self.hosts, self.stamp) = (other.hosts.clone(), other.stamp);
--- a/crates/sojourn/src/site.rs
+++ b/crates/sojourn/src/site.rs
@@ -158,9 +158,21 @@
         })
     }
 
+    /// Whether a message on its way here from `from` can never change anything that matters any more.
     #[cfg(test)]
-    pub(crate) fn dead(&self, msg: &Msg) -> bool {
-        self.desk.dead(msg)
+    pub(crate) fn dead(&self, from: &Site, msg: &Msg) -> bool {
+        let held = |id: &Id| self.seat.held.get(id);
+        match msg {
+            Msg::Claim { id, fence, .. } => {
+                from.desk.past(id, fence) && held(id).is_some_and(|held| held.promised >= *fence)
+            }
+            Msg::Write { id, fence, record, .. } => {
+                let known = |held: &crate::seat::Held| record.entries.iter().all(|e| held.record.knows(e));
+                from.desk.past(id, fence) && held(id).is_some_and(|h| h.promised > *fence || known(h))
+            }
+            Msg::Told { id, entry } => held(id).is_some_and(|held| held.record.knows(entry)),
+            _ => self.desk.dead(msg),
+        }
     }
 
     #[cfg(test)]
