--- a/crates/council/src/feed.rs
+++ b/crates/council/src/feed.rs
@@ -9,6 +9,8 @@
     /// Which life of this centre speaks.
     pub id: u64,
     pub seq: u64,
+    /// The last change that followers must not wait for: who leaves, who holds what, a configuration.
+    pub urgent: u64,
     settings: Option<(Settings, u64)>,
     hosts: BTreeMap<String, (HostNews, u64)>,
     slices: BTreeMap<String, Vec<(String, u64, u64)>>,
@@ -37,6 +39,7 @@
             return false;
         }
         self.seq += 1;
+        self.urgent = self.seq;
         self.settings = Some((new.clone(), self.seq));
         true
     }
@@ -57,6 +60,9 @@
             }
         }
         self.seq += 1;
+        if new.stage > Stage::Ready {
+            self.urgent = self.seq;
+        }
         self.hosts.insert(new.ident.clone(), (new, self.seq));
         true
     }
@@ -73,6 +79,7 @@
         }
         let Some(row) = rows.get_mut(slice as usize).filter(|row| row.1 < number) else { return false };
         self.seq += 1;
+        self.urgent = self.seq;
         *row = (ident.into(), number, self.seq);
         true
     }
@@ -87,8 +94,10 @@
             self.put_host(h);
         });
         for table in &news.slices {
-            for (slice, ident, number) in &table.rows {
-                self.put_row(&table.backend, table.slices, *slice, ident, *number);
+            for (first, last, ident, number) in &table.rows {
+                for slice in *first..=(*last).min(table.slices.saturating_sub(1)) {
+                    self.put_row(&table.backend, table.slices, slice, ident, *number);
+                }
             }
         }
         self.seq > before
@@ -103,8 +112,14 @@
         let hosts =
             self.hosts.values().filter(|(h, at)| *at > seq && !gone(h)).map(|(h, _)| h.clone()).collect();
         let slices = self.slices.iter().filter_map(|(backend, all)| {
-            let new = all.iter().enumerate().filter(|(_, r)| r.2 > seq);
-            let rows: Vec<_> = new.map(|(n, r)| (n as u32, r.0.clone(), r.1)).collect();
+            let mut rows: Vec<(u32, u32, String, u64)> = Vec::new();
+            for (n, row) in all.iter().enumerate().filter(|(_, r)| r.2 > seq) {
+                let n = n as u32;
+                match rows.last_mut().filter(|r| r.1 + 1 == n && r.2 == row.0 && r.3 == row.1) {
+                    Some(run) => run.1 = n,
+                    None => rows.push((n, n, row.0.clone(), row.1)),
+                }
+            }
             let slices = all.len() as u32;
             (!rows.is_empty()).then(|| SliceNews { backend: backend.clone(), slices, rows })
         });
@@ -157,4 +172,13 @@
         assert_eq!(feed.host("i").unwrap().stage, Stage::Emptying);
         assert!(!feed.put_host(&host("i", 7, Stage::Emptying)), "a beat alone is no news");
     }
+
+    #[test]
+    fn only_what_followers_must_not_wait_for_is_urgent() {
+        let mut feed = Feed::new(7);
+        feed.put_host(&host("i", 1, Stage::Ready));
+        assert!(feed.urgent < feed.seq);
+        feed.put_host(&host("i", 2, Stage::Emptying));
+        assert_eq!(feed.urgent, feed.seq);
+    }
 }
