Sessions at the edge: off unless transit is started with an operators' file

The core decides, one module of transit carries it: tokens in a header or cookie, confirmations by Idempotency-Key, calls between edges on the second spare port.

--- a/crates/sojourn/examples/night.rs
+++ b/crates/sojourn/examples/night.rs
@@ -374,7 +374,7 @@
             return self.answer(place, ticket, got);
         }
         let got = match outcome {
-            Outcome::Ran(_) => Got::Success,
+            Outcome::Ran(_) | Outcome::RanLong => Got::Success,
             Outcome::NotRun => Got::NotNow,
             Outcome::Unknown => Got::Unknown,
         };
@@ -479,7 +479,7 @@
         if let Some(place) = move_to {
             one.at = place;
         }
-        (one.confirming, one.tries, one.doubt) = (one.steps % 4 == 0, 0, false);
+        (one.confirming, one.tries, one.doubt) = (one.steps.is_multiple_of(4), 0, false);
         one.key = format!("k{}", one.steps);
         self.again(client, 0);
     }
--- a/crates/sojourn/src/desk.rs
+++ b/crates/sojourn/src/desk.rs
@@ -408,14 +408,19 @@
     }
 
     pub fn served(&mut self, id: Id, service: &str, host: &str) -> Vec<Out> {
-        let Some(mine) = self.mine.get_mut(&id).filter(|mine| mine.owned && !mine.gone) else {
-            return vec![];
-        };
+        let Some(mine) = self.mine.get_mut(&id).filter(|mine| !mine.gone) else { return vec![] };
         match mine.record.hosts.iter_mut().find(|(name, _)| name == service) {
             Some((_, had)) if had == host => return vec![],
             Some((_, had)) => *had = host.into(),
             None => mine.record.hosts.push((service.into(), host.into())),
         }
+        self.stamp(id)
+    }
+
+    /// Tells the seats of the session's hosts. What is learnt during a claim waits for its end, and yields to what
+    /// the seats know.
+    fn stamp(&mut self, id: Id) -> Vec<Out> {
+        let Some(mine) = self.mine.get_mut(&id).filter(|mine| mine.owned) else { return vec![] };
         mine.seq += 1;
         mine.record.stamp = (mine.fence, mine.seq);
         self.write(id, vec![])
@@ -430,6 +435,7 @@
         let step = match outcome {
             Outcome::Ran(answer) if answer.body.len() > terms.answer => Step::Past,
             Outcome::Ran(answer) => Step::Ran(answer),
+            Outcome::RanLong => Step::Past,
             Outcome::NotRun => Step::NotRun,
             Outcome::Unknown => Step::Unknown,
         };
@@ -512,7 +518,11 @@
             if former.is_some() {
                 self.counts.crossings += 1;
             }
-            for (ask, _) in std::mem::take(&mut mine.waiting) {
+            let waiting = std::mem::take(&mut mine.waiting);
+            if !mine.record.hosts.is_empty() && mine.record.stamp == Attempt::default() {
+                out.extend(self.stamp(id));
+            }
+            for (ask, _) in waiting {
                 out.extend(self.decide(terms, now, ask));
             }
         }
--- a/crates/sojourn/src/record.rs
+++ b/crates/sojourn/src/record.rs
@@ -41,13 +41,31 @@
 pub struct Answer {
     pub status: u16,
     pub headers: Vec<(String, String)>,
+    #[serde(with = "body")]
     pub body: Vec<u8>,
 }
 
+/// A body as text, four signs for three bytes.
+mod body {
+    use base64::engine::general_purpose::STANDARD;
+    use base64::Engine;
+    use serde::{de::Error, Deserialize, Deserializer, Serializer};
+
+    pub fn serialize<S: Serializer>(body: &[u8], to: S) -> Result<S::Ok, S::Error> {
+        to.serialize_str(&STANDARD.encode(body))
+    }
+
+    pub fn deserialize<'a, D: Deserializer<'a>>(from: D) -> Result<Vec<u8>, D::Error> {
+        STANDARD.decode(String::deserialize(from)?).map_err(D::Error::custom)
+    }
+}
+
 /// How a sending ended.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub enum Outcome {
     Ran(Answer),
+    /// It ran, with an answer that is too long to be kept.
+    RanLong,
     /// Proven: no host has read it, or each that did has said that it never will run it.
     NotRun,
     Unknown,
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -2,7 +2,9 @@
 pub mod boot;
 pub mod config;
 mod field;
+pub mod sessions;
 
 pub use boot::Boot;
 pub use config::{Config, Route, Routes, Service};
 pub use field::{duration, written, Fault};
+pub use sessions::Sessions;
--- a/crates/transit/src/edge.rs
+++ b/crates/transit/src/edge.rs
@@ -4,7 +4,7 @@
 use course::{Book, Ms};
 use rustc_hash::FxHashMap;
 use slog::{info, warn, Logger};
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::rc::Rc;
 use std::sync::{Arc, Mutex};
 use terms::config::Routes;
@@ -85,6 +85,8 @@
     pub news: Notify,
     pub stay: watch::Sender<Stay>,
     pub tallies: Arc<Tallies>,
+    /// Set at the start where the operators have a file for them.
+    pub sessions: OnceCell<Rc<crate::sessions::Sessions>>,
     /// Connections of clients.
     pub open: Cell<usize>,
     heard_at: Cell<Option<Ms>>,
@@ -106,6 +108,7 @@
             news: Notify::new(),
             stay: watch::Sender::new(Stay::Open),
             tallies: Arc::default(),
+            sessions: OnceCell::new(),
             open: Cell::new(0),
             heard_at: Cell::new(None),
             ready: Cell::new(false),
--- a/crates/transit/src/lib.rs
+++ b/crates/transit/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod pass;
 pub mod ready;
 pub mod reply;
+pub mod sessions;
 
 use course::pause;
 use edge::{Edge, Stay};
@@ -35,12 +36,13 @@
     need("readiness", &boot.readiness)
 }
 
-pub fn run(boot: Boot, log: Logger) -> eyre::Result<()> {
+/// `sessions`: the operators' file for sessions that travel, if there is one.
+pub fn run(boot: Boot, sessions: Option<String>, log: Logger) -> eyre::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    LocalSet::new().block_on(&runtime, stay(boot, log))
+    LocalSet::new().block_on(&runtime, stay(boot, sessions, log))
 }
 
-async fn stay(boot: Boot, log: Logger) -> eyre::Result<()> {
+async fn stay(boot: Boot, sessions: Option<String>, log: Logger) -> eyre::Result<()> {
     let mut term = signal(SignalKind::terminate())?;
     let mut hup = signal(SignalKind::hangup())?;
     let bind = |address: &Option<String>| {
@@ -50,6 +52,13 @@
     let (clients, asked) = (bind(&boot.public_plain)?, bind(&boot.readiness)?);
     let (send, news) = tokio::sync::mpsc::unbounded_channel();
     let edge = Edge::new(boot, log.clone());
+    if let Some(path) = sessions {
+        let boot = edge.boot.borrow().clone();
+        let (sessions, address) = sessions::Sessions::from_boot(&path, &boot, log.clone())?;
+        let listener = front::listen(&address).wrap_err_with(|| format!("cannot listen at {address}"))?;
+        sessions.start(listener);
+        let _ = edge.sessions.set(sessions);
+    }
     follow::start(&edge.boot.borrow().clone(), log, edge.tallies.clone(), send)?;
     start(&edge, clients, asked, news);
     let mut stamp = stamped();
--- a/crates/transit/src/main.rs
+++ b/crates/transit/src/main.rs
@@ -4,20 +4,25 @@
 const HELP: &str = "\
 transit: the edge of the gateway; takes requests of clients and passes them to hosts
 
-Usage: transit [--check]
+Usage: transit [--check] [--sessions FILE]
 
-  --check    read the settings, say what is wrong with them, and end
+  --check          read the settings, say what is wrong with them, and end
+  --sessions FILE  sessions travel between edges as FILE says (docs/sessions.md)
 
 The settings file is named by COPPERSAIL_SETTINGS. SIGHUP reads it again; SIGTERM ends in order.
 ";
 
 fn main() -> ExitCode {
-    let mut check = false;
+    let (mut check, mut sessions) = (false, None);
     let mut args = lexopt::Parser::from_env();
     loop {
         match args.next() {
             Ok(None) => break,
             Ok(Some(lexopt::Arg::Long("check"))) => check = true,
+            Ok(Some(lexopt::Arg::Long("sessions"))) => match args.value().map(|path| path.into_string()) {
+                Ok(Ok(path)) => sessions = Some(path),
+                _ => return wrong("--sessions lacks a file"),
+            },
             Ok(Some(lexopt::Arg::Long("help") | lexopt::Arg::Short('h'))) => {
                 print!("{HELP}");
                 return ExitCode::SUCCESS;
@@ -33,10 +38,13 @@
     if let Err(fault) = transit::able(&boot) {
         return wrong(&fault);
     }
+    if let Some(Err(fault)) = sessions.as_deref().map(terms::Sessions::read) {
+        return wrong(&fault.to_string());
+    }
     if check {
         return ExitCode::SUCCESS;
     }
-    match transit::run(boot, transit::log::root()) {
+    match transit::run(boot, sessions, transit::log::root()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(fault) => {
             eprintln!("edge: {fault:#}");
--- a/crates/transit/src/pass.rs
+++ b/crates/transit/src/pass.rs
@@ -3,6 +3,7 @@
 use crate::edge::{Edge, Told};
 use crate::front::Scan;
 use crate::reply::{self, Flow, Kind, Long, Reply, Sent};
+use crate::sessions::Stay;
 use bytes::{Bytes, BytesMut};
 use course::health::Sign;
 use course::pick::{self, Ask, Choice};
@@ -39,17 +40,19 @@
 const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
 
 /// A request that has been read as far as it is held.
-struct Taken<'a> {
-    route: &'a Route,
-    service: &'a str,
-    part: u32,
-    key: Option<u16>,
-    method: Method,
-    uri: Uri,
-    headers: HeaderMap,
-    id: HeaderValue,
+pub(crate) struct Taken<'a> {
+    pub route: &'a Route,
+    pub service: &'a str,
+    pub part: u32,
+    pub key: Option<u16>,
+    pub method: Method,
+    pub uri: Uri,
+    pub headers: HeaderMap,
+    pub id: HeaderValue,
     /// When its time is up.
-    until: Ms,
+    pub until: Ms,
+    /// Of a session that keeps its host.
+    pub stay: Option<Stay>,
 }
 
 impl Taken<'_> {
@@ -85,7 +88,10 @@
     let Some(told) = edge.told() else { return reply::later(back(edge, 1_000, false)) };
     let (head, body) = request.into_parts();
     match read_head(edge, &told, head.method, head.uri, head.version, head.headers, now) {
-        Ok(taken) => pass(edge, &told, taken, body).await,
+        Ok(taken) => match edge.sessions.get() {
+            Some(sessions) => sessions.guide(edge, &told, taken, body).await,
+            None => pass(edge, &told, taken, body).await,
+        },
         // What cannot be read may have more behind it that is no request.
         Err(Unfit::Unreadable) => reply::closing(reply::own(400)),
         Err(Unfit::TooLong) => reply::closing(reply::own(413)),
@@ -159,7 +165,7 @@
         Some(path) if uri.authority().is_some() => Uri::from(path.clone()),
         _ => uri,
     };
-    Ok(Taken { route, service: name, part, key, method, uri, headers, id, until })
+    Ok(Taken { route, service: name, part, key, method, uri, headers, id, until, stay: None })
 }
 
 /// Takes out what concerns only one connection.
@@ -181,7 +187,7 @@
     }
 }
 
-enum Held {
+pub(crate) enum Held {
     Whole(Bytes),
     Long(Option<Flow>),
 }
@@ -211,14 +217,28 @@
     Ok(Held::Whole(whole.freeze()))
 }
 
-async fn pass(edge: &Rc<Edge>, told: &Told, taken: Taken<'_>, body: Incoming) -> Response<Reply> {
-    let until = edge.at(taken.until);
-    let mut held = match timeout_at(until, hold(body, told.config.caps.body_size)).await {
-        Ok(Ok(held)) => held,
-        Ok(Err(reply::Cut::TooLong)) => return reply::closing(reply::own(413)),
-        Ok(Err(_)) => return reply::closing(reply::own(400)),
-        Err(_) => return reply::closing(reply::own(408)),
-    };
+pub(crate) async fn pass(edge: &Rc<Edge>, told: &Told, taken: Taken<'_>, body: Incoming) -> Response<Reply> {
+    match take_body(edge, told, taken.until, body).await {
+        Ok(held) => forward(edge, taken, held).await,
+        Err(answer) => answer,
+    }
+}
+
+pub(crate) async fn take_body(
+    edge: &Edge,
+    told: &Told,
+    until: Ms,
+    body: Incoming,
+) -> Result<Held, Response<Reply>> {
+    match timeout_at(edge.at(until), hold(body, told.config.caps.body_size)).await {
+        Ok(Ok(held)) => Ok(held),
+        Ok(Err(reply::Cut::TooLong)) => Err(reply::closing(reply::own(413))),
+        Ok(Err(_)) => Err(reply::closing(reply::own(400))),
+        Err(_) => Err(reply::closing(reply::own(408))),
+    }
+}
+
+pub(crate) async fn forward(edge: &Rc<Edge>, taken: Taken<'_>, mut held: Held) -> Response<Reply> {
     let now = edge.now();
     edge.with_budget(taken.service, |budget| budget.request(&edge.budget_terms(), now));
     if let Some(slice) = taken.key.and_then(|key| edge.book.borrow().slice(taken.service, key)) {
@@ -248,7 +268,10 @@
         };
         let choice = pick::pick(&edge.book.borrow(), &ask, now, &mut edge.chance.borrow_mut());
         let ident = match choice {
-            Choice::Host(ident) => ident,
+            Choice::Host(ident) => match &taken.stay {
+                Some(stay) => stay.steer(edge, &taken, ident, &tried),
+                None => ident,
+            },
             Choice::Unheld => {
                 for_key = true;
                 // A row is doubted for a while only, so that there is more to wait for than news.
