--- a/crates/sojourn/src/model.rs
+++ b/crates/sojourn/src/model.rs
@@ -3,7 +3,8 @@
 use crate::{Answer, Ask, Fault, Id, Msg, Out, Outcome, Place, Reply, Site, Terms, Ticket};
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
-use std::rc::Rc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 
 const SITES: [Place; 3] = [0, 1, 2];
 const NOW: u64 = 100;
@@ -25,13 +26,13 @@
 
 /// A value and its hash, shared between worlds that did not change it.
 #[derive(Clone)]
-struct Known<T>(u64, Rc<T>);
+struct Known<T>(u64, Arc<T>);
 
 impl<T: Hash> Known<T> {
     fn new(value: T) -> Known<T> {
         let mut hash = DefaultHasher::new();
         value.hash(&mut hash);
-        Known(hash.finish(), Rc::new(value))
+        Known(hash.finish(), Arc::new(value))
     }
 }
 
@@ -189,22 +190,89 @@
         ledger: [0; 2],
         losses: plan.losses,
     };
-    let mut seen: HashSet<u64> = HashSet::new();
-    let mut stack = vec![first];
-    while let Some(world) = stack.pop() {
-        if seen.len() > plan.most {
-            return Err(("too many".into(), seen.len()));
+    let found = Found {
+        seen: (0..64).map(|_| Mutex::default()).collect(),
+        count: AtomicUsize::new(0),
+        open: Mutex::new((vec![first], 0)),
+        fault: Mutex::new(None),
+    };
+    let threads =
+        if plan.losses > 0 { std::thread::available_parallelism().map_or(1, |n| n.get()) } else { 1 };
+    std::thread::scope(|scope| {
+        for _ in 0..threads {
+            scope.spawn(|| found.walk(&plan, &terms));
         }
-        for world in world.next(&plan, &terms) {
-            let world = world.map_err(|fault| (fault, seen.len()))?;
-            let mut hash = DefaultHasher::new();
-            world.hash(&mut hash);
-            if seen.insert(hash.finish()) {
-                stack.push(world);
+    });
+    let count = found.count.into_inner();
+    match found.fault.into_inner().unwrap() {
+        Some(fault) => Err((fault, count)),
+        None => Ok(count),
+    }
+}
+
+/// What walkers share: states seen, those that are open to all and how many walkers are at work, the first fault.
+struct Found {
+    seen: Vec<Mutex<HashSet<u64>>>,
+    count: AtomicUsize,
+    open: Mutex<(Vec<World>, usize)>,
+    fault: Mutex<Option<String>>,
+}
+
+impl Found {
+    fn walk(&self, plan: &Plan, terms: &Terms) {
+        loop {
+            let mut stack = {
+                let (open, working) = &mut *self.open.lock().unwrap();
+                match open.pop() {
+                    Some(world) => {
+                        *working += 1;
+                        vec![world]
+                    }
+                    None if *working == 0 => return,
+                    None => vec![],
+                }
+            };
+            if stack.is_empty() {
+                std::thread::yield_now();
+                continue;
+            }
+            while let Some(world) = stack.pop() {
+                for world in world.next(plan, terms) {
+                    match world {
+                        Ok(world) if self.first(&world) => stack.push(world),
+                        Ok(_) => {}
+                        Err(fault) => *self.fault.lock().unwrap() = Some(fault),
+                    }
+                }
+                if self.count.load(Ordering::Relaxed) > plan.most {
+                    self.fault.lock().unwrap().get_or_insert("too many".into());
+                }
+                if self.fault.lock().unwrap().is_some() {
+                    stack.clear();
+                    self.open.lock().unwrap().0.clear();
+                }
+                // The oldest have most below them.
+                if stack.len() > 16 {
+                    let (open, _) = &mut *self.open.lock().unwrap();
+                    if open.len() < 64 {
+                        open.extend(stack.drain(..8));
+                    }
+                }
             }
+            self.open.lock().unwrap().1 -= 1;
+        }
+    }
+
+    fn first(&self, world: &World) -> bool {
+        let mut hash = DefaultHasher::new();
+        world.hash(&mut hash);
+        let hash = hash.finish();
+        let first = self.seen[hash as usize % 64].lock().unwrap().insert(hash);
+        if first && self.count.fetch_add(1, Ordering::Relaxed) % 1_000_000 == 999_999 {
+            println!("{} million states", self.count.load(Ordering::Relaxed) / 1_000_000);
         }
+        first
     }
-    Ok(seen.len())
 }
 
 /// A confirmation that is repeated at another site, and one of another session.
