--- a/crates/sojourn/src/desk.rs
+++ b/crates/sojourn/src/desk.rs
@@ -326,8 +326,10 @@
         let Some(mine) = self.mine.get_mut(&id) else { return out };
         if !mine.owned {
             self.counts.waits += 1;
+            let alone = mine.waiting.is_empty() && out.is_empty();
             mine.waiting.push((ask, wait));
-            return out;
+            // A claim that a lookup began may have been lost.
+            return if alone { self.call(id) } else { out };
         }
         out.extend(self.decide(terms, now, ask));
         out
