Sessions: messages to a busy edge wait and go together instead of being lost

Calls beyond the few at once to one edge were dropped, so that a crowd that crosses at one moment would have been refused. They wait now and go in batches; 200 sessions that cross at once on loopback all get their first answers.

--- a/crates/transit/src/sessions.rs
+++ b/crates/transit/src/sessions.rs
@@ -12,11 +12,13 @@
 use hyper_util::rt::TokioIo;
 use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
+use serde_json::value::{to_raw_value, RawValue};
 use slog::{info, Logger};
 use sojourn::token::{print, Keys, Token};
 use sojourn::{Answer, Ask, Counts, Id, Ms, Msg, Out, Outcome, Place, Reply as Said, Rosters, Site, Terms};
 use std::cell::{Cell, RefCell};
 use std::collections::hash_map::RandomState;
+use std::collections::VecDeque;
 use std::convert::Infallible;
 use std::hash::BuildHasher;
 use std::rc::Rc;
@@ -36,8 +38,10 @@
 const TOLD_EVERY: Ms = 60_000;
 /// Keys are ids, as a rule of 36 signs; what is longer fills what is kept.
 const LONGEST_KEY: usize = 255;
-/// Calls at once to one other edge; what goes beyond is lost, which sites bear.
-const MOST_CALLS: usize = 32;
+/// Calls at once to one other edge; messages that come meanwhile go together with the next.
+const MOST_CALLS: usize = 8;
+/// Messages of one call: enough that a crowd that crosses at once takes few, and an answer to all can be held.
+const BATCH: usize = 16;
 
 /// What a request of a session shares with the choice of its host.
 pub(crate) struct Stay {
@@ -63,9 +67,9 @@
 }
 
 #[derive(Serialize, Deserialize)]
-struct Post {
+struct Post<M> {
     from: Place,
-    msgs: Vec<Msg>,
+    msgs: Vec<M>,
 }
 
 /// What `session list` shows.
@@ -92,6 +96,7 @@
 struct Peer {
     idle: Vec<SendRequest<Full<Bytes>>>,
     calls: usize,
+    waiting: VecDeque<Box<RawValue>>,
 }
 
 pub struct Sessions {
@@ -246,29 +251,46 @@
             }
         }
         for (to, msgs) in mail {
-            spawn_local(self.clone().call(to, msgs));
+            self.mail(to, &msgs);
         }
     }
 
-    async fn call(self: Rc<Self>, to: Place, msgs: Vec<Msg>) {
-        let Some(address) = self.rosters.address(to) else { return };
-        let count = msgs.len() as u64;
-        let Ok(body) = serde_json::to_vec(&Post { from: self.me, msgs }) else { return };
-        let (messages, bytes) = self.sent.get();
-        self.sent.set((messages + count, bytes + body.len() as u64));
-        {
-            let mut peers = self.peers.borrow_mut();
-            let peer = peers.entry(to).or_default();
-            if peer.calls >= MOST_CALLS {
-                return;
-            }
+    fn mail(self: &Rc<Self>, to: Place, msgs: &[Msg]) {
+        let mut peers = self.peers.borrow_mut();
+        let peer = peers.entry(to).or_default();
+        // Beyond a message for each session that may be held, the other edge is no longer there: they are lost,
+        // which sites bear.
+        let room = self.file.held.saturating_sub(peer.waiting.len());
+        peer.waiting.extend(msgs.iter().filter_map(|msg| to_raw_value(msg).ok()).take(room));
+        if peer.calls < MOST_CALLS {
             peer.calls += 1;
+            spawn_local(self.clone().call(to));
         }
-        let said = timeout(self.file.wait, self.exchange(to, address, body.into())).await;
-        self.peers.borrow_mut().entry(to).or_default().calls -= 1;
-        // No answer is as good as a lost one: waits end by the clock.
-        for msg in said.ok().flatten().unwrap_or_default() {
-            self.with(|site, now| site.hear(now, to, msg));
+    }
+
+    /// Sends what waits for another edge, until nothing does.
+    async fn call(self: Rc<Self>, to: Place) {
+        loop {
+            let msgs: Vec<Box<RawValue>> = {
+                let mut peers = self.peers.borrow_mut();
+                let peer = peers.entry(to).or_default();
+                let count = peer.waiting.len().min(BATCH);
+                if count == 0 {
+                    peer.calls -= 1;
+                    return;
+                }
+                peer.waiting.drain(..count).collect()
+            };
+            let count = msgs.len() as u64;
+            let body = serde_json::to_vec(&Post { from: self.me, msgs }).unwrap_or_default();
+            let (messages, bytes) = self.sent.get();
+            self.sent.set((messages + count, bytes + body.len() as u64));
+            let address = self.rosters.address(to).unwrap_or_default();
+            let said = timeout(self.file.wait, self.exchange(to, address, body.into())).await;
+            // No answer is as good as a lost one: waits end by the clock.
+            for msg in said.ok().flatten().unwrap_or_default() {
+                self.with(|site, now| site.hear(now, to, msg));
+            }
         }
     }
 
@@ -308,9 +330,9 @@
         }
     }
 
-    /// As long as a record can be, written as text.
+    /// As long as the records of a call can be, written as text.
     fn most(&self) -> usize {
-        (self.file.each + 1) * (2 * self.file.answer + 4096)
+        BATCH * (self.file.each + 1) * (2 * self.file.answer + 4096)
     }
 
     async fn listen(self: Rc<Self>, listener: TcpListener) {
@@ -346,7 +368,8 @@
         match (request.method(), path.as_str()) {
             (&Method::POST, "/sojourn") => {
                 let body = Limited::new(request.into_body(), self.most()).collect().await;
-                let post = body.ok().and_then(|body| serde_json::from_slice::<Post>(&body.to_bytes()).ok());
+                let post =
+                    body.ok().and_then(|body| serde_json::from_slice::<Post<Msg>>(&body.to_bytes()).ok());
                 let Some(Post { from, msgs }) = post else { return (StatusCode::BAD_REQUEST, vec![]) };
                 if self.rosters.address(from).is_none() {
                     return (StatusCode::BAD_REQUEST, vec![]);
--- a/crates/transit/tests/transit/sessions.rs
+++ b/crates/transit/tests/transit/sessions.rs
@@ -189,6 +189,41 @@
     });
 }
 
+#[test]
+fn a_crowd_that_crosses_at_one_moment_finds_its_answers() {
+    play(|| async {
+        let host = host("i-1", |_, head| Act::Send(good(head, "taken"))).await;
+        let trio = Rc::new(trio("crowd", &[&host]).await);
+        let crowd = |at: usize, tokens: Vec<String>| {
+            let trio = trio.clone();
+            async move {
+                let ask = |token: String| {
+                    let trio = trio.clone();
+                    tokio::task::spawn_local(async move {
+                        status(&trio.ask(at, &confirm(&token, "k", "7", "a")).await)
+                    })
+                };
+                let all: Vec<_> = tokens.into_iter().map(ask).collect();
+                let mut sound = 0;
+                for one in all {
+                    sound += usize::from(one.await.unwrap() == 200);
+                }
+                sound
+            }
+        };
+        let mut tokens = vec![];
+        for _ in 0..200 {
+            tokens.push(trio.token().await);
+        }
+        // A few at a time, as hosts' connections are; then all at once at another edge.
+        for few in tokens.chunks(10) {
+            assert_eq!(crowd(0, few.to_vec()).await, few.len());
+        }
+        assert_eq!((crowd(1, tokens).await, host.count()), (200, 200));
+        assert_eq!(trio.edges[1].1.listed().counts.crossings, 200);
+    });
+}
+
 /// Figures for docs/sessions.md: `cargo test --release -p transit --test transit figures -- --ignored --nocapture`.
 #[test]
 #[ignore = "a measurement"]
