--- a/crates/regard/src/session.rs
+++ b/crates/regard/src/session.rs
@@ -5,10 +5,10 @@
 use std::time::Duration;
 use transit::sessions::Listed;
 
-pub const HELP: &str = "\
-  regard session list --edge ADDR      sessions at an edge, and its counters; ADDR is its second spare port
-  regard session show ID --edge ADDR   one session, as that edge knows it
-";
+pub const HELP: &str = concat!(
+    "  regard session list --edge ADDR      sessions at an edge, and its counters; ADDR is its second spare port\n",
+    "  regard session show ID --edge ADDR   one session, as that edge knows it\n",
+);
 
 /// A person waits for it.
 const PATIENCE: Duration = Duration::from_secs(5);
--- a/crates/sojourn/src/model.rs
+++ b/crates/sojourn/src/model.rs
@@ -300,6 +300,7 @@
     ] {
         let states = search(plan).unwrap_or_else(|fault| panic!("{fault:?} in {plan:?}"));
         assert!(states > 100, "{plan:?} has {states}");
+        println!("{states:>10} states: {plan:?}");
     }
 }
 
