--- /dev/null
+++ b/crates/stride/src/judge.rs
@@ -0,0 +1,409 @@
+//! The verdict: the new version against the sound one in the same seconds, at the same edges, on the same routes.
+//!
+//! Each row is a stratum: what one edge counted of both versions on one route within two seconds. Of the bad answers
+//! in it, the new version has as large a part as of the requests if it is no worse; what it has beyond that is a bet
+//! that pays. A factor for a stratum with `x` bad answers of the new version, `l` of both, and the part `q` of the
+//! requests is `r^x / (1 + q(r-1))^l`, on average 1 at most if the new one is no worse, whatever the rate is. The
+//! bound enters as bad answers that the new one has free. Bets are placed anew in every round (a new version may be
+//! good for long and then bad), so the sum pays `1/error` with a probability of `error` at most over the whole plan:
+//! `docs/rollout.md` has the proof. Bad answers that come in crowds are divided by how crowded they come with the
+//! sound version.
+use crate::ledger::{Counts, Kind, Report, Row};
+use crate::Ms;
+use std::collections::{BTreeMap, BTreeSet};
+use terms::rollout::Rollout;
+
+/// How often a round of bets is settled.
+pub const ROUND: Ms = 2000;
+/// How much worse the new version is thought to be: a bet on each. A small fault takes long to see by any of them.
+const WORSE: [f64; 3] = [1.5, 3.0, 10.0];
+/// Of what is staked on each bet over the whole plan: at its start, at its further steps, and evenly in all rounds.
+const START: f64 = 0.2;
+const STEPS: f64 = 0.3;
+const STAKES: f64 = 0.5;
+/// A row whose edge has told nothing later is settled after this.
+const SETTLED: Ms = 4000;
+/// A loss at a host of which nothing is known after this counts as one at a host that runs.
+const UNSURE: Ms = 6000;
+/// An edge that had told something and tells nothing for so long is silent: that is not health.
+const SILENT: Ms = 10_000;
+/// Rows this much older than the newest of their edge are late.
+const LATE_SPANS: u64 = 5;
+const REMEMBERED: Ms = 120_000;
+/// Where the sound version has so much of its answers late, the fleet has another trouble, and no step is taken.
+const TROUBLE: f64 = 0.2;
+/// With so much more to do than the other's hosts, a version's lateness is that of few hosts; if that goes on, it is
+/// the plan's own.
+const PRESSED: f64 = 2.0;
+const PRESSED_FOR: Ms = 30_000;
+/// A crowd larger than this is no accident of counting.
+const CROWDS: f64 = 20.0;
+/// New rounds make this part of what is known about crowds.
+const FRESH: f64 = 0.1;
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum Verdict {
+    /// Not enough is known, and what is missing.
+    Wait(String),
+    Sound,
+    Pause(String),
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+enum Scope {
+    Fleet,
+    Zone(String),
+    Route(String),
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Fault {
+    Late,
+    Lost,
+}
+
+/// Edge, its life, span, the plan's number, route.
+type Key = (String, u64, u64, u64, String);
+
+struct Stratum {
+    area: String,
+    row: Row,
+    seen: Ms,
+}
+
+/// What both versions did.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Sums {
+    pub new: Counts,
+    pub old: Counts,
+}
+
+pub struct Judge {
+    plan: Rollout,
+    run: u64,
+    rounds: f64,
+    /// Answers that the step in force asks for.
+    least: u64,
+    step: usize,
+    /// What is staked anew in the next round.
+    stake: f64,
+    rows: BTreeMap<Key, Stratum>,
+    /// What was settled of late: when it was first seen, how often it had changed, doubled by both.
+    done: BTreeMap<Key, (Ms, u32, [u64; 2])>,
+    edges: BTreeMap<String, (Ms, u64)>,
+    bets: BTreeMap<(Scope, Fault), [f64; 3]>,
+    crowd: f64,
+    settled_at: Ms,
+    dead: BTreeSet<String>,
+    pressed_since: Option<Ms>,
+    /// Answers of the new version by the plan's number.
+    counted: BTreeMap<u64, u64>,
+    /// Of the last rounds: (slow, timed) of the sound version.
+    sound: (f64, f64),
+    pub sums: Sums,
+    /// Rows that came late.
+    pub late: u64,
+    pub rows_taken: u64,
+}
+
+fn add(to: &mut Counts, more: &Counts) {
+    to.all.iter_mut().zip(more.all).for_each(|(a, b)| *a = a.saturating_add(b));
+    for (time, many) in &more.times {
+        match to.times.binary_search_by_key(time, |t| t.0) {
+            Ok(at) => to.times[at].1 += many,
+            Err(at) => to.times.insert(at, (*time, *many)),
+        }
+    }
+}
+
+/// The log of `r^x / (1 + q(r-1))^l`, less what the bound lets the new one have free.
+fn bet(r: f64, x: f64, l: f64, new: f64, old: f64, free: f64) -> f64 {
+    if new <= 0.0 || old <= 0.0 {
+        return 0.0;
+    }
+    let c = 1.0 + new / (new + old) * (r - 1.0);
+    x * r.ln() - l * c.ln() - new * free * (r / c - 1.0)
+}
+
+fn sum_of_logs(a: f64, b: f64) -> f64 {
+    let (low, high) = if a < b { (a, b) } else { (b, a) };
+    high + (low - high).exp().ln_1p()
+}
+
+impl Judge {
+    /// Of what was counted from number `run` on.
+    pub fn new(plan: &Rollout, run: u64) -> Judge {
+        let rounds = (plan.ends.as_millis() as f64 / ROUND as f64).max(1.0);
+        Judge {
+            plan: plan.clone(),
+            run,
+            rounds,
+            step: 0,
+            least: plan.steps.first().map_or(0, |s| s.evidence),
+            rows: BTreeMap::new(),
+            done: BTreeMap::new(),
+            stake: 0.0,
+            edges: BTreeMap::new(),
+            bets: BTreeMap::new(),
+            // Until some is known: pairs.
+            crowd: 2.0,
+            settled_at: 0,
+            dead: BTreeSet::new(),
+            pressed_since: None,
+            counted: BTreeMap::new(),
+            sound: (0.0, 0.0),
+            sums: Sums::default(),
+            late: 0,
+            rows_taken: 0,
+        }
+    }
+
+    /// Takes what an edge tells about this plan. True if it has to be looked at now.
+    pub fn take(&mut self, now: Ms, name: &str, report: &Report) -> bool {
+        let mut hard = false;
+        for row in report.rows.iter().filter(|r| r.plan == name && r.number >= self.run) {
+            let key = (report.edge.clone(), report.life, row.span, row.number, row.route.clone());
+            let edge = self.edges.entry(report.edge.clone()).or_insert((now, row.span));
+            edge.0 = now;
+            let known = self.rows.contains_key(&key) || self.done.contains_key(&key);
+            self.late += u64::from(row.span + LATE_SPANS < edge.1 && !known);
+            edge.1 = edge.1.max(row.span);
+            self.rows_taken += 1;
+            let told = [row.new.of(Kind::Doubled), row.old.of(Kind::Doubled)];
+            let before = if let Some((_, count, doubled)) = self.done.get_mut(&key) {
+                // The bets on it are settled; what it has more says little, but for what ran twice.
+                if row.count <= *count {
+                    continue;
+                }
+                *count = row.count;
+                std::mem::replace(doubled, told)
+            } else {
+                let fresh = || Stratum { area: report.area.clone(), row: Row::default(), seen: now };
+                let stratum = self.rows.entry(key).or_insert_with(fresh);
+                if row.count <= stratum.row.count {
+                    continue;
+                }
+                let old = std::mem::replace(&mut stratum.row, row.clone());
+                [old.new.of(Kind::Doubled), old.old.of(Kind::Doubled)]
+            };
+            // What runs twice is never undone: it counts whenever it comes.
+            hard |= told[0] > before[0];
+            self.sums.new.all[Kind::Doubled as usize] += told[0].saturating_sub(before[0]) as u32;
+            self.sums.old.all[Kind::Doubled as usize] += told[1].saturating_sub(before[1]) as u32;
+        }
+        hard
+    }
+
+    /// Losses at a host that has died are one loss: its death. None: it is not known yet whether it runs.
+    fn losses(&mut self, counts: &Counts, dead: &impl Fn(&str, Ms) -> Option<bool>, seen: Ms) -> Option<f64> {
+        let mut sum = 0.0;
+        let mut died = Vec::new();
+        for (host, many) in &counts.lost_at {
+            if dead(host, seen)? {
+                sum += if self.dead.contains(host) { 0.0 } else { 1.0 };
+                died.push(host.clone());
+            } else {
+                sum += f64::from(*many);
+            }
+        }
+        self.dead.extend(died);
+        Some(sum)
+    }
+
+    /// Settles what can be settled, and says how it stands. `number` is the plan's now. `dead`: whether a host has
+    /// died at or after a time, if that is known. `slots` of the hosts of the new and of the sound version.
+    pub fn judge(
+        &mut self,
+        now: Ms,
+        number: u64,
+        slots: (f64, f64),
+        dead: impl Fn(&str, Ms) -> Option<bool>,
+    ) -> Verdict {
+        if now >= self.settled_at + ROUND {
+            self.settled_at = now;
+            self.settle(now, slots, &dead);
+        }
+        if let Some(why) = self.hard() {
+            return Verdict::Pause(why);
+        }
+        let scopes = self.bets.len().max(2) as f64;
+        let limit = (scopes / self.plan.error).ln();
+        let mean = |logs: &[f64; 3]| {
+            logs.iter().copied().fold(f64::NEG_INFINITY, sum_of_logs) - (logs.len() as f64).ln()
+        };
+        let worst = self.bets.iter().map(|(key, logs)| (mean(logs), key)).max_by(|a, b| a.0.total_cmp(&b.0));
+        if let Some((log, (scope, fault))) = worst {
+            if log >= limit {
+                return Verdict::Pause(self.reason(scope, *fault, log));
+            }
+            if log > limit / 2.0 {
+                return Verdict::Wait(format!("suspected: {}", self.reason(scope, *fault, log)));
+            }
+        }
+        self.enough(now, number)
+    }
+
+    fn hard(&self) -> Option<String> {
+        let (new, old) = (&self.sums.new, &self.sums.old);
+        let doubled = (new.of(Kind::Doubled), old.of(Kind::Doubled));
+        if doubled.0 <= self.plan.bounds.doubled {
+            return None;
+        }
+        // Where the sound version doubles as often, it is not the release.
+        let alike = doubled.1 > 0 && 2 * doubled.1 * new.ended().max(1) >= doubled.0 * old.ended();
+        (!alike)
+            .then(|| format!("{} answered twice by the new version, {} by the other", doubled.0, doubled.1))
+    }
+
+    fn reason(&self, scope: &Scope, fault: Fault, log: f64) -> String {
+        let at = match scope {
+            Scope::Fleet => String::new(),
+            Scope::Zone(zone) => format!(" in zone {zone}"),
+            Scope::Route(route) => format!(" on route {route}"),
+        };
+        let what = match fault {
+            Fault::Late => "late or failed",
+            Fault::Lost => "lost",
+        };
+        let part = |c: &Counts| match fault {
+            Fault::Late => c.slow() as f64 / c.timed().max(1) as f64,
+            Fault::Lost => (c.of(Kind::Lost) + c.of(Kind::Foreign)) as f64 / c.ended().max(1) as f64,
+        };
+        let (new, old) = (100.0 * part(&self.sums.new), 100.0 * part(&self.sums.old));
+        format!("more {what}{at}; of all so far {new:.1}% against {old:.1}%, odds e^{log:.1}")
+    }
+
+    fn enough(&self, now: Ms, number: u64) -> Verdict {
+        let least = self.least;
+        let have = self.counted.get(&number).copied().unwrap_or(0);
+        if have < least {
+            return Verdict::Wait(format!("{have} of {least} answers"));
+        }
+        let silent = self.edges.values().filter(|(heard, _)| now > heard + SILENT).count();
+        if 3 * silent > self.edges.len() {
+            return Verdict::Wait(format!("{silent} of {} edges are silent", self.edges.len()));
+        }
+        if self.pressed_since.is_some() {
+            return Verdict::Wait("the new version's hosts have more than their part to do".into());
+        }
+        if self.sound.0 > TROUBLE * self.sound.1.max(1.0) {
+            return Verdict::Wait("the sound version is late itself".into());
+        }
+        Verdict::Sound
+    }
+
+    fn settle(&mut self, now: Ms, slots: (f64, f64), dead: &impl Fn(&str, Ms) -> Option<bool>) {
+        self.done.retain(|_, (seen, _, _)| now < *seen + REMEMBERED);
+        let dead = |host: &str, seen: Ms| dead(host, seen).or((now >= seen + UNSURE).then_some(false));
+        let due = |key: &Key, s: &Stratum| {
+            let later = self.edges.get(&key.0).is_some_and(|(_, newest)| *newest > key.2);
+            let sure = |c: &Counts| c.lost_at.iter().all(|(host, _)| dead(host, s.seen).is_some());
+            (later || now >= s.seen + SETTLED) && sure(&s.row.new) && sure(&s.row.old)
+        };
+        let due: Vec<_> = self.rows.iter().filter(|(k, s)| due(k, s)).map(|(k, _)| k.clone()).collect();
+        let mut round: Vec<(String, Row, [f64; 2])> = Vec::new();
+        for key in due {
+            let Some(Stratum { area, row, seen }) = self.rows.remove(&key) else { continue };
+            let doubled = [row.new.of(Kind::Doubled), row.old.of(Kind::Doubled)];
+            self.done.insert(key, (seen, row.count, doubled));
+            let new = self.losses(&row.new, &dead, seen).unwrap_or(0.0);
+            let old = self.losses(&row.old, &dead, seen).unwrap_or(0.0);
+            *self.counted.entry(row.number).or_default() += row.new.ended();
+            let twice = (self.sums.new.of(Kind::Doubled) as u32, self.sums.old.of(Kind::Doubled) as u32);
+            add(&mut self.sums.new, &row.new);
+            add(&mut self.sums.old, &row.old);
+            // Those were counted when they came.
+            self.sums.new.all[Kind::Doubled as usize] = twice.0;
+            self.sums.old.all[Kind::Doubled as usize] = twice.1;
+            round.push((area, row, [new, old]));
+        }
+        self.press(now, slots, &round);
+        self.place(now, &round);
+        self.look(&round);
+    }
+
+    fn press(&mut self, now: Ms, slots: (f64, f64), round: &[(String, Row, [f64; 2])]) {
+        let offered =
+            |f: fn(&Row) -> &Counts| round.iter().map(|(_, r, _)| f(r).of(Kind::Offered)).sum::<u64>();
+        let (new, old) = (offered(|r| &r.new) as f64, offered(|r| &r.old) as f64);
+        let part = if slots.1 > 0.0 { old / slots.1 * slots.0 } else { new };
+        let over = slots.0 > 0.0 && new > PRESSED * part + 3.0 * part.max(1.0).sqrt();
+        self.pressed_since = over.then_some(self.pressed_since.unwrap_or(now));
+    }
+
+    fn place(&mut self, now: Ms, round: &[(String, Row, [f64; 2])]) {
+        let pressed = self.pressed_since.is_some_and(|since| now < since + PRESSED_FOR);
+        let mut gains: BTreeMap<(Scope, Fault), [f64; 3]> = BTreeMap::new();
+        for (area, row, [lost_new, lost_old]) in round {
+            let (new, old) = (&row.new, &row.old);
+            let late = [new.slow(), new.slow() + old.slow(), new.timed(), old.timed()].map(|n| n as f64);
+            let lost = [*lost_new, lost_new + lost_old, new.ended() as f64, old.ended() as f64];
+            let bounds = &self.plan.bounds;
+            for (fault, [x, l, n, o], free, crowd) in
+                [(Fault::Late, late, bounds.late, self.crowd), (Fault::Lost, lost, bounds.lost, 1.0)]
+            {
+                if fault == Fault::Late && pressed {
+                    continue;
+                }
+                for scope in [Scope::Fleet, Scope::Zone(area.clone()), Scope::Route(row.route.clone())] {
+                    let gain = gains.entry((scope, fault)).or_default();
+                    gain.iter_mut().zip(WORSE).for_each(|(g, r)| *g += bet(r, x, l, n, o, free) / crowd);
+                }
+            }
+        }
+        // Where there is but one zone or route, it is the fleet.
+        let many = |f: fn(&Scope) -> bool, all: &BTreeMap<(Scope, Fault), [f64; 3]>| {
+            all.keys().filter(|(s, _)| f(s)).count() > 2
+        };
+        let zones = many(|s| matches!(s, Scope::Zone(_)), &gains);
+        let routes = many(|s| matches!(s, Scope::Route(_)), &gains);
+        let stake = (self.stake + STAKES / self.rounds).ln();
+        self.stake = 0.0;
+        for (key, gain) in gains {
+            let apart = match key.0 {
+                Scope::Fleet => true,
+                Scope::Zone(_) => zones,
+                Scope::Route(_) => routes,
+            };
+            if apart || self.bets.contains_key(&key) {
+                let logs = self.bets.entry(key).or_insert([START.ln(); 3]);
+                logs.iter_mut().zip(gain).for_each(|(log, g)| *log = sum_of_logs(*log, stake) + g);
+            }
+        }
+    }
+
+    /// How crowded late answers of the sound version come: by how much more their number differs between rows than
+    /// that of single accidents would.
+    fn look(&mut self, round: &[(String, Row, [f64; 2])]) {
+        let mut by: BTreeMap<&str, Vec<(f64, f64)>> = BTreeMap::new();
+        for (_, row, _) in round.iter().filter(|(_, r, _)| r.old.timed() > 0) {
+            by.entry(&row.route).or_default().push((row.old.slow() as f64, row.old.timed() as f64));
+        }
+        let keep = 1.0 - FRESH;
+        self.sound = (self.sound.0 * keep, self.sound.1 * keep);
+        for rows in by.values() {
+            let (slow, all) = rows.iter().fold((0.0, 0.0), |s, r| (s.0 + r.0, s.1 + r.1));
+            self.sound = (self.sound.0 + slow, self.sound.1 + all);
+            let p: f64 = slow / all;
+            if rows.len() < 3 || slow < 3.0 || p >= 1.0 {
+                continue;
+            }
+            let spread: f64 = rows.iter().map(|(y, n)| (y - n * p).powi(2) / (n * p * (1.0 - p))).sum();
+            let crowd = spread / (rows.len() - 1) as f64;
+            self.crowd = (keep * self.crowd + FRESH * crowd).clamp(1.0, CROWDS);
+        }
+    }
+
+    /// The step in force.
+    pub fn step(&mut self, step: usize) {
+        if step > self.step {
+            self.stake += STEPS / (self.plan.steps.len().max(2) - 1) as f64;
+            self.step = step;
+        }
+        self.least = self.plan.steps.get(step).map_or(0, |s| s.evidence);
+    }
+
+    pub fn counted(&self, number: u64) -> u64 {
+        self.counted.get(&number).copied().unwrap_or(0)
+    }
+}
--- /dev/null
+++ b/crates/stride/src/ledger.rs
@@ -0,0 +1,224 @@
+//! What an edge counts of both versions while a plan steers, in short spans of time, and tells the centre: each row
+//! whole and as often as it changes, so that a report may be lost, late or taken twice. Its size is bounded.
+use crate::side::Side;
+use crate::Ms;
+use hdrhistogram::Histogram;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// Long enough that a few requests a second make a row worth its bytes, short enough to stop within seconds.
+pub const SPAN: Ms = 2000;
+/// Rows are told again to a new primary for as long; older ones weigh little in what it decides.
+const KEPT: Ms = 60_000;
+/// Routes that are told apart; what is beyond them is one more.
+const ROUTES: usize = 16;
+pub const OTHERS: &str = "*";
+
+/// What became of a try.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    Offered,
+    /// Answered in the aim.
+    Good,
+    Late,
+    /// Answered with a failure of the host's own.
+    Failed,
+    /// It may have run, and no answer came.
+    Lost,
+    /// A second whole answer came for one try: it ran twice.
+    Doubled,
+    /// An answer whose id or seal is wrong.
+    Foreign,
+    /// Answered, by a host that is cold or has much more than its part: says nothing about lateness.
+    Aside,
+}
+
+pub const KINDS: usize = 8;
+
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Counts {
+    #[serde(rename = "n")]
+    pub all: [u32; KINDS],
+    /// (host, tries lost there).
+    #[serde(rename = "l", default, skip_serializing_if = "Vec::is_empty")]
+    pub lost_at: Vec<(String, u32)>,
+    /// Times of answers: (milliseconds, how many), in the steps of a histogram.
+    #[serde(rename = "t", default, skip_serializing_if = "Vec::is_empty")]
+    pub times: Vec<(u32, u32)>,
+}
+
+impl Counts {
+    pub fn of(&self, kind: Kind) -> u64 {
+        u64::from(self.all[kind as usize])
+    }
+
+    /// Tries that speak about lateness.
+    pub fn timed(&self) -> u64 {
+        self.of(Kind::Good) + self.of(Kind::Late) + self.of(Kind::Failed)
+    }
+
+    pub fn slow(&self) -> u64 {
+        self.of(Kind::Late) + self.of(Kind::Failed)
+    }
+
+    pub fn ended(&self) -> u64 {
+        self.timed() + self.of(Kind::Aside) + self.of(Kind::Lost) + self.of(Kind::Foreign)
+    }
+}
+
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Row {
+    #[serde(rename = "p")]
+    pub plan: String,
+    /// The plan's number while it was counted.
+    #[serde(rename = "v")]
+    pub number: u64,
+    #[serde(rename = "b")]
+    pub span: u64,
+    #[serde(rename = "r")]
+    pub route: String,
+    /// How often it has changed: the higher one is the later.
+    #[serde(rename = "c")]
+    pub count: u32,
+    pub new: Counts,
+    pub old: Counts,
+}
+
+/// What one edge tells. Centres that are not primary pass it on as it is.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    pub edge: String,
+    /// Which life of the edge counts.
+    pub life: u64,
+    pub area: String,
+    pub rows: Vec<Row>,
+}
+
+struct Page {
+    row: Row,
+    times: [Histogram<u32>; 2],
+    dirty: bool,
+}
+
+fn histogram() -> Histogram<u32> {
+    // One digit: 6% at worst. A minute is longer than any request.
+    Histogram::new_with_bounds(1, 60_000, 1).expect("fixed bounds")
+}
+
+#[derive(Default)]
+pub struct Ledger {
+    edge: String,
+    life: u64,
+    area: String,
+    pages: BTreeMap<(u64, String, u64, String), Page>,
+    /// Sends by host in the span under way, and hosts' slots.
+    sends: BTreeMap<String, (u32, f64)>,
+    sends_span: u64,
+}
+
+impl Ledger {
+    pub fn new(edge: &str, life: u64, area: &str) -> Ledger {
+        Ledger { edge: edge.into(), life, area: area.into(), ..Ledger::default() }
+    }
+
+    fn page(&mut self, now: Ms, plan: &str, number: u64, route: &str) -> &mut Page {
+        let span = now / SPAN;
+        let routes = self.pages.keys().filter(|k| k.0 == span && k.1 == plan).count();
+        let key = (span, plan.to_string(), number, route.to_string());
+        let known = self.pages.contains_key(&key);
+        let key = if known || routes < ROUTES { key } else { (key.0, key.1, key.2, OTHERS.into()) };
+        if !self.pages.contains_key(&key) {
+            let from = (now / SPAN).saturating_sub(KEPT / SPAN);
+            self.pages = self.pages.split_off(&(from, String::new(), 0, String::new()));
+        }
+        self.pages.entry(key).or_insert_with(|| {
+            let row = Row { plan: plan.into(), number, span, route: route.into(), ..Row::default() };
+            Page { row, times: [histogram(), histogram()], dirty: true }
+        })
+    }
+
+    /// A request goes to a host. True if the host gets so much more than its part of what this edge sends that its
+    /// answers tell more about the load than about the version: more than twice its part, beyond chance.
+    pub fn sent(&mut self, now: Ms, host: &str, slots: f64) -> bool {
+        if now / SPAN != self.sends_span {
+            (self.sends_span, self.sends) = (now / SPAN, BTreeMap::new());
+        }
+        match self.sends.get_mut(host) {
+            Some(entry) => entry.0 += 1,
+            None => drop(self.sends.insert(host.into(), (1, slots.max(1.0)))),
+        }
+        let (sum, all) = self.sends.values().fold((0.0, 0.0), |(n, s), e| (n + f64::from(e.0), s + e.1));
+        let (own, own_slots) = self.sends[host];
+        // Of the others: a host with nearly everything would otherwise be its own measure.
+        let rest = (sum - f64::from(own)) / (all - own_slots).max(own_slots);
+        let part = rest * own_slots;
+        self.sends.len() > 2 && f64::from(own) > 2.0 * part + 3.0 * part.max(1.0).sqrt()
+    }
+
+    /// `took`: where it was answered. `host`: where it was lost.
+    #[allow(clippy::too_many_arguments)]
+    pub fn note(
+        &mut self,
+        now: Ms,
+        plan: &str,
+        number: u64,
+        route: &str,
+        side: Side,
+        kind: Kind,
+        took: Option<Ms>,
+        host: Option<&str>,
+    ) {
+        let page = self.page(now, plan, number, route);
+        page.dirty = true;
+        page.row.count += 1;
+        let which = side as usize;
+        let counts = if side == Side::New { &mut page.row.new } else { &mut page.row.old };
+        counts.all[kind as usize] += 1;
+        if let (Kind::Lost | Kind::Foreign, Some(host)) = (kind, host) {
+            match counts.lost_at.iter_mut().find(|(h, _)| h == host) {
+                Some((_, n)) => *n += 1,
+                None => counts.lost_at.push((host.into(), 1)),
+            }
+        }
+        if let Some(took) = took {
+            page.times[which].saturating_record(took.max(1));
+        }
+    }
+
+    /// What has changed since the last report, as much as fits into `most` bytes: rows of the newest time first. What
+    /// does not fit comes with the next one.
+    pub fn report(&mut self, most: usize) -> Option<Report> {
+        let mut rows: Vec<Row> = Vec::new();
+        let mut bytes = 64;
+        for page in self.pages.values_mut().rev().filter(|p| p.dirty) {
+            let mut row = page.row.clone();
+            for (counts, times) in [&mut row.new, &mut row.old].into_iter().zip(&page.times) {
+                let each = times.iter_recorded().map(|v| (v.value_iterated_to() as u32, v.count_at_value()));
+                counts.times = each.collect();
+            }
+            let size = serde_json::to_string(&row).map_or(0, |t| t.len());
+            if bytes + size > most && !rows.is_empty() {
+                break;
+            }
+            bytes += size;
+            page.dirty = false;
+            rows.push(row);
+        }
+        let (edge, life, area) = (self.edge.clone(), self.life, self.area.clone());
+        (!rows.is_empty()).then_some(Report { edge, life, area, rows })
+    }
+
+    /// A new primary has heard nothing yet, or a report was lost: all that is kept is told again.
+    pub fn again(&mut self) {
+        self.pages.values_mut().for_each(|p| p.dirty = true);
+    }
+
+    pub fn idle(&self) -> bool {
+        self.pages.is_empty()
+    }
+
+    pub fn clear(&mut self) {
+        self.pages.clear();
+        self.sends.clear();
+    }
+}
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -2,6 +2,7 @@
 pub mod boot;
 pub mod config;
 mod field;
+pub mod rollout;
 
 pub use boot::Boot;
 pub use config::{Config, Route, Routes, Service};
