--- a/crates/stride/src/ledger.rs
+++ b/crates/stride/src/ledger.rs
@@ -4,7 +4,7 @@
 use crate::Ms;
 use hdrhistogram::Histogram;
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 /// Long enough that a few requests a second make a row worth its bytes, short enough to stop within seconds.
 pub const SPAN: Ms = 2000;
@@ -42,6 +42,9 @@
     /// (host, tries lost there).
     #[serde(rename = "l", default, skip_serializing_if = "Vec::is_empty")]
     pub lost_at: Vec<(String, u32)>,
+    /// (host, late or failed there), of the new version: one host's trouble is not the version's.
+    #[serde(rename = "s", default, skip_serializing_if = "Vec::is_empty")]
+    pub slow_at: Vec<(String, u32)>,
     /// Times of answers: (milliseconds, how many), in the steps of a histogram.
     #[serde(rename = "t", default, skip_serializing_if = "Vec::is_empty")]
     pub times: Vec<(u32, u32)>,
@@ -100,6 +103,18 @@
     dirty: bool,
 }
 
+impl Page {
+    fn told(&mut self) -> Row {
+        self.dirty = false;
+        let mut row = self.row.clone();
+        for (counts, times) in [&mut row.new, &mut row.old].into_iter().zip(&self.times) {
+            let each = times.iter_recorded().map(|v| (v.value_iterated_to() as u32, v.count_at_value()));
+            counts.times = each.collect();
+        }
+        row
+    }
+}
+
 fn histogram() -> Histogram<u32> {
     // One digit: 6% at worst. A minute is longer than any request.
     Histogram::new_with_bounds(1, 60_000, 1).expect("fixed bounds")
@@ -110,10 +125,17 @@
     edge: String,
     life: u64,
     area: String,
-    pages: BTreeMap<(u64, String, u64, String), Page>,
+    /// Of the span under way.
+    open: Vec<Page>,
+    /// Whether something in it can't wait for its end.
+    hard: bool,
+    /// Of earlier spans, the newest last.
+    kept: VecDeque<Page>,
     /// Sends by host in the span under way, and hosts' slots.
     sends: BTreeMap<String, (u32, f64)>,
     sends_span: u64,
+    /// Sum of both.
+    sends_all: (f64, f64),
 }
 
 impl Ledger {
@@ -121,34 +143,54 @@
         Ledger { edge: edge.into(), life, area: area.into(), ..Ledger::default() }
     }
 
-    fn page(&mut self, now: Ms, plan: &str, number: u64, route: &str) -> &mut Page {
+    /// Spans that are over change no more.
+    fn close(&mut self, now: Ms) {
         let span = now / SPAN;
-        let routes = self.pages.keys().filter(|k| k.0 == span && k.1 == plan).count();
-        let key = (span, plan.to_string(), number, route.to_string());
-        let known = self.pages.contains_key(&key);
-        let key = if known || routes < ROUTES { key } else { (key.0, key.1, key.2, OTHERS.into()) };
-        if !self.pages.contains_key(&key) {
-            let from = (now / SPAN).saturating_sub(KEPT / SPAN);
-            self.pages = self.pages.split_off(&(from, String::new(), 0, String::new()));
+        if self.open.first().is_some_and(|p| p.row.span != span) {
+            self.kept.extend(self.open.drain(..));
+            self.hard = false;
+        }
+        while self.kept.front().is_some_and(|p| p.row.span + KEPT / SPAN < span) {
+            self.kept.pop_front();
         }
-        self.pages.entry(key).or_insert_with(|| {
-            let row = Row { plan: plan.into(), number, span, route: route.into(), ..Row::default() };
-            Page { row, times: [histogram(), histogram()], dirty: true }
-        })
+    }
+
+    fn page(&mut self, now: Ms, plan: &str, number: u64, route: &str) -> &mut Page {
+        self.close(now);
+        let of = |p: &Page| p.row.plan == plan && p.row.number == number;
+        let at = self.open.iter().position(|p| of(p) && p.row.route == route);
+        let full = at.is_none() && self.open.iter().filter(|p| of(p)).count() >= ROUTES;
+        let route = if full { OTHERS } else { route };
+        let at = at.or_else(|| self.open.iter().position(|p| of(p) && p.row.route == route));
+        let at = at.unwrap_or_else(|| {
+            let (plan, route, span) = (plan.into(), route.into(), now / SPAN);
+            let row = Row { plan, number, span, route, ..Row::default() };
+            self.open.push(Page { row, times: [histogram(), histogram()], dirty: true });
+            self.open.len() - 1
+        });
+        &mut self.open[at]
     }
 
     /// A request goes to a host. True if the host gets so much more than its part of what this edge sends that its
     /// answers tell more about the load than about the version: more than twice its part, beyond chance.
     pub fn sent(&mut self, now: Ms, host: &str, slots: f64) -> bool {
         if now / SPAN != self.sends_span {
-            (self.sends_span, self.sends) = (now / SPAN, BTreeMap::new());
-        }
-        match self.sends.get_mut(host) {
-            Some(entry) => entry.0 += 1,
-            None => drop(self.sends.insert(host.into(), (1, slots.max(1.0)))),
+            (self.sends_span, self.sends_all) = (now / SPAN, (0.0, 0.0));
+            self.sends.clear();
         }
-        let (sum, all) = self.sends.values().fold((0.0, 0.0), |(n, s), e| (n + f64::from(e.0), s + e.1));
-        let (own, own_slots) = self.sends[host];
+        let (own, own_slots) = match self.sends.get_mut(host) {
+            Some(entry) => {
+                entry.0 += 1;
+                *entry
+            }
+            None => {
+                self.sends_all.1 += slots.max(1.0);
+                self.sends.insert(host.into(), (1, slots.max(1.0)));
+                (1, slots.max(1.0))
+            }
+        };
+        self.sends_all.0 += 1.0;
+        let (sum, all) = self.sends_all;
         // Of the others: a host with nearly everything would otherwise be its own measure.
         let rest = (sum - f64::from(own)) / (all - own_slots).max(own_slots);
         let part = rest * own_slots;
@@ -168,16 +210,22 @@
         took: Option<Ms>,
         host: Option<&str>,
     ) {
+        self.hard |= kind == Kind::Doubled;
         let page = self.page(now, plan, number, route);
         page.dirty = true;
         page.row.count += 1;
         let which = side as usize;
         let counts = if side == Side::New { &mut page.row.new } else { &mut page.row.old };
         counts.all[kind as usize] += 1;
-        if let (Kind::Lost | Kind::Foreign, Some(host)) = (kind, host) {
-            match counts.lost_at.iter_mut().find(|(h, _)| h == host) {
+        let list = match kind {
+            Kind::Lost | Kind::Foreign => Some(&mut counts.lost_at),
+            Kind::Late | Kind::Failed if side == Side::New => Some(&mut counts.slow_at),
+            _ => None,
+        };
+        if let (Some(list), Some(host)) = (list, host) {
+            match list.iter_mut().find(|(h, _)| h == host) {
                 Some((_, n)) => *n += 1,
-                None => counts.lost_at.push((host.into(), 1)),
+                None => list.push((host.into(), 1)),
             }
         }
         if let Some(took) = took {
@@ -185,23 +233,21 @@
         }
     }
 
-    /// What has changed since the last report, as much as fits into `most` bytes: rows of the newest time first. What
-    /// does not fit comes with the next one.
-    pub fn report(&mut self, most: usize) -> Option<Report> {
+    /// Rows of spans that are over, and what ran twice at once; as much as fits into `most` bytes, of the newest time
+    /// first. What does not fit comes with the next one.
+    pub fn report(&mut self, now: Ms, most: usize) -> Option<Report> {
+        self.close(now);
         let mut rows: Vec<Row> = Vec::new();
         let mut bytes = 64;
-        for page in self.pages.values_mut().rev().filter(|p| p.dirty) {
-            let mut row = page.row.clone();
-            for (counts, times) in [&mut row.new, &mut row.old].into_iter().zip(&page.times) {
-                let each = times.iter_recorded().map(|v| (v.value_iterated_to() as u32, v.count_at_value()));
-                counts.times = each.collect();
-            }
-            let size = serde_json::to_string(&row).map_or(0, |t| t.len());
-            if bytes + size > most && !rows.is_empty() {
+        let hard = std::mem::take(&mut self.hard);
+        let open = self.open.iter_mut().filter(|p| hard && p.dirty);
+        for page in open.chain(self.kept.iter_mut().rev().filter(|p| p.dirty)) {
+            let row = page.told();
+            bytes += serde_json::to_string(&row).map_or(0, |t| t.len() + 1);
+            if bytes > most && !rows.is_empty() {
+                page.dirty = true;
                 break;
             }
-            bytes += size;
-            page.dirty = false;
             rows.push(row);
         }
         let (edge, life, area) = (self.edge.clone(), self.life, self.area.clone());
@@ -210,15 +256,16 @@
 
     /// A new primary has heard nothing yet, or a report was lost: all that is kept is told again.
     pub fn again(&mut self) {
-        self.pages.values_mut().for_each(|p| p.dirty = true);
+        self.kept.iter_mut().for_each(|p| p.dirty = true);
     }
 
     pub fn idle(&self) -> bool {
-        self.pages.is_empty()
+        self.open.is_empty() && self.kept.is_empty()
     }
 
     pub fn clear(&mut self) {
-        self.pages.clear();
+        self.open.clear();
+        self.kept.clear();
         self.sends.clear();
     }
 }
