Council: plans are state of the control plane, steered by the primary

Plans are kept as plan/NAME on both disks and published with a number that only rises; how new they are goes with each answer, by the primary's word and its age. Evidence goes up with polls and is passed on. POST and GET /rollouts have a handler of their own. Nothing is told where no plan is in force.

--- a/crates/council/src/feed.rs
+++ b/crates/council/src/feed.rs
@@ -2,6 +2,7 @@
 //! stage, count of calls), so it may be taken twice, in any order, from any centre; a centre follows others the way
 //! that edges follow it, and tells on what was new to it.
 use std::collections::BTreeMap;
+use stride::{Phase, Stand};
 use tidings::{HostNews, News, Settings, SliceNews, Stage};
 
 #[derive(Debug, Default)]
@@ -14,6 +15,7 @@
     settings: Option<(Settings, u64)>,
     hosts: BTreeMap<String, (HostNews, u64)>,
     slices: BTreeMap<String, Vec<(String, u64, u64)>>,
+    plans: BTreeMap<String, (Stand, u64)>,
 }
 
 impl Feed {
@@ -84,6 +86,22 @@
         true
     }
 
+    /// A plan's state, written on both disks.
+    pub fn put_plan(&mut self, new: &Stand) -> bool {
+        if self.plans.get(&new.name).is_some_and(|(old, _)| old.number >= new.number) {
+            return false;
+        }
+        self.seq += 1;
+        self.urgent = self.seq;
+        self.plans.insert(new.name.clone(), (new.clone(), self.seq));
+        true
+    }
+
+    /// Whether any plan steers.
+    pub fn planned(&self) -> bool {
+        self.plans.values().any(|(s, _)| s.phase != Phase::Ended)
+    }
+
     /// What another centre told.
     pub fn merge(&mut self, news: &News) -> bool {
         let before = self.seq;
@@ -93,6 +111,9 @@
         news.hosts.iter().for_each(|h| {
             self.put_host(h);
         });
+        news.plans.iter().for_each(|p| {
+            self.put_plan(p);
+        });
         for table in &news.slices {
             for (first, last, ident, number) in &table.rows {
                 for slice in *first..=(*last).min(table.slices.saturating_sub(1)) {
@@ -123,6 +144,7 @@
             let slices = all.len() as u32;
             (!rows.is_empty()).then(|| SliceNews { backend: backend.clone(), slices, rows })
         });
+        let plans = self.plans.values().filter(|(_, at)| *at > seq).map(|(p, _)| p.clone()).collect();
         News {
             feed: self.id,
             seq: self.seq,
@@ -130,6 +152,7 @@
             settings,
             hosts,
             slices: slices.collect(),
+            plans,
             ..News::default()
         }
     }
--- a/crates/council/src/lib.rs
+++ b/crates/council/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod helm;
 pub mod links;
 pub mod resources;
+pub mod rollouts;
 pub mod state;
 pub mod store;
 pub mod voice;
@@ -202,6 +203,7 @@
             Box::new(resources::Pulses),
             Box::new(resources::SignOffs),
             Box::new(resources::Configurations),
+            Box::new(resources::Plans),
         ];
         serve(&centre, &format!("{}:{port}", boot.ip), peers)?;
         serve(&centre, &me, admin)?;
@@ -286,6 +288,7 @@
         laid: BTreeMap::new(),
         asked: BTreeMap::new(),
         edges: BTreeMap::new(),
+        rollouts: Default::default(),
     })
 }
 
@@ -297,9 +300,11 @@
         round += 1;
         let mut say = Vec::new();
         let (mut state, now) = centre.lock();
+        let mut lines = Vec::new();
         if round % 4 == 0 {
             state.listen(now);
             state.place(now);
+            lines = state.steer(now);
         }
         if round % 100 == 0 {
             state.keys.fade();
@@ -307,6 +312,7 @@
         state.settle(now, &mut say);
         let work = !state.queue.is_empty();
         drop(state);
+        lines.iter().for_each(|line| centre.note(line));
         centre.say(say);
         if work {
             centre.wake();
--- a/crates/council/src/links.rs
+++ b/crates/council/src/links.rs
@@ -54,15 +54,26 @@
                 state.promises.add(peer, asked, spans.promise);
             }
         }
-        let follow = {
+        let (follow, asked_at) = {
             let (mut state, now) = centre.lock();
             let to_primary = state.peers.get(peer).is_some_and(|p| p.standing.acting);
             let asked = if to_primary { std::mem::take(&mut state.asked) } else { Default::default() };
             let asked =
                 asked.into_iter().map(|(backend, c)| Asked { backend, counts: c.into_iter().collect() });
             let standing = Some(state.standing(now, peer));
+            let evidence = if to_primary { state.rollouts.relay() } else { Vec::new() };
             let (edge, area) = (state.me.clone(), String::new());
-            Follow { edge, area, feed, seq, wait_ms: spans.round, asked: asked.collect(), standing }
+            let follow = Follow {
+                edge,
+                area,
+                feed,
+                seq,
+                wait_ms: spans.round,
+                asked: asked.collect(),
+                evidence,
+                standing,
+            };
+            (follow, now)
         };
         match caller.post::<_, News>(&address, "/follow", &follow) {
             Ok(news) => {
@@ -77,11 +88,17 @@
                     centre.heard_seat(&mut state, now, peer, held);
                 }
                 state.merge(&news);
+                state.rollouts.hear(asked_at, &news.plans_seen);
                 state.settle(now, &mut say);
                 drop(state);
                 centre.say(say);
             }
-            Err(_) => std::thread::sleep(Duration::from_millis(spans.round / 4)),
+            Err(_) => {
+                if !follow.evidence.is_empty() {
+                    centre.lock().0.rollouts.put_back(follow.evidence);
+                }
+                std::thread::sleep(Duration::from_millis(spans.round / 4));
+            }
         }
     }
 }
--- a/crates/council/src/resources.rs
+++ b/crates/council/src/resources.rs
@@ -210,6 +210,69 @@
     }
 }
 
+/// `POST /rollouts/NAME`, `POST /rollouts/NAME/ORDER`, `GET /rollouts/NAME`, `GET /rollouts`
+pub struct Plans;
+
+impl Resource for Plans {
+    fn takes<'a>(&self, method: &Method, path: &'a str) -> Option<&'a str> {
+        let rest = path.strip_prefix("/rollouts")?;
+        let whole = rest.is_empty() || rest.starts_with('/');
+        (whole && matches!(method, Method::Get | Method::Post)).then_some(rest)
+    }
+
+    fn handle(&self, centre: &Arc<Centre>, rest: &str, request: Request, body: String) {
+        let (mut state, now) = centre.lock();
+        if !state.acting(now) {
+            let (status, text) = admin(&state, now, &format!("/rollouts{rest}"));
+            drop(state);
+            return centre.text(request, status, text);
+        }
+        let parts: Vec<&str> = rest.split('/').filter(|p| !p.is_empty()).collect();
+        let post = *request.method() == Method::Post;
+        let (config, state_now) = (state.config.clone(), &mut *state);
+        let done = match (post, &parts[..]) {
+            (false, []) => {
+                let names = state_now.rollouts.names().into_iter();
+                let all: Vec<_> = names.filter_map(|n| state_now.rollouts.show(now, n)).collect();
+                Err((200, serde_json::json!({ "rollouts": all }).to_string()))
+            }
+            (false, [name]) => {
+                let found = state_now.rollouts.show(now, name);
+                Err(found.map_or((404, one_line(format!("no plan {name}"))), |v| (200, v.to_string())))
+            }
+            (true, [name]) => {
+                let puts = state_now.rollouts.submit(now, name, &body, config.as_ref());
+                puts.map_err(|(status, why)| (status, one_line(why)))
+            }
+            (true, [name, order]) => match stride::Order::named(order) {
+                Some(order) => {
+                    let puts = state_now.rollouts.order(now, name, order);
+                    puts.map_err(|(status, why)| (status, one_line(why)))
+                }
+                None => Err((404, one_line(format!("no order {order}")))),
+            },
+            _ => Err((404, one_line("nothing here"))),
+        };
+        match done {
+            Ok(puts) => {
+                // An order that changes nothing waits for what made it so.
+                let ticket = if puts.is_empty() { state.tickets } else { state.queue(puts, None) };
+                let until = now + 4 * state.spans.call;
+                state.parked.push(Parked { request, until, ticket, heard: 0, kind: Kind::Order });
+                drop(state);
+                centre.wake();
+            }
+            Err((status, text)) => {
+                drop(state);
+                if status == 400 || status == 409 {
+                    centre.note(&format!("Plans: {rest} is refused: {text}."));
+                }
+                centre.text(request, status, text);
+            }
+        }
+    }
+}
+
 /// `POST /follow`: edges, and other centres.
 pub struct Follows;
 
--- a/crates/council/src/state.rs
+++ b/crates/council/src/state.rs
@@ -1,6 +1,7 @@
 //! All that a centre knows, behind one lock, and what it makes of it. No I/O here: answers that are due are handed to
 //! the voice, writes to the scribe.
 use crate::feed::Feed;
+use crate::rollouts::{self, Hosts, Rollouts};
 use crate::store::Put;
 use accord::{majority, Ballot, Id, Ms, Promises, Record, Seat};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -146,6 +147,7 @@
     pub laid: BTreeMap<String, Ms>,
     pub asked: BTreeMap<String, BTreeMap<u32, u32>>,
     pub edges: BTreeMap<String, Ms>,
+    pub rollouts: Rollouts,
 }
 
 /// What the voice is to say, outside of the lock.
@@ -240,6 +242,13 @@
     /// The answer to a follower.
     pub fn news(&self, now: Ms, feed: u64, seq: u64, centre: Option<&str>) -> News {
         let mut news = self.feed.since(feed, seq);
+        if self.feed.planned() {
+            let epoch = match &self.role {
+                Role::Acting(record) if self.acting(now) => Some(record.epoch.n),
+                _ => None,
+            };
+            news.plans_seen = self.rollouts.seen(now, epoch);
+        }
         news.alone = self.alone(now);
         news.up_ms = now;
         news.edges = self.edges.values().filter(|at| now < **at + 30_000).count() as u32;
@@ -259,6 +268,10 @@
             self.edges.insert(follow.edge.clone(), now);
         }
         self.count(&follow.asked);
+        if !follow.evidence.is_empty() {
+            let acts = matches!(self.role, Role::Acting(_));
+            self.rollouts.take(now, acts, &follow.evidence);
+        }
         let known = follow.feed == self.feed.id;
         let heard = if known { follow.seq } else { 0 };
         let follower = Follower { heard, seen: now, edge: centre.is_none() };
@@ -415,6 +428,9 @@
             self.feed.put_settings(&settings);
             self.took_settings();
         }
+        for stand in self.rollouts.took_over(now, self.held.iter()) {
+            self.feed.put_plan(&stand);
+        }
         // By then every host that is there has beaten here.
         self.settled_at = now + self.spans.beat * 5 / 2;
         self.record = record.clone();
@@ -424,6 +440,7 @@
     pub fn step_down(&mut self) {
         if matches!(self.role, Role::Acting(_)) {
             self.role = Role::Idle;
+            self.rollouts.step_down();
             self.failed = self.tickets;
             self.queue.clear();
         }
@@ -436,6 +453,9 @@
                 self.held.insert(name.clone(), value.clone());
             }
             self.keys.apply(now, &change.puts);
+            for stand in change.puts.iter().filter_map(rollouts::read) {
+                self.feed.put_plan(&stand);
+            }
             if let Some(settings) = &change.settings {
                 self.feed.put_settings(settings);
                 self.took_settings();
@@ -444,6 +464,30 @@
         }
     }
 
+    /// What plans come to; a line about each change.
+    pub fn steer(&mut self, now: Ms) -> Vec<String> {
+        if !self.acting(now) || !self.feed.planned() {
+            return Vec::new();
+        }
+        let (feed, beats, beat, me) = (&self.feed, &self.beats, self.spans.beat, &self.me);
+        let all = || feed.hosts().cloned().collect();
+        let dead = |ident: &str, told: Ms| match feed.host(ident) {
+            None => Some(true),
+            Some(host) if host.silent || host.stage == Stage::Gone => Some(true),
+            // A host that beats elsewhere is known to live once it would have been found silent.
+            Some(host) => {
+                let beaten = host.via == *me && beats.get(ident).is_some_and(|b| b.at > told);
+                (beaten || now > told + 3 * beat).then_some(false)
+            }
+        };
+        let changes = self.rollouts.tick(now, self.config.as_ref(), &Hosts { all: &all, dead: &dead });
+        let (puts, lines): (Vec<Put>, Vec<String>) = changes.into_iter().unzip();
+        if !puts.is_empty() {
+            self.queue(puts, None);
+        }
+        lines
+    }
+
     /// Hosts of a divided service, as placement sees them.
     pub fn hosts_of(&self, now: Ms, service: &str) -> Vec<Host> {
         let of = self.feed.hosts().filter(|h| h.backend == service && h.stage < Stage::Gone);
--- a/crates/tidings/src/lib.rs
+++ b/crates/tidings/src/lib.rs
@@ -26,6 +26,9 @@
     /// Requests counted by slice since the last poll that was answered.
     #[serde(skip_serializing_if = "nothing")]
     pub asked: Vec<Asked>,
+    /// What was counted of versions since, where a plan steers; centres that are not primary pass it on.
+    #[serde(skip_serializing_if = "nothing")]
+    pub evidence: Vec<stride::Report>,
     /// Where a centre follows another: who it is, and how it stands.
     #[serde(skip_serializing_if = "nothing")]
     pub standing: Option<Standing>,
@@ -145,6 +148,22 @@
     pub hosts: Vec<HostNews>,
     #[serde(skip_serializing_if = "nothing")]
     pub slices: Vec<SliceNews>,
+    /// Plans; the higher number counts.
+    #[serde(skip_serializing_if = "nothing")]
+    pub plans: Vec<stride::Stand>,
+    /// How new all plans are that this centre has told, where there are any.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub plans_seen: Option<Seen>,
+    /// When the follower asked for this: not told, put in by it.
+    #[serde(skip)]
+    pub asked_at: Option<std::time::Instant>,
+}
+
+/// The primary of an epoch had these plans so long ago, and no others.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Seen {
+    pub epoch: u64,
+    pub age_ms: u64,
 }
 
 /// An acknowledged configuration, as the operator sent it.
