Edges choose versions by plan, and tell what both do

The version is chosen where service and host are picked: by a stable hash of the session, the client's address or the key. What may have run stays with its version; a second sealed answer to one try stops the edge's own share at once. Without a plan nothing is looked at, told or counted. Four tests on loopback.

--- a/crates/course/src/book.rs
+++ b/crates/course/src/book.rs
@@ -20,6 +20,8 @@
 pub struct Host {
     pub ident: Rc<str>,
     pub service: Rc<str>,
+    /// Of its software.
+    pub revision: Rc<str>,
     pub address: SocketAddr,
     /// In this edge's zone.
     pub near: bool,
@@ -224,6 +226,7 @@
         let host = Host {
             ident: ident.clone(),
             service,
+            revision: news.revision.as_str().into(),
             address,
             near: news.area == self.area,
             capacity: news.capacity,
--- a/crates/course/src/pick.rs
+++ b/crates/course/src/pick.rs
@@ -29,6 +29,8 @@
     pub left: Ms,
     /// For how long a host that leaves may still get requests for keys that it holds.
     pub stays: Ms,
+    /// Hosts of this revision only, or all but them, where a plan tells versions apart by it.
+    pub revision: Option<(&'a str, bool)>,
     /// Hosts that this request has been to.
     pub tried: &'a [Rc<str>],
 }
@@ -46,7 +48,7 @@
 
 /// ```
 /// use course::{pick, Ask, Book, Choice};
-/// let ask = Ask { service: "b", key: None, repeatable: true, rank: 0, left: 900, stays: 0, tried: &[] };
+/// let ask = Ask { service: "b", key: None, repeatable: true, rank: 0, left: 900, stays: 0, revision: None, tried: &[] };
 /// assert_eq!(pick::pick(&Book::new("north"), &ask, 0, &mut fastrand::Rng::with_seed(1)), Choice::Nobody);
 /// ```
 pub fn pick(book: &Book, ask: &Ask, now: Ms, chance: &mut fastrand::Rng) -> Choice {
@@ -62,8 +64,13 @@
             None => Choice::Unheld,
         };
     }
-    let usable: Vec<&Host> =
-        part.hosts.iter().filter_map(|ident| book.host(ident)).filter(|host| host.usable(now)).collect();
+    let fits = |host: &Host| ask.revision.is_none_or(|(name, is)| (*host.revision == *name) == is);
+    let usable: Vec<&Host> = part
+        .hosts
+        .iter()
+        .filter_map(|ident| book.host(ident))
+        .filter(|host| host.usable(now) && fits(host))
+        .collect();
     // Judgement may be wrong about many hosts at once, such as when the trouble is this edge's own.
     let mut aside: Vec<&Host> =
         usable.iter().copied().filter(|host| host.health.aside(ask.repeatable, now)).collect();
@@ -152,7 +159,16 @@
     }
 
     fn ask(repeatable: bool) -> Ask<'static> {
-        Ask { service: "b", key: None, repeatable, rank: 0, left: 1_000, stays: 0, tried: &[] }
+        Ask {
+            service: "b",
+            key: None,
+            repeatable,
+            rank: 0,
+            left: 1_000,
+            stays: 0,
+            revision: None,
+            tried: &[],
+        }
     }
 
     #[test]
--- a/crates/stride/src/side.rs
+++ b/crates/stride/src/side.rs
@@ -109,7 +109,9 @@
         };
         let plan = self.all.iter().position(about)?;
         let live = &self.all[plan];
-        let held = self.fresh_at.is_some_and(|at| now < at + live.plan.lease.as_millis() as Ms);
+        // What is done has no sound version to fall back to.
+        let done = live.phase == Phase::Done;
+        let held = done || self.fresh_at.is_some_and(|at| now < at + live.plan.lease.as_millis() as Ms);
         let place = || share::place(&live.plan.service, &live.name, member);
         let new = held && !live.stopped && live.share > 0.0 && place() < live.share;
         Some(Choice { plan, number: live.number, side: if new { Side::New } else { Side::Old } })
--- a/crates/terms/src/rollout.rs
+++ b/crates/terms/src/rollout.rs
@@ -202,6 +202,11 @@
         if config.service(&self.service).is_none() {
             return missing(&self.service, "service", "a service of the configuration in force");
         }
+        let divided = config.service(&self.service).is_some_and(|s| s.split_up);
+        if divided && matches!(self.to, Version::Revision(_)) {
+            // Which hosts have its keys is placement's choice, not an edge's.
+            return missing(&self.service, "service", "one that isn't split up, or versions by backend");
+        }
         let named =
             |route: &crate::Route, name: &str| route.shares.iter().any(|(service, _)| service == name);
         for name in &self.routes {
--- a/crates/transit/src/conns.rs
+++ b/crates/transit/src/conns.rs
@@ -1,9 +1,11 @@
 //! Connections to hosts: kept, counted, and given up at the first doubt.
 use crate::edge::Edge;
 use crate::reply::Sent;
+use crate::steer::{Lookout, Way};
 use course::health::Sign;
 use course::pause;
 use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::HeaderValue;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use rustc_hash::FxHashMap;
 use socket2::SockRef;
@@ -28,7 +30,10 @@
 const HELD: usize = 16 * 1024;
 
 /// A socket that hyper drives while its pool can look at it.
-struct Wire(Rc<RefCell<TcpStream>>);
+struct Wire(Rc<RefCell<Line>>);
+
+/// A connection's socket, and who looks out for what comes twice on it, where a plan steers.
+struct Line(TcpStream, Option<Box<Lookout>>);
 
 impl Read for Wire {
     fn poll_read(
@@ -39,7 +44,11 @@
         let mut bytes = [0; READ_SIZE];
         let most = cursor.remaining().min(READ_SIZE);
         let mut read = ReadBuf::new(&mut bytes[..most]);
-        ready!(Pin::new(&mut *self.0.borrow_mut()).poll_read(cx, &mut read))?;
+        let mut line = self.0.borrow_mut();
+        ready!(Pin::new(&mut line.0).poll_read(cx, &mut read))?;
+        if let Some(lookout) = &mut line.1 {
+            lookout.read(read.filled());
+        }
         cursor.put_slice(read.filled());
         Poll::Ready(Ok(()))
     }
@@ -47,7 +56,7 @@
 
 impl Write for Wire {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut *self.0.borrow_mut()).poll_write(cx, bytes)
+        Pin::new(&mut self.0.borrow_mut().0).poll_write(cx, bytes)
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -59,21 +68,21 @@
         cx: &mut Context<'_>,
         bytes: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut *self.0.borrow_mut()).poll_write_vectored(cx, bytes)
+        Pin::new(&mut self.0.borrow_mut().0).poll_write_vectored(cx, bytes)
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.0.borrow_mut()).poll_flush(cx)
+        Pin::new(&mut self.0.borrow_mut().0).poll_flush(cx)
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.0.borrow_mut()).poll_shutdown(cx)
+        Pin::new(&mut self.0.borrow_mut().0).poll_shutdown(cx)
     }
 }
 
 struct Idle {
     sender: SendRequest<Sent>,
-    stream: Rc<RefCell<TcpStream>>,
+    stream: Rc<RefCell<Line>>,
     since: Instant,
     keep: Option<Duration>,
 }
@@ -105,7 +114,7 @@
     }
 
     /// The connection used last that may safely carry a request now.
-    fn kept(&mut self, ident: &str, repeatable: bool) -> Option<(SendRequest<Sent>, Rc<RefCell<TcpStream>>)> {
+    fn kept(&mut self, ident: &str, repeatable: bool) -> Option<(SendRequest<Sent>, Rc<RefCell<Line>>)> {
         let idle = &mut self.0.get_mut(ident)?.idle;
         while let Some(one) = idle.pop() {
             if one.since.elapsed() >= pause::kept(one.keep, true) || one.sender.is_closed() {
@@ -125,9 +134,9 @@
 }
 
 /// Whether nothing has come, neither bytes that nobody asked for nor the end.
-fn quiet(stream: &RefCell<TcpStream>) -> bool {
+fn quiet(stream: &RefCell<Line>) -> bool {
     let mut byte = [MaybeUninit::uninit()];
-    matches!(SockRef::from(&*stream.borrow()).peek(&mut byte), Err(wrong) if wrong.kind() == io::ErrorKind::WouldBlock)
+    matches!(SockRef::from(&stream.borrow().0).peek(&mut byte), Err(wrong) if wrong.kind() == io::ErrorKind::WouldBlock)
 }
 
 /// A connection's place in its host's count.
@@ -146,7 +155,7 @@
     edge: Rc<Edge>,
     ident: Rc<str>,
     pub sender: SendRequest<Sent>,
-    stream: Rc<RefCell<TcpStream>>,
+    stream: Rc<RefCell<Line>>,
     pub keep: Option<Duration>,
     pub reused: bool,
 }
@@ -186,7 +195,7 @@
         let socket = SockRef::from(&stream);
         let _ = socket.set_tcp_nodelay(true);
         let _ = socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED));
-        let stream = Rc::new(RefCell::new(stream));
+        let stream = Rc::new(RefCell::new(Line(stream, None)));
         let wire = Wire(stream.clone());
         let handshake = http1::Builder::new().max_buf_size(HELD).handshake(wire).await;
         let Ok((sender, connection)) = handshake else { return Err(Unsent::Unreachable) };
@@ -197,6 +206,13 @@
         Ok(Lease { edge, ident, sender, stream, keep: None, reused: false })
     }
 
+    /// Looks out for a second answer to the request that goes out next, if a plan asks for it.
+    pub fn watch(&self, edge: &Rc<Edge>, id: &HeaderValue, way: Option<&Way>, route: &str) {
+        let mut line = self.stream.borrow_mut();
+        let last = line.1.take();
+        line.1 = way.map(|way| Lookout::next(last, edge, id, way, route));
+    }
+
     /// After a whole answer that leaves no doubt.
     pub fn give_back(self) {
         let Lease { edge, ident, mut sender, stream, keep, .. } = self;
--- a/crates/transit/src/edge.rs
+++ b/crates/transit/src/edge.rs
@@ -1,5 +1,6 @@
 //! What all requests of this process share.
 use crate::conns::Pools;
+use crate::steer::Steer;
 use course::budget::{self, Budget};
 use course::{Book, Ms};
 use rustc_hash::FxHashMap;
@@ -87,6 +88,7 @@
     pub tallies: Arc<Tallies>,
     /// Connections of clients.
     pub open: Cell<usize>,
+    pub steer: Steer,
     heard_at: Cell<Option<Ms>>,
     ready: Cell<bool>,
 }
@@ -98,6 +100,7 @@
             log,
             start: Instant::now(),
             book: RefCell::new(Book::new(&boot.area)),
+            steer: Steer::new(&boot.ip, &boot.area),
             boot: RefCell::new(Rc::new(boot)),
             told: RefCell::default(),
             pools: RefCell::default(),
@@ -157,11 +160,15 @@
         for ident in &changed.left {
             self.pools.borrow_mut().drop_idle(ident);
         }
+        if self.steer.on() || !news.plans.is_empty() {
+            self.take_plans(&news);
+        }
         self.news.notify_waiters();
     }
 
     /// Once a second: what only time changes.
     pub fn tick(&self) {
+        self.report();
         let mut changed = course::book::Changed::default();
         self.book.borrow_mut().sweep(self.now(), &mut changed);
         let mut pools = self.pools.borrow_mut();
--- a/crates/transit/src/follow.rs
+++ b/crates/transit/src/follow.rs
@@ -1,10 +1,12 @@
 //! Follows one centre at a time, in a thread of its own.
 use crate::edge::Tallies;
+use crate::steer::{self, Outbox};
 use course::pause;
 use errand::Caller;
 use slog::{info, Logger};
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use terms::Boot;
 use tidings::{Follow, News};
 use tokio::sync::mpsc::UnboundedSender;
@@ -78,6 +80,7 @@
     boot: &Boot,
     log: Logger,
     tallies: Arc<Tallies>,
+    outbox: Arc<Outbox>,
     news: UnboundedSender<News>,
 ) -> eyre::Result<()> {
     let round = Round::new(boot);
@@ -88,11 +91,18 @@
         ..Follow::default()
     };
     let thread = std::thread::Builder::new().name("follow".into()).stack_size(STACK);
-    thread.spawn(move || run(round, follow, &log, &tallies, &news))?;
+    thread.spawn(move || run(round, follow, &log, &tallies, &outbox, &news))?;
     Ok(())
 }
 
-fn run(mut round: Round, mut follow: Follow, log: &Logger, tallies: &Tallies, news: &UnboundedSender<News>) {
+fn run(
+    mut round: Round,
+    mut follow: Follow,
+    log: &Logger,
+    tallies: &Tallies,
+    outbox: &Outbox,
+    news: &UnboundedSender<News>,
+) {
     let caller = Caller::new(CONNECT, WHOLE);
     let mut touch = false;
     while !news.is_closed() {
@@ -101,8 +111,13 @@
             return;
         };
         follow.asked = tallies.take();
+        let planned = outbox.on.load(Ordering::Relaxed);
+        follow.wait_ms = if planned { steer::HELD } else { HELD }.as_millis() as u64;
+        follow.evidence = if planned { outbox.take() } else { Vec::new() };
+        let asked_at = Instant::now();
         let pause = match caller.post::<_, News>(&centre, "/follow", &follow) {
-            Ok(told) => {
+            Ok(mut told) => {
+                told.asked_at = Some(asked_at);
                 (follow.feed, follow.seq) = (told.feed, told.seq);
                 round.told(&told.centres);
                 let alone = told.alone;
@@ -126,6 +141,7 @@
                     touch = false;
                 }
                 tallies.put_back(std::mem::take(&mut follow.asked));
+                outbox.put_back(std::mem::take(&mut follow.evidence));
                 round.bad()
             }
         };
--- a/crates/transit/src/front.rs
+++ b/crates/transit/src/front.rs
@@ -11,7 +11,7 @@
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
@@ -189,7 +189,7 @@
             taken = listener.accept() => taken,
             _ = stay.wait_for(|stay| *stay == Stay::Closing) => return,
         };
-        let Ok((stream, _)) = taken else {
+        let Ok((stream, from)) = taken else {
             // Out of descriptors, as a rule: others must end first.
             tokio::time::sleep(Duration::from_millis(20)).await;
             continue;
@@ -197,7 +197,7 @@
         let most = edge.boot.borrow().open_files.saturating_sub(SPARE_FILES) / 2;
         // Closed unread, it costs the client a new connection elsewhere and nothing else.
         if (edge.open.get() as u64) < most {
-            tokio::task::spawn_local(serve(edge.clone(), stream));
+            tokio::task::spawn_local(serve(edge.clone(), stream, from.ip()));
         }
     }
 }
@@ -210,7 +210,7 @@
     }
 }
 
-async fn serve(edge: Rc<Edge>, stream: TcpStream) {
+async fn serve(edge: Rc<Edge>, stream: TcpStream, from: IpAddr) {
     edge.open.set(edge.open.get() + 1);
     let _open = Open(edge.clone());
     let _ = SockRef::from(&stream).set_tcp_nodelay(true);
@@ -219,7 +219,7 @@
         let (edge, watch) = (edge.clone(), watch.clone());
         async move {
             let (scan, done) = (watch.begin(), Done(watch));
-            let mut answer = pass::serve(&edge, request, scan).await;
+            let mut answer = pass::serve(&edge, request, scan, from).await;
             if edge.leaving() {
                 answer = reply::closing(answer);
             }
--- a/crates/transit/src/lib.rs
+++ b/crates/transit/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod pass;
 pub mod ready;
 pub mod reply;
+pub mod steer;
 
 use course::pause;
 use edge::{Edge, Stay};
@@ -50,7 +51,7 @@
     let (clients, asked) = (bind(&boot.public_plain)?, bind(&boot.readiness)?);
     let (send, news) = tokio::sync::mpsc::unbounded_channel();
     let edge = Edge::new(boot, log.clone());
-    follow::start(&edge.boot.borrow().clone(), log, edge.tallies.clone(), send)?;
+    follow::start(&edge.boot.borrow().clone(), log, edge.tallies.clone(), edge.steer.outbox.clone(), send)?;
     start(&edge, clients, asked, news);
     let mut stamp = stamped();
     let mut second = tokio::time::interval(Duration::from_secs(1));
--- a/crates/transit/src/pass.rs
+++ b/crates/transit/src/pass.rs
@@ -3,6 +3,7 @@
 use crate::edge::{Edge, Told};
 use crate::front::Scan;
 use crate::reply::{self, Flow, Kind, Long, Reply, Sent};
+use crate::steer::{self, Way};
 use bytes::{Bytes, BytesMut};
 use course::health::Sign;
 use course::pick::{self, Ask, Choice};
@@ -15,10 +16,11 @@
 };
 use hyper::{Method, Request, Response, StatusCode, Uri, Version};
 use std::collections::VecDeque;
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use terms::Route;
-use tokio::time::timeout_at;
+use tokio::time::{timeout_at, Instant};
 use verdict::{Broke, Closing, Tally, Turned, Unsent, Verdict};
 
 /// Bodies up to this are held whole, so that a further try can repeat them and a broken answer never begins. It is
@@ -50,6 +52,8 @@
     id: HeaderValue,
     /// When its time is up.
     until: Ms,
+    /// Its version, where a plan speaks about it.
+    way: Option<Way>,
 }
 
 impl Taken<'_> {
@@ -73,8 +77,7 @@
     }
 }
 
-pub async fn serve(edge: &Rc<Edge>, request: Request<Incoming>, scan: Scan) -> Response<Reply> {
-    let now = edge.now();
+pub async fn serve(edge: &Rc<Edge>, request: Request<Incoming>, scan: Scan, from: IpAddr) -> Response<Reply> {
     if !scan.whole {
         // It came in one piece with the request before it, so that its head was not looked at.
         return reply::closing(reply::later(0));
@@ -84,7 +87,7 @@
     }
     let Some(told) = edge.told() else { return reply::later(back(edge, 1_000, false)) };
     let (head, body) = request.into_parts();
-    match read_head(edge, &told, head.method, head.uri, head.version, head.headers, now) {
+    match read_head(edge, &told, head.method, head.uri, head.version, head.headers, from) {
         Ok(taken) => pass(edge, &told, taken, body).await,
         // What cannot be read may have more behind it that is no request.
         Err(Unfit::Unreadable) => reply::closing(reply::own(400)),
@@ -126,8 +129,9 @@
     uri: Uri,
     version: Version,
     mut headers: HeaderMap,
-    now: Ms,
+    from: IpAddr,
 ) -> Result<Taken<'a>, Unfit> {
+    let now = edge.now();
     let host = only(&headers, &HOST)?.ok_or(Unfit::Unreadable)?;
     let id = only(&headers, &TRY_ID)?.ok_or(Unfit::Unreadable)?.clone();
     let coding = only(&headers, &TRANSFER_ENCODING)?;
@@ -139,7 +143,8 @@
     }
     let route = host.to_str().ok().and_then(|host| told.routes.lookup(host, uri.path()));
     let route = route.ok_or(Unfit::NoRoute)?;
-    let name = pick::service(&route.shares, id.as_bytes()).ok_or(Unfit::NoRoute)?;
+    let mut name = pick::service(&route.shares, id.as_bytes()).ok_or(Unfit::NoRoute)?;
+    let way = if edge.steer.on() { way(edge, told, route, &headers, from, &mut name, now) } else { None };
     let service = told.config.service(name);
     let divided = service.is_some_and(|service| service.split_up);
     let key = if divided { number(only(&headers, &SHARD_KEY)?)? } else { None };
@@ -159,7 +164,32 @@
         Some(path) if uri.authority().is_some() => Uri::from(path.clone()),
         _ => uri,
     };
-    Ok(Taken { route, service: name, part, key, method, uri, headers, id, until })
+    Ok(Taken { route, service: name, part, key, method, uri, headers, id, until, way })
+}
+
+/// The version of a request, by the plan that speaks about its service. The service follows from it.
+fn way<'a>(
+    edge: &Edge,
+    told: &'a Told,
+    route: &Route,
+    headers: &HeaderMap,
+    from: IpAddr,
+    name: &mut &'a str,
+    now: Ms,
+) -> Option<Way> {
+    let header = edge.steer.member(name, &route.name)?;
+    let divided = told.config.service(name).is_some_and(|service| service.split_up);
+    // A key has one holder in each version, so that all of its requests go the same way.
+    let key = headers.get(&SHARD_KEY).filter(|_| divided);
+    let named = key.or_else(|| headers.get(header?)).map(|value| value.as_bytes().to_vec());
+    let member = named.unwrap_or_else(|| from.to_string().into_bytes());
+    let way = edge.steer.way(now, name, &route.name, &member)?;
+    if let Some(service) = way.service() {
+        // Only where the configuration in force allows it.
+        let (service, _) = route.shares.iter().find(|(one, _)| one == service)?;
+        *name = &told.config.service(service)?.name;
+    }
+    Some(way)
 }
 
 /// Takes out what concerns only one connection.
@@ -230,6 +260,7 @@
     let mut failed: Option<Answer> = None;
     let mut for_key = false;
     let mut told_back = None;
+    let (mut way, mut may_have_run) = (taken.way.clone(), false);
     let wait_until = now + pause::for_holder(taken.route.target_time, taken.left(now));
     loop {
         let now = edge.now();
@@ -244,6 +275,7 @@
             rank: taken.route.rank,
             left,
             stays: edge.stays(),
+            revision: way.as_ref().and_then(Way::hosts),
             tried: &tried,
         };
         let choice = pick::pick(&edge.book.borrow(), &ask, now, &mut edge.chance.borrow_mut());
@@ -258,6 +290,13 @@
                 }
                 continue;
             }
+            // What has certainly not run may go to the sound version.
+            Choice::Nobody
+                if !may_have_run && way.as_ref().is_some_and(|way| way.hosts().is_some_and(|h| h.1)) =>
+            {
+                way = way.map(Way::old);
+                continue;
+            }
             Choice::Nobody | Choice::Overrun => break,
         };
         if tally.arrived > 0 {
@@ -274,7 +313,17 @@
                 None => break,
             },
         };
-        let (verdict, unused) = go(edge, &taken, &ident, body, &mut told_back).await;
+        let (since, aside) = match &way {
+            Some(way) => (Some(Instant::now()), edge.steered(way, &ident, now)),
+            None => (None, false),
+        };
+        let (verdict, unused) = go(edge, &taken, &ident, body, &mut told_back, way.as_ref()).await;
+        if let (Some(way), Some(since)) = (&way, since) {
+            let failed = matches!(&verdict, Verdict::Ran(answer) if answer.status.is_server_error());
+            let aim = taken.route.target_time.map_or(Ms::MAX, |time| time.as_millis() as Ms);
+            edge.weigh(way, &taken.route.name, &ident, &verdict, failed, steer::took(since), aim, aside);
+        }
+        may_have_run |= matches!(&verdict, Verdict::Ran(_) | Verdict::MayHaveRun(_));
         if let (Held::Long(flow), Some(Sent::Flow(back))) = (&mut held, unused) {
             *flow = Some(back);
         }
@@ -329,6 +378,7 @@
     ident: &Rc<str>,
     body: Sent,
     told_back: &mut Option<Ms>,
+    way: Option<&Way>,
 ) -> (Verdict<Answer>, Option<Sent>) {
     let mut working = Working::new(edge, ident);
     let Some(address) = edge.book.borrow().host(ident).map(|host| host.address) else {
@@ -362,6 +412,7 @@
     *request.headers_mut() = taken.headers.clone();
     request.headers_mut().insert(TIME_LEFT, HeaderValue::from(taken.left(sent_at)));
     request.headers_mut().insert(WANTED_SERVER, wanted);
+    lease.watch(edge, &taken.id, way, &taken.route.name);
     let until = edge.at(taken.until);
     let answer = match timeout_at(until, lease.sender.try_send_request(request)).await {
         Ok(Ok(answer)) => answer,
--- a/crates/transit/tests/transit/follow.rs
+++ b/crates/transit/tests/transit/follow.rs
@@ -61,7 +61,7 @@
     let tallies = std::sync::Arc::new(transit::edge::Tallies::default());
     tallies.count("parted", 4);
     let (send, mut taken) = tokio::sync::mpsc::unbounded_channel();
-    transit::follow::start(&boot, Logger::root(Discard, o!()), tallies, send).unwrap();
+    transit::follow::start(&boot, Logger::root(Discard, o!()), tallies, Default::default(), send).unwrap();
     for seq in 5..8 {
         assert_eq!(taken.blocking_recv().map(|news| (news.feed, news.seq)), Some((9, seq)));
     }
--- a/crates/transit/tests/transit/main.rs
+++ b/crates/transit/tests/transit/main.rs
@@ -1,5 +1,6 @@
 //! The edge among hosts that fail in every way that the protocol tells of.
 mod follow;
+mod rollout;
 mod stand_ins;
 
 use stand_ins::*;
--- /dev/null
+++ b/crates/transit/tests/transit/rollout.rs
@@ -0,0 +1,140 @@
+//! A plan at an edge, among hosts of two revisions.
+use crate::stand_ins::*;
+use std::time::Instant;
+use stride::ledger::Kind;
+use stride::pace::{Order, Stand};
+use tidings::{HostNews, News, Seen, Stage};
+
+const BODY: &str = r#"{"service": "plain", "from": {"revision": "v1"}, "to": {"revision": "v2"}, "member": "Session",
+    "steps": [{"share": 0.5}, {"share": 1}]}"#;
+
+fn stand() -> Stand {
+    Stand::submit("friday", BODY, None).unwrap()
+}
+
+fn of(host: &Host, revision: &str) -> HostNews {
+    HostNews { revision: revision.into(), ..host.news(Stage::Ready, 1) }
+}
+
+/// What a primary says now.
+fn told(plans: Vec<Stand>, epoch: u64) -> News {
+    let plans_seen = Some(Seen { epoch, age_ms: 0 });
+    News { plans, plans_seen, asked_at: Some(Instant::now()), ..News::default() }
+}
+
+async fn two(old: &Host, new: &Host) -> Rig {
+    let rig = rig(&[]).await;
+    // Time enough that a proof of now does not lie before the edge's start.
+    rig.edge.take(News { hosts: vec![of(old, "v1"), of(new, "v2")], ..News::default() });
+    rig
+}
+
+async fn ask(rig: &Rig, path: &str, n: u32) -> String {
+    let more = format!("Session: s{n}\r\nConnection: close\r\n");
+    rig.raw(request(path, &n.to_string(), &more).as_bytes()).await
+}
+
+#[test]
+fn sessions_keep_their_version_and_a_pause_moves_all_back() {
+    play(|| async {
+        let old = host("i-old", |_, head| Act::Send(good(head, "old"))).await;
+        let new = host("i-new", |_, head| Act::Send(good(head, "new"))).await;
+        let rig = two(&old, &new).await;
+        rig.edge.take(told(vec![stand()], 1));
+        let mut first = Vec::new();
+        for n in 0..40 {
+            first.push(ask(&rig, "/once/", n).await.ends_with("new"));
+        }
+        let many = first.iter().filter(|new| **new).count();
+        assert!((8..32).contains(&many), "{many}");
+        for n in 0..40 {
+            assert_eq!(ask(&rig, "/again/", n).await.ends_with("new"), first[n as usize], "session {n}");
+        }
+        let paused = stand().order(0, Order::Pause, "").unwrap().unwrap();
+        rig.edge.take(told(vec![paused.clone()], 1));
+        rig.edge.take(told(vec![stand()], 1));
+        let before = new.count();
+        for n in 0..20 {
+            assert!(ask(&rig, "/once/", n).await.ends_with("old"), "{n}");
+        }
+        assert_eq!(new.count(), before);
+        // With the plan gone, both are hosts like any other.
+        rig.edge.take(told(vec![paused.order(0, Order::End, "").unwrap().unwrap()], 1));
+        assert!(!rig.edge.steer.on());
+    });
+}
+
+#[test]
+fn a_doubled_booking_stops_this_edge_at_once_and_is_told() {
+    play(|| async {
+        let old = host("i-old", |_, head| Act::Send(good(head, "old"))).await;
+        let new = host("i-new", |_, head| Act::Send([good(head, "new"), good(head, "new")].concat())).await;
+        let rig = two(&old, &new).await;
+        rig.edge.take(told(vec![stand()], 1));
+        let mut at = 0;
+        while new.count() == 0 {
+            assert_eq!(status(&ask(&rig, "/once/", at).await), 200);
+            at += 1;
+        }
+        for n in 0..20 {
+            assert!(ask(&rig, "/once/", 100 + n).await.ends_with("old"));
+        }
+        assert_eq!(new.count(), 1);
+        rig.edge.report();
+        let rows: Vec<_> = rig.edge.steer.outbox.take().into_iter().flat_map(|r| r.rows).collect();
+        assert_eq!(rows.iter().map(|r| r.new.of(Kind::Doubled)).max(), Some(1));
+        assert_eq!(rows[0].route, "once");
+    });
+}
+
+#[test]
+fn what_may_have_run_is_never_tried_at_the_other_version() {
+    play(|| async {
+        let old = host("i-old", |_, head| Act::Send(good(head, "old"))).await;
+        let new = host("i-new", |n, head| match n % 2 {
+            0 => Act::Reset,
+            _ => Act::Send(answer(head, "503 Busy", "Not-Run: full\r\n", "")),
+        })
+        .await;
+        let rig = two(&old, &new).await;
+        let whole = Stand { body: BODY.replace("0.5", "0.9"), ..stand() };
+        rig.edge.take(told(vec![whole], 1));
+        let (mut unknown, mut turned) = (0, 0);
+        for n in 0..20 {
+            let (seen, before) = (new.count(), old.count());
+            let got = status(&ask(&rig, "/once/", n).await);
+            match (new.count() - seen, got) {
+                // It was reset at the new version: nobody else gets it.
+                (1, 502) => {
+                    unknown += 1;
+                    assert_eq!(old.count(), before, "{n}");
+                }
+                // It was turned away unrun, and the sound version has run it.
+                (1, 200) => {
+                    turned += 1;
+                    assert_eq!(old.count(), before + 1);
+                }
+                (0, 200) => {}
+                other => panic!("{n}: {other:?}"),
+            }
+        }
+        assert!(unknown > 3 && turned > 3, "{unknown} {turned}");
+    });
+}
+
+#[test]
+fn without_a_word_from_a_primary_nothing_goes_to_the_new_version() {
+    play(|| async {
+        let old = host("i-old", |_, head| Act::Send(good(head, "old"))).await;
+        let new = host("i-new", |_, head| Act::Send(good(head, "new"))).await;
+        let rig = two(&old, &new).await;
+        rig.edge.take(News { plans: vec![stand()], ..News::default() });
+        // A word that is older than the lease is none.
+        let old_word = Some(Seen { epoch: 1, age_ms: 2_600 });
+        rig.edge.take(News { plans_seen: old_word, asked_at: Some(Instant::now()), ..News::default() });
+        for n in 0..30 {
+            assert!(ask(&rig, "/once/", n).await.ends_with("old"));
+        }
+        assert_eq!(new.count(), 0);
+    });
+}
