--- a/crates/stride/examples/evening/page.rs
+++ b/crates/stride/examples/evening/page.rs
@@ -32,7 +32,7 @@
     let seeds = played.iter().find(of).map_or(0, |p| p.all.len());
     let edges = if large { crate::LARGE.edges } else { crate::SMALL.edges };
     let mut text = format!("### {edges} edges, {seeds} seeds of each\n\n");
-    if large {
+    if seeds > 0 {
         text += "Each edge alone and fixed steps: a quarter of the seeds.\n\n";
     }
     text += "Bad releases; median / worst. *Met*: of all requests of the evening, those that the new version ran, in %. \
--- a/crates/stride/src/ledger.rs
+++ b/crates/stride/src/ledger.rs
@@ -99,17 +99,26 @@
 
 struct Page {
     row: Row,
-    times: [Histogram<u32>; 2],
+    /// Of the new and of the old version, as they came.
+    times: [Vec<u32>; 2],
     dirty: bool,
 }
 
+/// Answers of one route in one span whose times are kept; more tell nothing new.
+const TIMES: usize = 4096;
+
 impl Page {
-    fn told(&mut self) -> Row {
+    fn told(&mut self, scratch: &mut Histogram<u32>) -> Row {
         self.dirty = false;
         let mut row = self.row.clone();
         for (counts, times) in [&mut row.new, &mut row.old].into_iter().zip(&self.times) {
-            let each = times.iter_recorded().map(|v| (v.value_iterated_to() as u32, v.count_at_value()));
-            counts.times = each.collect();
+            if times.is_empty() {
+                continue;
+            }
+            scratch.reset();
+            times.iter().for_each(|time| scratch.saturating_record(u64::from(*time)));
+            let each = scratch.iter_recorded();
+            counts.times = each.map(|v| (v.value_iterated_to() as u32, v.count_at_value())).collect();
         }
         row
     }
@@ -131,6 +140,7 @@
     hard: bool,
     /// Of earlier spans, the newest last.
     kept: VecDeque<Page>,
+    scratch: Option<Histogram<u32>>,
     /// Sends by host in the span under way, and hosts' slots.
     sends: BTreeMap<String, (u32, f64)>,
     sends_span: u64,
@@ -165,7 +175,7 @@
         let at = at.unwrap_or_else(|| {
             let (plan, route, span) = (plan.into(), route.into(), now / SPAN);
             let row = Row { plan, number, span, route, ..Row::default() };
-            self.open.push(Page { row, times: [histogram(), histogram()], dirty: true });
+            self.open.push(Page { row, times: [Vec::new(), Vec::new()], dirty: true });
             self.open.len() - 1
         });
         &mut self.open[at]
@@ -229,7 +239,10 @@
             }
         }
         if let Some(took) = took {
-            page.times[which].saturating_record(took.max(1));
+            let times = &mut page.times[which];
+            if times.len() < TIMES {
+                times.push(took.clamp(1, u64::from(u32::MAX)) as u32);
+            }
         }
     }
 
@@ -240,9 +253,10 @@
         let mut rows: Vec<Row> = Vec::new();
         let mut bytes = 64;
         let hard = std::mem::take(&mut self.hard);
+        let scratch = self.scratch.get_or_insert_with(histogram);
         let open = self.open.iter_mut().filter(|p| hard && p.dirty);
         for page in open.chain(self.kept.iter_mut().rev().filter(|p| p.dirty)) {
-            let row = page.told();
+            let row = page.told(scratch);
             bytes += serde_json::to_string(&row).map_or(0, |t| t.len() + 1);
             if bytes > most && !rows.is_empty() {
                 page.dirty = true;
