Council: a plan outlives its primary, tested on three real centres

The first primary is killed after the plan was acknowledged; the next has it, evidence told to any centre reaches it, counts once, and one doubled booking pauses the fleet. Refusals and orders sent twice are in the same test.

--- a/crates/council/tests/centre.rs
+++ b/crates/council/tests/centre.rs
@@ -194,3 +194,39 @@
         assert_eq!(host.stage, tidings::Stage::Emptying);
     }
 }
+
+#[test]
+fn a_plan_outlives_its_primary_and_one_doubled_booking_told_anywhere_pauses_it() {
+    let mut core = Core::start(13);
+    assert_eq!(core.replace(1, "/one/"), 200);
+    let plan =
+        r#"{"service": "s", "from": {"revision": "1"}, "to": {"revision": "2"}, "steps": [{"share": 0.1}]}"#;
+    assert_eq!(core.order("POST", "/rollouts/friday", &plan.replace("\"s\"", "\"t\"")).0, 400);
+    assert_eq!(core.order("POST", "/rollouts/friday", plan).0, 200);
+    assert_eq!(core.order("POST", "/rollouts/other", plan).0, 409);
+    core.kill(0);
+    let read = || -> Value {
+        let (status, text) = core.order("GET", "/rollouts/friday", "");
+        assert_eq!(status, 200, "{text}");
+        serde_json::from_str(&text).unwrap()
+    };
+    assert_eq!((read()["phase"].as_str(), read()["number"].as_u64()), (Some("running"), Some(1)));
+    let mut row = stride::ledger::Row { plan: "friday".into(), number: 1, count: 1, ..Default::default() };
+    row.new.all[stride::Kind::Doubled as usize] = 1;
+    let report = stride::Report { edge: "e".into(), rows: vec![row], ..Default::default() };
+    // To both that are left: one of them is not primary and passes it on; taken twice, it counts once.
+    for ip in &core.ips[1..] {
+        let follow = Follow { edge: "e".into(), evidence: vec![report.clone()], ..Follow::default() };
+        let news: News = core.caller.post(&format!("{ip}:7540"), "/follow", &follow).unwrap();
+        assert!(news.plans_seen.is_some_and(|seen| seen.age_ms < 5_000), "{:?}", news.plans_seen);
+    }
+    let end = Instant::now() + Duration::from_secs(20);
+    while read()["phase"] != "withdrawn" {
+        assert!(Instant::now() < end, "{}", read());
+        core.held(200);
+    }
+    assert_eq!(read()["new"]["doubled"], 1);
+    assert_eq!(core.order("POST", "/rollouts/friday/undo", "").0, 200, "it is so already");
+    assert_eq!(core.order("POST", "/rollouts/friday/end", "").0, 200);
+    assert_eq!(core.order("POST", "/rollouts/friday/resume", "").0, 409);
+}
