--- a/crates/stride/examples/evening/page.rs
+++ b/crates/stride/examples/evening/page.rs
@@ -42,7 +42,10 @@
         |---|---|---|---|---|---|---|---|---|\n";
     let pair = |all: &[Outcome], f: &dyn Fn(&Outcome) -> Option<f64>, digits: usize| {
         let (mid, worst) = middle(all.iter().filter_map(f).collect());
-        format!("{mid:.digits$} / {worst:.digits$}")
+        match mid.is_nan() {
+            true => "-".into(),
+            false => format!("{mid:.digits$} / {worst:.digits$}"),
+        }
     };
     let missed = |all: &[Outcome]| {
         let live = |o: &&Outcome| o.last_sent + 10_000 > crate::world::EVENING && o.first_bad.is_some();
--- a/crates/stride/src/judge.rs
+++ b/crates/stride/src/judge.rs
@@ -39,7 +39,7 @@
 const PRESSED: f64 = 2.0;
 const PRESSED_FOR: Ms = 30_000;
 /// A version is bad at all of its hosts. What one of the new version's has beyond so much within a minute, and beyond
-/// so many times what its others have on average, is that host's own trouble: a hot key, a bad disk.
+/// so many times what the worst of its others has, is that host's own trouble: a hot key, a bad disk.
 const ONE_HOST: f64 = 3.0;
 const OTHERS: f64 = 2.0;
 const ONE_HOST_SPAN: Ms = 60_000;
@@ -252,14 +252,13 @@
 
     /// How many of these the version is to answer for, and not one host alone.
     fn spread(&mut self, fault: Fault, list: &[(String, u32)]) -> f64 {
-        let (hosts, few) = (self.new_hosts, self.new_hosts < HOSTS);
+        let few = self.new_hosts < HOSTS;
         let by = &mut self.by_host[fault as usize];
         let mut sum = 0.0;
         for (host, many) in list {
             let many = f64::from(*many);
-            let all: f64 = by.values().map(|(n, _)| n).sum();
+            let others = by.iter().filter(|(h, _)| *h != host).map(|(_, n)| n.0).fold(0.0, f64::max);
             let own = by.entry(host.clone()).or_default();
-            let others = (all - own.0) / (hosts.max(2) - 1) as f64;
             let more = many.min(ONE_HOST + OTHERS * others - own.1).max(0.0);
             *own = (own.0 + many, own.1 + more);
             sum += if few { many } else { more };
