--- a/crates/regard/src/main.rs
+++ b/crates/regard/src/main.rs
@@ -1,4 +1,5 @@
 //! `regard`: what operators look at.
+mod rollout;
 mod session;
 
 use std::process::ExitCode;
@@ -6,7 +7,8 @@
 /// A group of commands: its name, its lines of help, and what runs it.
 type Group = (&'static str, &'static str, fn(&[String]) -> eyre::Result<String>);
 
-const GROUPS: [Group; 1] = [("session", session::HELP, session::run)];
+const GROUPS: [Group; 2] =
+    [("rollout", rollout::HELP, rollout::run), ("session", session::HELP, session::run)];
 
 fn main() -> ExitCode {
     let words: Vec<String> = std::env::args().skip(1).collect();
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -2,6 +2,7 @@
 pub mod boot;
 pub mod config;
 mod field;
+pub mod rollout;
 pub mod sessions;
 
 pub use boot::Boot;
--- a/crates/transit/src/lib.rs
+++ b/crates/transit/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod ready;
 pub mod reply;
 pub mod sessions;
+pub mod steer;
 
 use course::pause;
 use edge::{Edge, Stay};
@@ -59,7 +60,7 @@
         sessions.start(listener);
         let _ = edge.sessions.set(sessions);
     }
-    follow::start(&edge.boot.borrow().clone(), log, edge.tallies.clone(), send)?;
+    follow::start(&edge.boot.borrow().clone(), log, edge.tallies.clone(), edge.steer.outbox.clone(), send)?;
     start(&edge, clients, asked, news);
     let mut stamp = stamped();
     let mut second = tokio::time::interval(Duration::from_secs(1));
--- a/crates/transit/src/sessions.rs
+++ b/crates/transit/src/sessions.rs
@@ -529,12 +529,12 @@
         // A route of the configuration may allow repeats; a confirmation never does.
         let route = Route { repeatable: false, ..taken.route.clone() };
         let service = taken.service.to_owned();
-        let Taken { part, key, method, uri, headers, id, until, stay, .. } = taken;
+        let Taken { part, key, method, uri, headers, id, until, stay, way, .. } = taken;
         let (sessions, edge) = (self.clone(), edge.clone());
         // A client that breaks off ends its wait, not the sending: the repeat is told how it ended.
         let task = spawn_local(async move {
             let (route, service) = (&route, service.as_str());
-            let taken = Taken { route, service, part, key, method, uri, headers, id, until, stay };
+            let taken = Taken { route, service, part, key, method, uri, headers, id, until, stay, way };
             sessions.send(&edge, taken, bytes, ask).await
         });
         task.await.unwrap_or_else(|_| outcome(502, "unknown"))
