--- /dev/null
+++ b/crates/accord/src/core.rs
@@ -0,0 +1,832 @@
+//! The agreement of one centre, whole: `(now, what came) -> what follows`. Nothing here waits, sends or writes.
+//!
+//! A primary acts while a quorum grants it the lease, counted from when it asked. A change is written here and at every
+//! backup of the record, then looked at once more (is the lease still held?), then it counts. Taking over, replacing a
+//! backup and changing the group are one way: a *bid* for the next epoch, in the order ballot, own disk, backups' disks,
+//! record. The group changes only by the acting primary, from a record that was chosen: first to a record that names
+//! both groups, then to one that names the new one.
+mod bid;
+mod group;
+mod writing;
+
+use crate::{Acceptor, Ballot, Held, Id, Leases, Ms, No, Record, Witness, WitnessCall, WitnessSay};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// Who waits for an answer: given by the adapter.
+pub type Caller = u64;
+/// A call or a write of the core's own; each comes back once.
+pub type Token = u64;
+/// A name of the control state and its value.
+pub type Put = (String, String);
+
+/// Time spans; all follow from the settings.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
+pub struct Spans {
+    pub lease: Ms,
+    /// How often a primary asks for its lease again, and centres hear of each other.
+    pub round: Ms,
+    /// How long anything between directors may take.
+    pub call: Ms,
+    /// After so long a silence a witness is replaced, if anybody is there to take its place.
+    pub patience: Ms,
+    /// How long a centre that is told to end has to hand over.
+    pub leave: Ms,
+    /// How many disks may be lost at once: so many backups, and twice as many witnesses and one.
+    pub survive: usize,
+}
+
+/// What a primary writes to a backup.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum CopyKind {
+    /// All of the state, with a sum over it.
+    Snapshot { sum: u64 },
+    /// Nothing, if the backup holds just this number of this epoch.
+    Join { epoch: Ballot, seq: u64 },
+    /// The change after `seq - 1`.
+    #[default]
+    Change,
+}
+
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Copy {
+    /// The form of what follows; another one is refused.
+    pub version: u32,
+    pub epoch: Ballot,
+    pub seq: u64,
+    pub kind: CopyKind,
+    pub puts: Vec<Put>,
+}
+
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(default)]
+pub struct CopySay {
+    pub ok: bool,
+    pub why: String,
+    pub life: u64,
+}
+
+const VERSION: u32 = 1;
+
+/// The sum of a snapshot: what is taken is what was sent, whole.
+fn sum(puts: &[Put]) -> u64 {
+    let mix = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3);
+    let text = |h: u64, t: &str| mix(t.bytes().fold(h, mix), 0xff);
+    puts.iter().fold(0xcbf2_9ce4_8422_2325, |h, (n, v)| text(text(h, n), v)) >> 12
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Call {
+    Witness(WitnessCall),
+    Copy(Copy),
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Say {
+    Witness(WitnessSay),
+    Copy(CopySay),
+}
+
+/// What a centre says of itself with every heartbeat.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Told {
+    pub id: Id,
+    /// It is the primary and holds the lease.
+    pub acting: bool,
+    /// Its disk takes writes.
+    pub fit: bool,
+    /// It was told to end.
+    pub leaving: bool,
+    pub life: u64,
+    pub floor: Ballot,
+    pub area: String,
+    /// The newest record that it knows.
+    pub record: Record,
+    pub members: Vec<Id>,
+}
+
+/// A change that waits to be written, with the ticket by which its caller is known.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Change {
+    pub ticket: u64,
+    pub puts: Vec<Put>,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub enum Out {
+    Call {
+        token: Token,
+        to: Id,
+        call: Call,
+        wait: Ms,
+    },
+    Reply {
+        caller: Caller,
+        say: Say,
+    },
+    /// Synced, whole or not at all, in this order.
+    Write {
+        token: Token,
+        state: Vec<Put>,
+        whole: bool,
+        own: Vec<Put>,
+    },
+    Note(String),
+    /// It acts from now on; `fresh`: it did not right before.
+    Acts {
+        fresh: bool,
+    },
+    Stops,
+    /// On all disks of the record, and the lease is held: these are in force.
+    Wrote(Vec<Change>),
+    Failed(Vec<u64>),
+}
+
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
+pub enum Role {
+    #[default]
+    Idle,
+    Acting(Record),
+}
+
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
+pub struct Peer {
+    /// When it was last heard, either way.
+    pub seen: Ms,
+    /// When a call was sent that it has answered.
+    pub contact: Ms,
+    pub told: Told,
+}
+
+/// What waits for an answer of another centre.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+enum Ask {
+    Prepare { to: Id, ballot: Ballot },
+    Accept { to: Id, epoch: Ballot, asked: Ms },
+    Renew { to: Id, epoch: Ballot, asked: Ms },
+    Bring { to: Id, epoch: Ballot, snapshot: bool },
+    Change { to: Id, epoch: Ballot, seq: u64, again: bool },
+    Release,
+}
+
+/// What waits for the disk.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+enum Job {
+    /// A witness's yes; `to`: the caller, or the ask of this centre itself.
+    Vote {
+        to: Result<Caller, Ask>,
+        held: Box<Held>,
+        say: Box<WitnessSay>,
+    },
+    /// The floor of a bid.
+    Floor {
+        ballot: Ballot,
+    },
+    Copied {
+        caller: Caller,
+        epoch: Ballot,
+        seq: u64,
+        snapshot: bool,
+    },
+    Change {
+        epoch: Ballot,
+        seq: u64,
+    },
+    /// All of the state anew, after a write that failed.
+    Whole {
+        epoch: Ballot,
+        seq: u64,
+    },
+    Own,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Pending {
+    token: Token,
+    since: Ms,
+    job: Job,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+enum Stage {
+    Prepare,
+    Bring,
+    Accept(Record),
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Group {
+    witnesses: Vec<Witness>,
+    before: Vec<Witness>,
+}
+
+/// Standing for an epoch.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Bid {
+    ballot: Ballot,
+    /// The newest record among the answers.
+    base: Record,
+    /// The group to write, where the acting primary changes it.
+    group: Option<Group>,
+    /// The epoch in which it acts, if it does.
+    from: Option<Ballot>,
+    stage: Stage,
+    until: Ms,
+    asked: BTreeSet<Id>,
+    promised: BTreeSet<Witness>,
+    refused: BTreeSet<Id>,
+    own: bool,
+    /// What this disk held before, by which a backup may join without a snapshot.
+    was: Option<(Ballot, u64)>,
+    able: Vec<Id>,
+    under_way: BTreeSet<Id>,
+    joined: Vec<Id>,
+    leases: Leases,
+}
+
+/// A write under way.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Flight {
+    seq: u64,
+    began: Ms,
+    changes: Vec<Change>,
+    puts: Vec<Put>,
+    here: bool,
+    away: BTreeSet<Id>,
+}
+
+/// What a centre begins with: of its settings, and of its disk.
+#[derive(Debug, Clone, Default)]
+pub struct Start {
+    pub me: Id,
+    pub area: String,
+    pub spans: Spans,
+    pub peers: Vec<Id>,
+    /// The whole system starts for the first time, and the folder was empty.
+    pub first: bool,
+    pub state: BTreeMap<String, String>,
+    pub own: BTreeMap<String, String>,
+    /// Drawn by lot: the life of the disk, if it has none yet.
+    pub life: u64,
+}
+
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
+pub struct Core {
+    pub me: Id,
+    pub area: String,
+    pub spans: Spans,
+    acceptor: Acceptor,
+    /// What of the acceptor is on the disk.
+    durable: Option<Held>,
+    /// The newest record that was heard of; a hint until a quorum has said so.
+    pub record: Record,
+    /// The newest epoch in which this disk took part, and the number of its last change there.
+    floor: Ballot,
+    seq: u64,
+    held: BTreeMap<String, String>,
+    /// The disk may hold a change that was not acknowledged: only a snapshot brings others to this state.
+    dirty: bool,
+    /// Memory and disk may differ: only a snapshot is taken.
+    broken: bool,
+    pub role: Role,
+    leases: Leases,
+    renewed: BTreeMap<Id, Ms>,
+    pub peers: BTreeMap<Id, Peer>,
+    pub members: BTreeSet<Id>,
+    bid: Option<Bid>,
+    flight: Option<Flight>,
+    queue: VecDeque<Change>,
+    asks: BTreeMap<Token, Ask>,
+    jobs: VecDeque<Pending>,
+    tokens: Token,
+    sound: bool,
+    pub fit: bool,
+    probe_at: Ms,
+    /// The highest number of a ballot that anybody named.
+    top: u64,
+    shunned: BTreeMap<Id, Ms>,
+    bid_at: Ms,
+    /// When somebody was last known to act.
+    led_at: Ms,
+    since: Ms,
+    leaving: Option<Ms>,
+    luck: u64,
+}
+
+fn json<T: Serialize>(value: &T) -> String {
+    serde_json::to_string(value).unwrap_or_default()
+}
+
+impl Core {
+    pub fn start(now: Ms, start: Start, out: &mut Vec<Out>) -> Core {
+        fn read<T: for<'a> Deserialize<'a>>(own: &BTreeMap<String, String>, name: &str) -> Option<T> {
+            own.get(name).and_then(|text| serde_json::from_str(text).ok())
+        }
+        let mut core = Core {
+            me: start.me.clone(),
+            area: start.area,
+            spans: start.spans,
+            held: start.state,
+            sound: true,
+            fit: true,
+            led_at: now,
+            since: now,
+            luck: start.life | 1,
+            members: start.peers.iter().cloned().collect(),
+            ..Core::default()
+        };
+        core.members.insert(start.me.clone());
+        core.members.extend(read::<Vec<Id>>(&start.own, "members").unwrap_or_default());
+        core.record = read(&start.own, "record").unwrap_or_default();
+        (core.floor, core.seq) = read(&start.own, "floor").unwrap_or_default();
+        if let Some(held) = read::<Held>(&start.own, "witness") {
+            if held.record.epoch > core.record.epoch {
+                core.record = held.record.clone();
+            }
+            core.durable = Some(held.clone());
+            core.acceptor = Acceptor::again(held, now + core.spans.lease);
+            return core;
+        }
+        core.acceptor = Acceptor::fresh(start.life.max(1));
+        if start.first {
+            let mut seats = start.peers.clone();
+            seats.sort();
+            seats.dedup();
+            let primary = seats.first().unwrap_or(&core.me).clone();
+            let backups = seats.iter().skip(1).take(core.spans.survive).cloned().collect();
+            let witnesses = seats.iter().map(|id| Witness::new(id, 0)).collect();
+            let record = Record { epoch: Ballot::new(1, ""), primary, backups, witnesses, before: vec![] };
+            if record.sits(&core.me) {
+                core.acceptor = Acceptor::first(record.clone());
+            }
+            if record.names(&core.me) {
+                core.floor = record.epoch.clone();
+            }
+            core.record = record;
+        }
+        let held = core.acceptor.held.clone();
+        let mut own = vec![("floor".into(), json(&(&core.floor, core.seq)))];
+        own.push(("record".into(), json(&core.record)));
+        own.push(("witness".into(), json(&held)));
+        let job = Job::Vote { to: Err(Ask::Release), held: Box::new(held), say: Box::default() };
+        core.write(now, job, (Vec::new(), false, own), out);
+        core
+    }
+
+    pub fn held(&self) -> &BTreeMap<String, String> {
+        &self.held
+    }
+
+    pub fn life(&self) -> u64 {
+        self.acceptor.held.life
+    }
+
+    pub fn floor(&self) -> &Ballot {
+        &self.floor
+    }
+
+    pub fn acting(&self, now: Ms) -> bool {
+        matches!(&self.role, Role::Acting(record) if self.leases.hold(record, now))
+    }
+
+    /// The epoch in which it acts or acted until now.
+    pub fn epoch(&self) -> Option<u64> {
+        match &self.role {
+            Role::Acting(record) => Some(record.epoch.n),
+            Role::Idle => None,
+        }
+    }
+
+    /// Where the primary is, if any is heard to act.
+    pub fn primary(&self, now: Ms) -> Option<&Id> {
+        let heard = |p: &&Peer| now < p.seen + self.spans.lease && p.told.acting;
+        let best = self.peers.values().filter(heard).max_by_key(|p| p.told.record.epoch.clone());
+        best.map(|p| &p.told.id)
+    }
+
+    /// In touch: a quorum of witnesses has answered calls of this centre that were sent within the span of a lease.
+    pub fn in_touch(&self, now: Ms) -> bool {
+        let near = |w: &Witness| {
+            if w.id == self.me {
+                return w.life == self.life();
+            }
+            self.peers
+                .get(&w.id)
+                .is_some_and(|p| p.contact > 0 && now < p.contact + self.spans.lease && p.told.life == w.life)
+        };
+        self.record.quorum(near)
+    }
+
+    fn near(&self, now: Ms, id: &str) -> bool {
+        self.peers.get(id).is_some_and(|p| p.seen > 0 && now < p.seen + self.spans.lease)
+    }
+
+    /// Near, its disk takes writes, and it stays.
+    fn good(&self, now: Ms, id: &str) -> bool {
+        self.near(now, id) && self.peers.get(id).is_some_and(|p| p.told.fit && !p.told.leaving)
+    }
+
+    pub fn told(&self, now: Ms) -> Told {
+        Told {
+            id: self.me.clone(),
+            acting: self.acting(now),
+            fit: self.fit,
+            leaving: self.leaving.is_some(),
+            life: self.life(),
+            floor: self.floor.clone(),
+            area: self.area.clone(),
+            record: self.record.clone(),
+            members: self.members.iter().cloned().collect(),
+        }
+    }
+
+    /// A heartbeat. `asked`: when the call was sent that it answers.
+    pub fn hear(&mut self, now: Ms, told: &Told, asked: Option<Ms>, out: &mut Vec<Out>) {
+        if told.id == self.me {
+            return;
+        }
+        let peer = self.peers.entry(told.id.clone()).or_default();
+        peer.seen = now;
+        peer.contact = peer.contact.max(asked.unwrap_or(0));
+        peer.told = told.clone();
+        if told.acting {
+            self.led_at = now;
+        }
+        self.join(now, std::iter::once(&told.id).chain(&told.members), out);
+        self.learn(now, &told.record, out);
+    }
+
+    /// Members that this centre had not heard of. They are kept, so that a restart finds somebody.
+    pub fn join<'a>(&mut self, now: Ms, ids: impl Iterator<Item = &'a Id>, out: &mut Vec<Out>) {
+        let before = self.members.len();
+        self.members.extend(ids.cloned());
+        if self.members.len() > before {
+            let all: Vec<&Id> = self.members.iter().collect();
+            let own = vec![("members".into(), json(&all))];
+            self.write(now, Job::Own, (Vec::new(), false, own), out);
+        }
+    }
+
+    /// Whom heartbeats go to: the group, who holds the state, the few that the ring names of those that are there, and
+    /// in turn one of those that are not.
+    pub fn wanted(&self, now: Ms, turn: usize, few: usize) -> BTreeSet<Id> {
+        let (near, far): (Vec<Id>, Vec<Id>) =
+            self.members.iter().filter(|id| **id != self.me).cloned().partition(|id| self.near(now, id));
+        let mut all: BTreeSet<Id> = self.record.group().into_iter().collect();
+        all.extend(std::iter::once(&self.record.primary).chain(&self.record.backups).cloned());
+        all.extend(self.primary(now).cloned());
+        let mut ring = near;
+        ring.push(self.me.clone());
+        all.extend(crate::watchers(&self.me, &ring, few));
+        let far: Vec<Id> = far.into_iter().filter(|id| !all.contains(id)).collect();
+        if !far.is_empty() {
+            all.extend((0..few.min(far.len())).map(|n| far[(turn * few + n) % far.len()].clone()));
+        }
+        all.remove(&self.me);
+        all.remove("");
+        all
+    }
+
+    fn learn(&mut self, now: Ms, record: &Record, out: &mut Vec<Out>) {
+        self.top = self.top.max(record.epoch.n);
+        if record.epoch > self.record.epoch {
+            self.record = record.clone();
+            let own = vec![("record".into(), json(record))];
+            self.write(now, Job::Own, (Vec::new(), false, own), out);
+        }
+    }
+
+    fn token(&mut self) -> Token {
+        self.tokens += 1;
+        self.tokens
+    }
+
+    fn write(&mut self, now: Ms, job: Job, what: (Vec<Put>, bool, Vec<Put>), out: &mut Vec<Out>) {
+        let token = self.token();
+        self.jobs.push_back(Pending { token, since: now, job });
+        let (state, whole, own) = what;
+        out.push(Out::Write { token, state, whole, own });
+    }
+
+    fn call(&mut self, ask: Ask, to: &Id, call: Call, out: &mut Vec<Out>) {
+        let token = self.token();
+        self.asks.insert(token, ask);
+        out.push(Out::Call { token, to: to.clone(), call, wait: self.spans.call });
+    }
+
+    /// Another centre calls.
+    pub fn called(&mut self, now: Ms, caller: Caller, call: Call, out: &mut Vec<Out>) {
+        match call {
+            Call::Witness(call) => self.vote(now, Ok(caller), call, out),
+            Call::Copy(copy) => self.copy(now, caller, copy, out),
+        }
+    }
+
+    /// What changes the acceptor is on the disk before it is answered.
+    fn vote(&mut self, now: Ms, to: Result<Caller, Ask>, call: WitnessCall, out: &mut Vec<Out>) {
+        let outcome = match &call {
+            WitnessCall::Prepare(ballot) => self.acceptor.prepare(now, ballot).map(Some),
+            WitnessCall::Accept(record, span) | WitnessCall::Renew(record, span) => {
+                self.acceptor.accept(now, record, *span).map(|()| None)
+            }
+            WitnessCall::Release(epoch) => {
+                self.acceptor.release(epoch);
+                Ok(None)
+            }
+        };
+        let life = self.life();
+        let say = match outcome {
+            Ok(record) => WitnessSay { life, record, no: None },
+            Err(no) => WitnessSay { life, record: None, no: Some(no) },
+        };
+        if say.no.is_none() {
+            if let WitnessCall::Accept(record, _) | WitnessCall::Renew(record, _) = &call {
+                let older = matches!(&self.role, Role::Acting(r) if r.epoch < record.epoch);
+                if older && record.primary != self.me {
+                    self.step_down(now, out);
+                }
+                self.learn(now, record, out);
+            }
+            // A write that failed or waits still: what is answered must be on the disk all the same.
+            if self.durable.as_ref() != Some(&self.acceptor.held) {
+                let held = self.acceptor.held.clone();
+                let own = vec![("witness".to_string(), json(&held))];
+                return self.write(
+                    now,
+                    Job::Vote { to, held: Box::new(held), say: Box::new(say) },
+                    (Vec::new(), false, own),
+                    out,
+                );
+            }
+        }
+        self.voted(now, to, say, out);
+    }
+
+    fn voted(&mut self, now: Ms, to: Result<Caller, Ask>, say: WitnessSay, out: &mut Vec<Out>) {
+        match to {
+            Ok(caller) => out.push(Out::Reply { caller, say: Say::Witness(say) }),
+            Err(ask) => self.answered(now, ask, Some(Say::Witness(say)), out),
+        }
+    }
+
+    /// What came of a write.
+    pub fn disk(&mut self, now: Ms, token: Token, ok: bool, out: &mut Vec<Out>) {
+        let Some(at) = self.jobs.iter().position(|p| p.token == token) else { return };
+        let Some(Pending { job, .. }) = self.jobs.remove(at) else { return };
+        if ok && !self.sound {
+            out.push(Out::Note("The disk takes writes again.".into()));
+        }
+        if !ok && self.sound {
+            out.push(Out::Note("The disk does not take a write.".into()));
+        }
+        self.sound = ok;
+        match job {
+            Job::Vote { to, held, say } => {
+                if ok {
+                    self.durable = Some(*held);
+                }
+                let no = No { why: "the disk does not take it".into(), ..No::default() };
+                let say = if ok { *say } else { WitnessSay { no: Some(no), record: None, ..*say } };
+                if !matches!(to, Err(Ask::Release)) {
+                    self.voted(now, to, say, out);
+                }
+            }
+            Job::Floor { ballot } => {
+                let Some(bid) = self.bid.as_mut().filter(|b| b.ballot == ballot) else { return };
+                if !ok {
+                    return self.give_up(now, "the disk does not take it", out);
+                }
+                bid.own = true;
+                self.dirty = false;
+                self.brought(now, out);
+            }
+            Job::Copied { caller, epoch, seq, snapshot } => {
+                let current = self.floor == epoch;
+                if !ok && current {
+                    self.broken = true;
+                } else if ok && snapshot && current && self.seq == seq {
+                    self.broken = false;
+                }
+                let say =
+                    CopySay { ok: ok && !self.broken && current, why: String::new(), life: self.life() };
+                out.push(Out::Reply { caller, say: Say::Copy(say) });
+            }
+            Job::Change { epoch, seq } => {
+                let mine = matches!(&self.role, Role::Acting(r) if r.epoch == epoch);
+                match self.flight.as_mut().filter(|f| mine && f.seq == seq) {
+                    Some(flight) if ok => {
+                        flight.here = true;
+                        self.landed(now, out);
+                    }
+                    Some(_) => self.crashed(now, "here", out),
+                    None => {}
+                }
+            }
+            Job::Whole { epoch, seq } => {
+                if ok && self.floor == epoch && self.seq == seq {
+                    self.broken = false;
+                }
+            }
+            Job::Own => {}
+        }
+    }
+
+    /// What came of a call.
+    pub fn said(&mut self, now: Ms, token: Token, say: Option<Say>, out: &mut Vec<Out>) {
+        if let Some(ask) = self.asks.remove(&token) {
+            self.answered(now, ask, say, out);
+        }
+    }
+
+    fn answered(&mut self, now: Ms, ask: Ask, say: Option<Say>, out: &mut Vec<Out>) {
+        let witness = match &say {
+            Some(Say::Witness(say)) => Some(say.clone()),
+            _ => None,
+        };
+        let copied = match &say {
+            Some(Say::Copy(say)) => Some(say.clone()),
+            _ => None,
+        };
+        if let Some(no) = witness.as_ref().and_then(|w| w.no.as_ref()) {
+            self.top = self.top.max(no.promised.n);
+        }
+        let yes = |w: &WitnessSay| w.no.is_none();
+        match ask {
+            Ask::Prepare { to, ballot } => {
+                let say = witness.unwrap_or_default();
+                match say.record.filter(|_| say.no.is_none()) {
+                    Some(record) => {
+                        self.promised(now, Witness { id: to, life: say.life }, &ballot, record, out)
+                    }
+                    None => self.refused(now, to, &ballot, say.no, out),
+                }
+            }
+            Ask::Accept { to, epoch, asked } => {
+                let span = self.spans.lease;
+                let Some(say) = witness.clone().filter(yes) else {
+                    return self.refused(now, to, &epoch, witness.and_then(|w| w.no), out);
+                };
+                let Some(bid) = self.bid.as_mut() else { return };
+                let Stage::Accept(record) = &bid.stage else { return };
+                if record.epoch == epoch {
+                    bid.leases.add(Witness { id: to, life: say.life }, asked, span);
+                    self.chosen(now, out);
+                }
+            }
+            Ask::Renew { to, epoch, asked } => {
+                let mine = matches!(&self.role, Role::Acting(r) if r.epoch == epoch);
+                if let Some(say) = witness.filter(yes).filter(|_| mine) {
+                    self.leases.add(Witness { id: to, life: say.life }, asked, self.spans.lease);
+                }
+            }
+            Ask::Bring { to, epoch, snapshot } => {
+                let Some(bid) = self.bid.as_mut().filter(|b| b.ballot == epoch && b.stage == Stage::Bring)
+                else {
+                    return;
+                };
+                bid.under_way.remove(&to);
+                match copied {
+                    Some(say) if say.ok => {
+                        bid.joined.push(to.clone());
+                        // What it says now is newer than its last heartbeat.
+                        if let Some(peer) = self.peers.get_mut(&to) {
+                            peer.told.life = say.life;
+                        }
+                        self.brought(now, out);
+                    }
+                    Some(_) if !snapshot => self.bring(now, &to, true, out),
+                    _ => {
+                        self.shunned.insert(to, now + 4 * self.spans.lease);
+                        self.bring_next(now, out);
+                    }
+                }
+            }
+            Ask::Change { to, epoch, seq, again } => {
+                let mine = matches!(&self.role, Role::Acting(r) if r.epoch == epoch);
+                let Some(flight) = self.flight.as_mut().filter(|f| mine && f.seq == seq) else { return };
+                match copied {
+                    Some(say) if say.ok => {
+                        flight.away.remove(&to);
+                        self.landed(now, out);
+                    }
+                    // No answer: it may have been lost on its way; the number makes it harmless twice.
+                    None if !again => {
+                        let (puts, kind) = (flight.puts.clone(), CopyKind::Change);
+                        let copy = Copy { version: VERSION, epoch: epoch.clone(), seq, kind, puts };
+                        self.call(
+                            Ask::Change { to: to.clone(), epoch, seq, again: true },
+                            &to,
+                            Call::Copy(copy),
+                            out,
+                        );
+                    }
+                    _ => {
+                        self.shunned.insert(to.clone(), now + 4 * self.spans.lease);
+                        self.crashed(now, &format!("at {to}"), out);
+                    }
+                }
+            }
+            Ask::Release => {}
+        }
+    }
+
+    fn ask(&mut self, now: Ms, to: &Id, ask: Ask, call: WitnessCall, out: &mut Vec<Out>) {
+        if *to == self.me {
+            self.vote(now, Err(ask), call, out);
+        } else {
+            self.call(ask, to, Call::Witness(call), out);
+        }
+    }
+
+    /// Twenty times a second.
+    pub fn tick(&mut self, now: Ms, out: &mut Vec<Out>) {
+        let stuck = self.jobs.front().is_some_and(|p| now > p.since + self.spans.call);
+        self.fit = self.sound && !stuck;
+        if !self.sound && self.jobs.is_empty() && now >= self.probe_at {
+            self.probe_at = now + self.spans.round;
+            self.write(now, Job::Own, (Vec::new(), false, vec![("probe".into(), now.to_string())]), out);
+        }
+        if self.broken && self.sound && self.jobs.is_empty() {
+            let own = vec![("floor".into(), json(&(&self.floor, self.seq)))];
+            let job = Job::Whole { epoch: self.floor.clone(), seq: self.seq };
+            self.write(now, job, (self.all(), true, own), out);
+        }
+        self.shunned.retain(|_, until| now < *until);
+        if self.bid.as_ref().is_some_and(|b| now > b.until) {
+            self.give_up(now, "no answer from enough", out);
+        }
+        if self.flight.as_ref().is_some_and(|f| now > f.began + 3 * self.spans.call) {
+            self.crashed(now, "in time", out);
+        }
+        if matches!(self.role, Role::Acting(_)) {
+            self.lead(now, out);
+        } else if self.bid.is_none() && self.due(now) {
+            self.stand(now, None, out);
+        }
+    }
+
+    fn lead(&mut self, now: Ms, out: &mut Vec<Out>) {
+        let Role::Acting(record) = self.role.clone() else { return };
+        if !self.fit || self.bid.is_none() && !self.acting(now) {
+            out.push(Out::Note("The lease is over or the disk fails: steps down.".into()));
+            return self.step_down(now, out);
+        }
+        self.led_at = now;
+        if self.bid.is_some() {
+            return;
+        }
+        for id in record.group() {
+            if now >= self.renewed.get(&id).copied().unwrap_or(0) + self.spans.round {
+                self.renewed.insert(id.clone(), now);
+                let ask = Ask::Renew { to: id.clone(), epoch: record.epoch.clone(), asked: now };
+                self.ask(now, &id, ask, WitnessCall::Renew(record.clone(), self.spans.lease), out);
+            }
+        }
+        if self.flight.is_some() || !matches!(self.role, Role::Acting(_)) {
+            return;
+        }
+        if now >= self.bid_at {
+            if let Some(group) = self.wants(now) {
+                return self.stand(now, group, out);
+            }
+        }
+        if self.leaving.is_some()
+            && self.queue.is_empty()
+            && record.backups.iter().any(|id| self.good(now, id))
+        {
+            out.push(Out::Note("Hands over and stops acting.".into()));
+            self.step_down(now, out);
+            for id in record.group() {
+                self.ask(now, &id, Ask::Release, WitnessCall::Release(record.epoch.clone()), out);
+            }
+            return;
+        }
+        self.pump(now, out);
+    }
+
+    fn step_down(&mut self, now: Ms, out: &mut Vec<Out>) {
+        if self.role == Role::Idle {
+            return;
+        }
+        self.role = Role::Idle;
+        self.leases.clear();
+        self.renewed.clear();
+        if self.bid.as_ref().is_some_and(|b| b.from.is_some()) {
+            self.bid = None;
+        }
+        let mut failed: Vec<u64> = Vec::new();
+        if let Some(flight) = self.flight.take() {
+            // It may be on this disk, and on others.
+            self.dirty = true;
+            failed.extend(flight.changes.iter().map(|c| c.ticket));
+        }
+        failed.extend(self.queue.drain(..).map(|c| c.ticket));
+        self.bid_at = self.bid_at.max(now);
+        out.push(Out::Stops);
+        if !failed.is_empty() {
+            out.push(Out::Failed(failed));
+        }
+    }
+}
--- /dev/null
+++ b/crates/accord/src/core/group.rs
@@ -0,0 +1,129 @@
+//! Who should hold the state and who should sit in the group; who is due; when a centre may end.
+use super::*;
+
+impl Core {
+    /// Who may be a backup, best first: whose disk takes writes and who stays; of another zone, which may be lost
+    /// whole; named already, as it holds all; a witness.
+    pub(super) fn partners(&self, now: Ms, base: &Record) -> Vec<Id> {
+        let fit = |id: &Id| self.near(now, id) && self.peers.get(id).is_some_and(|p| p.told.fit);
+        let mut all: Vec<Id> = self.members.iter().filter(|id| **id != self.me && fit(id)).cloned().collect();
+        let beside = |id: &Id| self.peers.get(id).is_some_and(|p| p.told.area == self.area);
+        let leaves = |id: &Id| self.peers.get(id).is_some_and(|p| p.told.leaving);
+        let shun = |id: &Id| self.shunned.get(id).is_some_and(|until| now < *until);
+        all.sort_by_key(|id| (leaves(id), shun(id), beside(id), !base.names(id), !base.sits(id), id.clone()));
+        all
+    }
+
+    /// Whether it is up to this centre to stand, now.
+    pub(super) fn due(&self, now: Ms) -> bool {
+        let record = &self.record;
+        let able = self.fit && !self.broken && self.in_touch(now) && self.primary(now).is_none();
+        if !able || !record.lets(&self.me, &self.floor) || now < self.bid_at {
+            return false;
+        }
+        let there = |id: &Id| {
+            let peer = self.peers.get(id);
+            peer.is_some_and(|p| now < p.seen + 2 * self.spans.round && p.told.fit && !p.told.leaving)
+        };
+        let other =
+            std::iter::once(&record.primary).chain(&record.backups).any(|id| *id != self.me && there(id));
+        // Who leaves hands over where there is anybody to take it.
+        if self.leaving.is_some() && other {
+            return false;
+        }
+        let place = std::iter::once(&record.primary).chain(&record.backups).position(|id| *id == self.me);
+        let place = place.unwrap_or(0);
+        let earlier = std::iter::once(&record.primary).chain(&record.backups).take(place).any(there);
+        // Who comes first in the record does so where it is there: its leases are its own, it need not wait.
+        place == 0 || !earlier || now > self.led_at + 2 * self.spans.lease
+    }
+
+    /// What the acting primary would have otherwise: another backup, another group.
+    pub(super) fn wants(&self, now: Ms) -> Option<Option<Group>> {
+        let Role::Acting(record) = &self.role else { return None };
+        if !record.before.is_empty() {
+            return Some(Some(Group { witnesses: record.witnesses.clone(), before: Vec::new() }));
+        }
+        let reborn = |id: &Id| {
+            self.peers
+                .get(id)
+                .is_some_and(|p| p.told.floor < record.epoch && p.told.record.epoch >= record.epoch)
+        };
+        let bad = |id: &Id| !self.good(now, id) || reborn(id);
+        let able = self.partners(now, record).into_iter().filter(|id| self.good(now, id));
+        let able: Vec<Id> =
+            able.filter(|id| self.shunned.get(id).is_none_or(|until| now >= *until)).collect();
+        let lost = record.backups.iter().any(bad) || record.backups.len() < self.spans.survive;
+        if lost && able.len() >= self.spans.survive {
+            return Some(None);
+        }
+        let life =
+            |id: &Id| self.peers.get(id).map(|p| p.told.life).filter(|life| *life > 0 || record.sits(id));
+        let spare =
+            |id: &&Id| **id != self.me && !record.sits(id) && self.good(now, id) && life(id).is_some();
+        let mut spares = self.members.iter().filter(spare);
+        let change = |old: &Witness, new: Witness| {
+            let witnesses =
+                record.witnesses.iter().map(|w| if w == old { new.clone() } else { w.clone() }).collect();
+            Some(Some(Group { witnesses, before: record.witnesses.clone() }))
+        };
+        for w in &record.witnesses {
+            let (now_life, near) = if w.id == self.me {
+                (Some(self.life()), true)
+            } else {
+                (life(&w.id), self.near(now, &w.id))
+            };
+            if near && now_life.is_some_and(|life| life != w.life) {
+                return change(w, Witness { id: w.id.clone(), life: now_life.unwrap_or_default() });
+            }
+        }
+        for w in record.witnesses.iter().filter(|w| w.id != self.me) {
+            let seen = self.peers.get(&w.id).map_or(0, |p| p.seen).max(self.since);
+            let leaves = self.peers.get(&w.id).is_some_and(|p| p.told.leaving) && self.near(now, &w.id);
+            if leaves || now > seen + self.spans.patience {
+                if let Some(id) = spares.next() {
+                    return change(w, Witness { id: id.clone(), life: life(id).unwrap_or_default() });
+                }
+            }
+        }
+        // Its own place, before it goes.
+        if let (Some(_), Some(own)) = (self.leaving, record.witnesses.iter().find(|w| w.id == self.me)) {
+            if let Some(id) = spares.next() {
+                return change(own, Witness { id: id.clone(), life: life(id).unwrap_or_default() });
+            }
+        }
+        let wanted = 2 * self.spans.survive + 1;
+        if record.witnesses.len() < wanted {
+            let spare: Vec<&Id> = spares.collect();
+            if record.witnesses.len() + spare.len() >= wanted {
+                let new = Witness { id: spare[0].clone(), life: life(spare[0]).unwrap_or_default() };
+                let witnesses = record.witnesses.iter().cloned().chain([new]).collect();
+                return Some(Some(Group { witnesses, before: record.witnesses.clone() }));
+            }
+        }
+        None
+    }
+
+    /// It was told to end: hands over what it has first.
+    pub fn leave(&mut self, now: Ms) {
+        self.leaving.get_or_insert(now);
+    }
+
+    pub fn leaving(&self) -> bool {
+        self.leaving.is_some()
+    }
+
+    /// Whether the process may end: nothing rests on it, nobody can take what does, or its time is over.
+    pub fn may_leave(&self, now: Ms) -> bool {
+        let Some(since) = self.leaving else { return false };
+        if now > since + self.spans.leave {
+            return true;
+        }
+        let led = self.primary(now).is_some();
+        let others = self.members.iter().filter(|id| **id != self.me && self.good(now, id));
+        let spare = others.clone().any(|id| !self.record.sits(id));
+        let stays = self.record.names(&self.me) || self.record.sits(&self.me) && spare;
+        let enough = others.count() > self.spans.survive;
+        self.role == Role::Idle && (!stays && led || !enough && self.bid.is_none())
+    }
+}
--- a/crates/accord/src/lib.rs
+++ b/crates/accord/src/lib.rs
@@ -1,22 +1,31 @@
-//! Epochs and seats: who may act. Times are milliseconds of a steady clock, given in; nothing here does I/O.
+//! Who may act: epochs, leases and the group of witnesses, without I/O. Times are milliseconds of a steady clock, given in.
 //!
-//! A small, fixed group of seats holds one record, `epoch, primary, backup`, as a register that a majority changes:
-//! a candidate has a ballot promised, reads the newest record, and only who stands in it may write the next one.
-//! What was acknowledged is on the disks of both that the record names, so each of them can go on alone.
-//! Seats hold no configuration and no log. `docs/system.md` says what else was weighed.
+//! A small group of witnesses holds one [`Record`] (epoch, primary, backups, and the group itself) as a register that a
+//! quorum changes: a candidate has a ballot promised, reads the newest record, and only who stands in it may write the
+//! next one. What was acknowledged is on the disks of all that the record names, so each of them can go on alone.
+//! Witnesses hold no configuration and no log. The group changes one witness at a time, by a record that both the old
+//! and the new group must accept before the new one stands alone. [`Core`] is the whole of it as one state machine;
+//! `docs/control.md` says what holds and why.
 //!
 //! ```
-//! use accord::{Ballot, Record, Seat};
-//! let first = Record { epoch: Ballot::new(1, ""), primary: "a".into(), backup: "b".into() };
-//! let mut seat = Seat::first(first.clone());
+//! use accord::{Acceptor, Ballot, Record, Witness};
+//! let group: Vec<Witness> = ["a", "b", "c"].map(|id| Witness::new(id, 0)).into();
+//! let first = Record { epoch: Ballot::new(1, ""), primary: "a".into(), backups: vec!["b".into()], witnesses: group, before: vec![] };
+//! let mut one = Acceptor::first(first.clone());
 //! let ballot = Ballot::new(2, "b");
-//! assert_eq!(seat.prepare(0, &ballot), Ok(first));
-//! let next = Record { epoch: ballot.clone(), primary: "b".into(), backup: "c".into() };
-//! assert!(seat.accept(0, &next, 1000).is_ok());
-//! assert!(seat.prepare(10, &Ballot::new(3, "c")).is_err(), "b has been promised a second");
+//! assert_eq!(one.prepare(0, &ballot), Ok(first.clone()));
+//! let next = Record { epoch: ballot.clone(), primary: "b".into(), backups: vec!["c".into()], ..first };
+//! assert!(one.accept(0, &next, 1000).is_ok());
+//! assert!(one.prepare(10, &Ballot::new(3, "c")).is_err(), "b has a lease of a second");
 //! ```
+mod acceptor;
+mod core;
+
+pub use crate::core::{
+    Call, Caller, Change, Copy, CopyKind, CopySay, Core, Out, Put, Role, Say, Spans, Start, Token, Told,
+};
+pub use acceptor::{Acceptor, Held, Leases, No, WitnessCall, WitnessSay};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeSet;
 
 #[cfg(test)]
 mod tests;
@@ -26,8 +35,8 @@
 /// Who a director is: where it serves hosts and operators, "ip:port".
 pub type Id = String;
 
-/// Ballots are never the same for two candidates, so a seat that forgot one can't give it away twice.
-#[derive(Debug, Clone, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+/// Ballots are never the same for two candidates. A record's ballot is its epoch.
+#[derive(Debug, Clone, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Ballot {
     pub n: u64,
     pub by: Id,
@@ -39,16 +48,35 @@
     }
 }
 
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+/// One disk of one director. A director whose disk was lost is another witness at the same place: it has forgotten
+/// what it promised, and counts for nothing until a group names its new life.
+#[derive(Debug, Clone, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Witness {
+    pub id: Id,
+    pub life: u64,
+}
+
+impl Witness {
+    pub fn new(id: &str, life: u64) -> Witness {
+        Witness { id: id.into(), life }
+    }
+}
+
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Record {
     pub epoch: Ballot,
     pub primary: Id,
-    pub backup: Id,
+    /// Whose disks hold all that was acknowledged, besides the primary's.
+    pub backups: Vec<Id>,
+    pub witnesses: Vec<Witness>,
+    /// While the group changes: the group before, whose majority is needed as well.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub before: Vec<Witness>,
 }
 
 impl Record {
     pub fn names(&self, who: &str) -> bool {
-        self.primary == who || self.backup == who
+        self.primary == who || self.backups.iter().any(|b| b == who)
     }
 
     /// Only who holds all that was acknowledged may be the next primary: it stands in the record, and its disk, by
@@ -56,144 +84,24 @@
     pub fn lets(&self, who: &str, floor: &Ballot) -> bool {
         self.names(who) && *floor >= self.epoch
     }
-}
-
-/// Why a seat says no, and the highest ballot it knows, so that the next try is above it.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct No {
-    pub why: String,
-    pub promised: Ballot,
-}
-
-/// What is on a seat's disk, synced before it answers.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Held {
-    pub promised: Ballot,
-    pub record: Record,
-}
-
-/// One seat. Callers sync `held` before an `Ok` of `prepare`, `accept` or `renew` leaves the process.
-#[derive(Debug, Clone, Default)]
-pub struct Seat {
-    pub held: Held,
-    /// Until when nobody else is listened to.
-    lease: Option<(Id, Ms)>,
-    /// A life before this one may have promised that much.
-    barred: Ms,
-    /// Whom a seat with a lost disk has yet to hear; none for a sound one.
-    unheard: BTreeSet<Id>,
-}
-
-impl Seat {
-    /// At the first start of the whole system: nothing was promised to anybody.
-    pub fn first(record: Record) -> Seat {
-        Seat { held: Held { promised: record.epoch.clone(), record }, ..Seat::default() }
-    }
-
-    /// After a restart: whatever was promised in an earlier life is over by `barred`.
-    pub fn again(held: Held, barred: Ms) -> Seat {
-        Seat { held, barred, ..Seat::default() }
-    }
-
-    /// With a lost disk: it may have promised what it has forgotten, and grants nothing before all others were heard.
-    pub fn lost(others: impl IntoIterator<Item = Id>, barred: Ms) -> Seat {
-        Seat { barred, unheard: others.into_iter().collect(), ..Seat::default() }
-    }
 
-    pub fn whole(&self) -> bool {
-        self.unheard.is_empty()
+    /// Whether these witnesses decide.
+    pub fn quorum(&self, yes: impl Fn(&Witness) -> bool) -> bool {
+        let most = |group: &[Witness]| group.iter().filter(|w| yes(w)).count() > group.len() / 2;
+        most(&self.witnesses) && (self.before.is_empty() || most(&self.before))
     }
 
-    pub fn unheard(&self) -> impl Iterator<Item = &Id> {
-        self.unheard.iter()
+    /// Everybody who is asked, each once.
+    pub fn group(&self) -> Vec<Id> {
+        let mut all: Vec<Id> = self.witnesses.iter().chain(&self.before).map(|w| w.id.clone()).collect();
+        all.sort();
+        all.dedup();
+        all
     }
 
-    /// What another seat knows. Only a seat with a lost disk learns from it; true once it is whole again.
-    pub fn hear(&mut self, now: Ms, from: &str, held: &Held, span: Ms) -> bool {
-        if !self.unheard.remove(from) {
-            return false;
-        }
-        if held.promised > self.held.promised {
-            self.held.promised = held.promised.clone();
-        }
-        if held.record.epoch > self.held.record.epoch {
-            self.held.record = held.record.clone();
-        }
-        self.barred = self.barred.max(now + span);
-        self.whole()
+    pub fn sits(&self, who: &str) -> bool {
+        self.witnesses.iter().chain(&self.before).any(|w| w.id == who)
     }
-
-    fn no<T>(&self, why: &str) -> Result<T, No> {
-        Err(No { why: why.into(), promised: self.held.promised.clone() })
-    }
-
-    /// A candidate asks for a ballot. The record that it gets is the newest that this seat knows.
-    pub fn prepare(&mut self, now: Ms, ballot: &Ballot) -> Result<Record, No> {
-        if !self.whole() {
-            return self.no("lost its disk");
-        }
-        if *ballot <= self.held.promised {
-            return self.no("promised more");
-        }
-        if self.lease.as_ref().is_some_and(|(who, until)| *who != ballot.by && now < *until) {
-            return self.no("promised to another");
-        }
-        // Only the primary of the record can have had a promise from an earlier life of this seat.
-        if now < self.barred && self.held.record.primary != ballot.by {
-            return self.no("just started");
-        }
-        self.held.promised = ballot.clone();
-        Ok(self.held.record.clone())
-    }
-
-    /// A candidate that a majority promised its ballot writes the record; it is promised `span` with that.
-    pub fn accept(&mut self, now: Ms, record: &Record, span: Ms) -> Result<(), No> {
-        if !self.whole() {
-            return self.no("lost its disk");
-        }
-        if record.epoch < self.held.promised {
-            return self.no("promised more");
-        }
-        self.held = Held { promised: record.epoch.clone(), record: record.clone() };
-        self.lease = Some((record.primary.clone(), now + span));
-        Ok(())
-    }
-
-    /// The primary asks to be promised `span` more. A seat that missed its record takes it now. True: sync first.
-    pub fn renew(&mut self, now: Ms, record: &Record, span: Ms) -> Result<bool, No> {
-        let new = self.held.record != *record;
-        if new && record.epoch == self.held.record.epoch {
-            return self.no("another record of that epoch");
-        }
-        self.accept(now, record, span).map(|()| new)
-    }
-}
-
-/// The promises that a primary counts on: by seat, until when, counted from when it asked.
-#[derive(Debug, Clone, Default)]
-pub struct Promises(std::collections::BTreeMap<Id, Ms>);
-
-impl Promises {
-    /// A hundredth is given up for clocks that differ in pace.
-    pub fn add(&mut self, seat: &str, asked: Ms, span: Ms) {
-        let until = self.0.entry(seat.into()).or_default();
-        *until = (*until).max(asked + span - span / 100 - 1);
-    }
-
-    pub fn clear(&mut self) {
-        self.0.clear();
-    }
-
-    /// Until when a majority of `seats` has promised.
-    pub fn until(&self, seats: &[Id]) -> Ms {
-        let mut all: Vec<Ms> = seats.iter().map(|s| self.0.get(s).copied().unwrap_or(0)).collect();
-        all.sort_unstable_by(|a, b| b.cmp(a));
-        all.get(majority(seats.len()) - 1).copied().unwrap_or(0)
-    }
-}
-
-pub fn majority(seats: usize) -> usize {
-    seats / 2 + 1
 }
 
 /// The few that a director's place on a ring names: those that follow it in the order of a hash of their names.
