--- a/crates/council/src/lib.rs
+++ b/crates/council/src/lib.rs
@@ -2,6 +2,7 @@
 pub mod feed;
 pub mod helm;
 pub mod links;
+pub mod orders;
 pub mod resources;
 pub mod rollouts;
 pub mod state;
