--- a/crates/terms/src/boot.rs
+++ b/crates/terms/src/boot.rs
@@ -20,27 +20,27 @@
         ip: String = "self.ipAddress", text, must(), ip;
         area: String = "self.area", text, must(), filled;
         place: String = "self.place", text, or(String::new()), any;
-        counts_as_loss: bool = "self.countsAsLoss", flag, or(false), any;
+        counts_as_loss: bool = "self.countsAsLoss", flag, or(false), any, live;
         /// Not assumed: a process that takes itself for new may take its state for empty.
-        initial_boot: bool = "self.initialBoot", flag, or(false), any;
+        initial_boot: bool = "self.initialBoot", flag, or(false), any, first;
         data_folder: Option<String> = "self.dataFolder", maybe(text), or(None), any;
         /// No limit where none is given.
-        ram_mb: u64 = "self.caps.ramMb", whole, or(u64::MAX), any;
-        open_files: u64 = "self.caps.openFiles", whole, or(u64::MAX), any;
+        ram_mb: u64 = "self.caps.ramMb", whole, or(u64::MAX), any, live;
+        open_files: u64 = "self.caps.openFiles", whole, or(u64::MAX), any, live;
         /// "ip:port" of each; absent where the role does not serve it.
         public_plain: Option<String> = "network.binds.publicPlain", maybe(text), or(None), address;
         readiness: Option<String> = "network.binds.readiness", maybe(text), or(None), address;
         admin: Option<String> = "network.binds.admin", maybe(text), or(None), address;
         /// The first and the last of the ports between directors.
         spare_ports: (u16, u16) = "network.sparePorts", span, must(), any;
-        known_peers: Vec<String> = "network.knownPeers", list(text), or(Vec::new()), addresses;
+        known_peers: Vec<String> = "network.knownPeers", list(text), or(Vec::new()), addresses, live;
         /// area -> place
-        zones: BTreeMap<String, String> = "network.zones", texts, or(BTreeMap::new()), any;
-        heartbeat: Duration = "provider.heartbeat", time, ms(1000), above_zero;
+        zones: BTreeMap<String, String> = "network.zones", texts, or(BTreeMap::new()), any, live;
+        heartbeat: Duration = "provider.heartbeat", time, ms(1000), above_zero, live;
         /// `survive.boxes`
-        survive: u32 = "terms.survive.boxes", whole, or(0), any;
-        promises: Vec<String> = "terms.promises", list(text), or(Vec::new()), any;
-        limits: Limits = "terms.timeLimits", limits, or(Limits::default()), any;
+        survive: u32 = "terms.survive.boxes", whole, or(0), any, live;
+        promises: Vec<String> = "terms.promises", list(text), or(Vec::new()), any, live;
+        limits: Limits = "terms.timeLimits", limits, or(Limits::default()), any, each;
     }
 }
 
@@ -48,23 +48,23 @@
     /// `terms.timeLimits`. A limit is left out where no promise needs it; what stands here then is the careful side:
     /// quick where the system has to act, long where it has to wait.
     pub struct Limits {
-        peer_delay: Duration = "peerDelay", time, ms(3000), any;
-        recycle_after: Duration = "recycleAfter", time, ms(1000), any;
-        in_contact: Duration = "inContact", time, ms(3000), any;
-        confirm: Duration = "confirm", time, ms(5000), any;
-        sync_time: Duration = "sync_time", time, ms(5000), any;
-        empty: Duration = "empty", time, ms(2000), any;
-        leeway: Duration = "leeway", time, ms(5000), any;
-        missing: Duration = "missing", time, ms(200), any;
-        apply: Duration = "apply", time, ms(2000), any;
-        revert: Duration = "revert", time, ms(200), any;
-        stretch_time: Duration = "stretch_time", time, ms(5000), any;
-        retry_ratio: f64 = "retryRatio", fraction, or(0.1), any;
-        retry_window: Duration = "retryWindow", time, ms(10000), any;
-        extra_tries: u32 = "extraTries", whole, or(0), any;
-        heal: Duration = "heal", time, ms(10000), any;
-        keep_max: Duration = "keepMax", time, ms(5000), any;
-        unfreeze: Duration = "unfreeze", time, ms(0), any;
+        peer_delay: Duration = "peerDelay", time, ms(3000), any, live;
+        recycle_after: Duration = "recycleAfter", time, ms(1000), any, live;
+        in_contact: Duration = "inContact", time, ms(3000), any, live;
+        confirm: Duration = "confirm", time, ms(5000), any, live;
+        sync_time: Duration = "sync_time", time, ms(5000), any, live;
+        empty: Duration = "empty", time, ms(2000), any, live;
+        leeway: Duration = "leeway", time, ms(5000), any, live;
+        missing: Duration = "missing", time, ms(200), any, live;
+        apply: Duration = "apply", time, ms(2000), any, live;
+        revert: Duration = "revert", time, ms(200), any, live;
+        stretch_time: Duration = "stretch_time", time, ms(5000), any, live;
+        retry_ratio: f64 = "retryRatio", fraction, or(0.1), any, live;
+        retry_window: Duration = "retryWindow", time, ms(10000), any, live;
+        extra_tries: u32 = "extraTries", whole, or(0), any, live;
+        heal: Duration = "heal", time, ms(10000), any, live;
+        keep_max: Duration = "keepMax", time, ms(5000), any, live;
+        unfreeze: Duration = "unfreeze", time, ms(0), any, live;
     }
 }
 
--- a/crates/terms/src/field.rs
+++ b/crates/terms/src/field.rs
@@ -52,11 +52,14 @@
 impl std::error::Error for Fault {}
 
 fn shown(value: &Value) -> String {
-    let text = match value {
+    cut(match value {
         Value::Array(list) if list.len() > 4 => format!("a list of {}", list.len()),
         Value::Object(map) if map.len() > 4 => format!("a table of {}", map.len()),
         _ => value.to_string(),
-    };
+    })
+}
+
+pub(crate) fn cut(text: String) -> String {
     match text.char_indices().nth(SHOWN) {
         Some((cut, _)) => format!("{}...", &text[..cut]),
         None => text,
@@ -92,10 +95,12 @@
 }
 
 /// Declares a table of settings: `field: Type = "name", reader, default, check;` for each.
-/// A default is [`must`] (has to be given) or [`or`]; fields that aren't declared are passed over.
+/// A default is [`must`] (has to be given) or [`or`]; fields that aren't declared are passed over. What a running
+/// process does with another value may follow the check: see [`crate::reread`]; where nothing does, it needs a restart.
 macro_rules! table {
     ($(#[$about:meta])* $vis:vis struct $table:ident {
-        $($(#[$note:meta])* $field:ident: $kind:ty = $name:literal, $read:expr, $default:expr, $check:expr;)*
+        $($(#[$note:meta])* $field:ident: $kind:ty = $name:literal, $read:expr, $default:expr, $check:expr
+            $(, $again:expr)?;)*
     }) => {
         $(#[$about])*
         #[derive(Debug, Clone, PartialEq)]
@@ -113,10 +118,31 @@
                 Ok($table { $($field: $crate::field::take(source, $name, $read, $default, |taken: &$kind| $check(taken))?,)* })
             }
         }
+
+        impl $crate::reread::Again for $table {
+            fn again(&mut self, new: Self, place: &str, told: &mut $crate::reread::Told) {
+                use $crate::reread::*;
+                $(
+                    let again: $crate::reread::Column<$kind> = $crate::field::given!(restart $(, $again)?);
+                    again(&mut self.$field, new.$field, &$crate::reread::under(place, $name), told);
+                )*
+            }
+        }
     };
 }
 pub(crate) use table;
 
+/// The last of what is given.
+macro_rules! given {
+    ($default:expr) => {
+        $default
+    };
+    ($default:expr, $given:expr) => {
+        $given
+    };
+}
+pub(crate) use given;
+
 pub(crate) fn take<T>(
     source: &impl Source,
     name: &str,
--- /dev/null
+++ b/crates/terms/tests/reread.rs
@@ -0,0 +1,109 @@
+use terms::Boot;
+
+const SETTINGS: &str = r#"{"self": {"nodeName": "centre-1", "ipAddress": "10.1.0.34", "area": "north", "place": "town",
+    "countsAsLoss": true, "initialBoot": true, "dataFolder": "/data", "caps": {"ramMb": 260, "openFiles": 4100}},
+"network": {"binds": {"publicPlain": "10.1.0.34:8548", "readiness": "10.1.0.34:8542", "admin": "10.1.0.34:8544"},
+    "sparePorts": [7540, 7555], "knownPeers": ["10.1.0.36:8544"], "zones": {"north": "town"}},
+"provider": {"heartbeat": "1300ms"},
+"terms": {"promises": ["base"], "survive": {"boxes": 1}, "timeLimits": {"peerDelay": "11s", "recycleAfter": "11s",
+    "inContact": "11s", "confirm": "11s", "sync_time": "11s", "empty": "11s", "leeway": "11s", "missing": "11s",
+    "apply": "11s", "revert": "11s", "stretch_time": "11s", "retryRatio": 0.5, "retryWindow": "11s", "extraTries": 7,
+    "heal": "11s", "keepMax": "11s", "unfreeze": "11s"}}}"#;
+
+fn boot(changes: &[(&str, &str)]) -> Boot {
+    let text = changes.iter().fold(SETTINGS.to_string(), |text, (from, to)| {
+        assert!(text.contains(from), "{from}");
+        text.replace(from, to)
+    });
+    Boot::from_json(&text).unwrap()
+}
+
+#[test]
+fn what_is_equal_says_nothing() {
+    let same = terms::reread(&boot(&[]), boot(&[]));
+    assert_eq!((same.boot, same.applied.len(), same.restart.len()), (boot(&[]), 0, 0));
+}
+
+#[test]
+fn what_can_be_taken_over_is_in_force_and_named() {
+    let changes = [
+        ("[\"10.1.0.36:8544\"]", "[\"10.1.0.37:8544\", \"10.1.0.38:8544\"]"),
+        ("\"north\": \"town\"", "\"north\": \"town\", \"south\": \"bay\""),
+        ("\"1300ms\"", "\"900ms\""),
+        ("\"boxes\": 1", "\"boxes\": 2"),
+        ("\"ramMb\": 260", "\"ramMb\": 512"),
+        ("\"openFiles\": 4100", "\"openFiles\": 9000"),
+        ("\"inContact\": \"11s\"", "\"inContact\": \"2s\""),
+        ("[\"base\"]", "[\"base\", \"own\"]"),
+    ];
+    let reread = terms::reread(&boot(&[]), boot(&changes));
+    assert_eq!(reread.boot, boot(&changes));
+    assert_eq!(reread.restart, [""; 0]);
+    let lines = [
+        "self.caps.ramMb: 260, now 512",
+        "self.caps.openFiles: 4100, now 9000",
+        r#"network.knownPeers: ["10.1.0.36:8544"], now ["10.1.0.37:8544", "10.1.0.38:8544"]"#,
+        r#"network.zones: {"north": "town"}, now {"north": "town", "south": "bay"}"#,
+        "provider.heartbeat: 1.3s, now 900ms",
+        "terms.survive.boxes: 1, now 2",
+        r#"terms.promises: ["base"], now ["base", "own"]"#,
+        "terms.timeLimits.inContact: 11s, now 2s",
+    ];
+    assert_eq!(reread.applied, lines);
+}
+
+#[test]
+fn what_needs_a_restart_stays_and_is_named() {
+    let changes = [
+        ("\"10.1.0.34\"", "\"10.1.0.35\""),
+        ("\"area\": \"north\"", "\"area\": \"south\""),
+        ("\"place\": \"town\"", "\"place\": \"bay\""),
+        ("\"dataFolder\": \"/data\"", "\"dataFolder\": null"),
+        ("10.1.0.34:8548", "10.1.0.34:8549"),
+        ("10.1.0.34:8542", "10.1.0.34:8543"),
+        ("10.1.0.34:8544", "10.1.0.34:8545"),
+        ("[7540, 7555]", "[7560, 7575]"),
+        ("\"centre-1\"", "\"centre-2\""),
+    ];
+    let reread = terms::reread(&boot(&[]), boot(&changes));
+    assert_eq!(reread.boot, boot(&[]));
+    assert_eq!(reread.applied, [""; 0]);
+    let lines = [
+        r#"self.nodeName: "centre-1", after a restart "centre-2""#,
+        r#"self.ipAddress: "10.1.0.34", after a restart "10.1.0.35""#,
+        r#"self.area: "north", after a restart "south""#,
+        r#"self.place: "town", after a restart "bay""#,
+        r#"self.dataFolder: "/data", after a restart not given"#,
+        r#"network.binds.publicPlain: "10.1.0.34:8548", after a restart "10.1.0.34:8549""#,
+        r#"network.binds.readiness: "10.1.0.34:8542", after a restart "10.1.0.34:8543""#,
+        r#"network.binds.admin: "10.1.0.34:8544", after a restart "10.1.0.34:8545""#,
+        "network.sparePorts: (7540, 7555), after a restart (7560, 7575)",
+    ];
+    assert_eq!(reread.restart, lines);
+}
+
+#[test]
+fn both_kinds_at_once_and_only_the_first_reading_says_that_all_is_new() {
+    let changes = [
+        ("\"initialBoot\": true", "\"initialBoot\": false"),
+        ("[7540, 7555]", "[7560, 7575]"),
+        ("\"1300ms\"", "\"1s\""),
+    ];
+    let reread = terms::reread(&boot(&[]), boot(&changes));
+    assert_eq!(reread.boot, boot(&changes[2..]));
+    assert_eq!((reread.applied.len(), reread.restart.len()), (1, 1));
+    let only = terms::reread(&boot(&[]), boot(&changes[..1]));
+    assert_eq!((only.applied.len(), only.restart.len()), (0, 0));
+}
+
+/// A field that is added is told of as well, and a long value is cut short.
+#[test]
+fn no_field_is_passed_over() {
+    let bare = r#"{"self": {"ipAddress": "127.0.0.1", "area": "a"}, "network": {"sparePorts": [1, 2]}}"#;
+    let reread = terms::reread(&boot(&[]), Boot::from_json(bare).unwrap());
+    // All that SETTINGS gives but `initialBoot`: 17 limits and 17 others.
+    assert_eq!(reread.applied.len() + reread.restart.len(), 34, "{reread:#?}");
+    let peers = format!("{:?}", ["10.1.0.36:8544"; 40]);
+    let reread = terms::reread(&boot(&[]), boot(&[("[\"10.1.0.36:8544\"]", &peers)]));
+    assert!(reread.applied[0].len() < 150, "{}", reread.applied[0]);
+}
