--- a/crates/accord/src/lib.rs
+++ b/crates/accord/src/lib.rs
@@ -124,3 +124,7 @@
     let start = ring.partition_point(|(p, _)| *p < mine);
     (0..ring.len().min(few)).map(|n| ring[(start + n) % ring.len()].1.clone()).collect()
 }
+
+pub fn majority(seats: usize) -> usize {
+    seats / 2 + 1
+}
--- a/crates/council/src/links.rs
+++ b/crates/council/src/links.rs
@@ -1,104 +1,107 @@
-//! Calls to other centres: heartbeats and news by polls, and, while acting, the promise of each seat.
-use crate::Centre;
-use accord::Id;
-use errand::Caller;
-use std::sync::Arc;
-use std::time::Duration;
-use tidings::{Asked, Follow, News, SeatCall, SeatSay};
+//! Whom this centre follows, and the polls that are its heartbeats. No I/O.
+use crate::node::{Effect, Peer};
+use crate::state::{Say, State};
+use accord::{Id, Ms, Out, Token};
+use std::collections::{BTreeMap, BTreeSet};
+use tidings::{Asked, Follow, News};
 
-/// How many others a centre's heartbeats go to, besides the seats.
+/// How many others a centre's heartbeats go to, besides the witnesses and who holds the state.
 const FEW: usize = 3;
+/// Tokens of polls, apart from those of the core.
+const POLLS: Token = 1 << 48;
 
-pub fn caller(call: u64) -> Caller {
-    Caller::new(Duration::from_millis(call / 2), Duration::from_millis(call))
+#[derive(Default)]
+struct Link {
+    feed: u64,
+    seq: u64,
+    under_way: Option<Poll>,
+    next_at: Ms,
 }
 
-/// One thread for each centre that this one keeps in touch with.
-pub fn start(centre: &Arc<Centre>, known: &mut Vec<Id>) {
-    let (wanted, me): (Vec<Id>, Id) = {
-        let (state, now) = centre.lock();
-        let all: Vec<Id> = state.members.iter().cloned().collect();
-        let mut wanted = accord::watchers(&state.me, &all, FEW);
-        wanted.extend(state.seats.iter().cloned());
-        wanted.extend(state.primary(now).cloned());
-        (wanted, state.me.clone())
-    };
-    for peer in wanted {
-        if peer != me && !known.contains(&peer) {
-            known.push(peer.clone());
-            let centre = centre.clone();
-            let run = move || link(&centre, &peer);
-            let _ = std::thread::Builder::new().name("link".into()).stack_size(256 * 1024).spawn(run);
-        }
-    }
+struct Poll {
+    token: Token,
+    asked_at: Ms,
+    evidence: Vec<stride::Report>,
 }
 
-fn link(centre: &Centre, peer: &Id) {
-    let spans = centre.spans;
-    let (caller, address) = (caller(spans.call), centre.peer_address(peer));
-    let (mut feed, mut seq) = (0, 0);
-    loop {
-        let renew = {
-            let (state, now) = centre.lock();
-            let record = match &state.role {
-                crate::state::Role::Acting(record) if state.seats.contains(peer) => Some(record.clone()),
-                _ => None,
-            };
-            record.map(|r| (r, now))
-        };
-        if let Some((record, asked)) = renew {
-            let say =
-                caller.post::<_, SeatSay>(&address, "/seat", &SeatCall::Renew(record.clone(), spans.promise));
-            let (mut state, _) = centre.lock();
-            if say.is_ok_and(|s| s.no.is_none()) && state.record == record {
-                state.promises.add(peer, asked, spans.promise);
+#[derive(Default)]
+pub struct Links {
+    wanted: BTreeSet<Id>,
+    links: BTreeMap<Id, Link>,
+    tokens: Token,
+    turn: usize,
+}
+
+impl Links {
+    pub fn choose(&mut self, now: Ms, state: &State) {
+        self.turn += 1;
+        self.wanted = state.core.wanted(now, self.turn, FEW);
+        let wanted = &self.wanted;
+        self.links.retain(|id, link| wanted.contains(id) || link.under_way.is_some());
+    }
+
+    /// Starts the polls that are due, of one peer or of all.
+    pub fn start(&mut self, now: Ms, state: &mut State, only: Option<&Id>, out: &mut Vec<Effect>) {
+        for peer in &self.wanted {
+            if only.is_some_and(|only| only != peer) {
+                continue;
             }
-        }
-        let (follow, asked_at) = {
-            let (mut state, now) = centre.lock();
-            let to_primary = state.peers.get(peer).is_some_and(|p| p.standing.acting);
+            let link = self.links.entry(peer.clone()).or_default();
+            if link.under_way.is_some() || now < link.next_at {
+                continue;
+            }
+            let to_primary = state.primary(now) == Some(peer);
             let asked = if to_primary { std::mem::take(&mut state.asked) } else { Default::default() };
             let asked =
                 asked.into_iter().map(|(backend, c)| Asked { backend, counts: c.into_iter().collect() });
-            let standing = Some(state.standing(now, peer));
             let evidence = if to_primary { state.rollouts.relay() } else { Vec::new() };
-            let (edge, area) = (state.me.clone(), String::new());
             let follow = Follow {
-                edge,
-                area,
-                feed,
-                seq,
-                wait_ms: spans.round,
+                edge: state.core.me.clone(),
+                area: String::new(),
+                feed: link.feed,
+                seq: link.seq,
+                wait_ms: state.spans.core.round,
                 asked: asked.collect(),
-                evidence,
-                standing,
+                evidence: evidence.clone(),
+                standing: Some(state.standing(now, peer)),
             };
-            (follow, now)
+            self.tokens += 1;
+            let token = POLLS + self.tokens;
+            link.under_way = Some(Poll { token, asked_at: now, evidence });
+            let (call, wait) = (Peer::Follow(Box::new(follow)), state.spans.core.call);
+            out.push(Effect::Call { token, to: peer.clone(), call, wait });
+        }
+    }
+
+    /// Whose poll this was, if it was one.
+    pub fn ended(&self, token: Token) -> Option<Id> {
+        let of = |(id, link): (&Id, &Link)| {
+            link.under_way.as_ref().is_some_and(|p| p.token == token).then(|| id.clone())
         };
-        match caller.post::<_, News>(&address, "/follow", &follow) {
-            Ok(news) => {
-                let mut say = Vec::new();
-                let (mut state, now) = centre.lock();
-                (feed, seq) = (news.feed, news.seq);
-                if let Some(standing) = &news.standing {
-                    state.hear(now, standing);
-                    // What is kept is what it holds now: it said so with the sum.
-                    let kept = state.peers.get(peer).and_then(|p| p.standing.detail.as_ref());
-                    let held = kept.and_then(|d| d.held.clone());
-                    centre.heard_seat(&mut state, now, peer, held);
-                }
-                state.merge(&news);
-                state.rollouts.hear(asked_at, &news.plans_seen);
-                state.settle(now, &mut say);
-                drop(state);
-                centre.say(say);
-            }
-            Err(_) => {
-                if !follow.evidence.is_empty() {
-                    centre.lock().0.rollouts.put_back(follow.evidence);
-                }
-                std::thread::sleep(Duration::from_millis(spans.round / 4));
-            }
+        self.links.iter().find_map(of)
+    }
+
+    pub fn heard(
+        &mut self,
+        now: Ms,
+        state: &mut State,
+        peer: &Id,
+        news: Option<Box<News>>,
+        say: &mut Vec<Say>,
+        outs: &mut Vec<Out>,
+    ) {
+        let Some(link) = self.links.get_mut(peer) else { return };
+        let Some(poll) = link.under_way.take() else { return };
+        let Some(news) = news else {
+            link.next_at = now + state.spans.core.round / 4;
+            return state.rollouts.put_back(poll.evidence);
+        };
+        (link.feed, link.seq, link.next_at) = (news.feed, news.seq, now);
+        if let Some(standing) = &news.standing {
+            state.hear(now, standing, Some(poll.asked_at), outs);
         }
+        state.merge(&news);
+        state.rollouts.hear(poll.asked_at, &news.plans_seen);
+        state.settle(now, say);
     }
 }
--- a/crates/council/src/main.rs
+++ b/crates/council/src/main.rs
@@ -41,9 +41,7 @@
     }));
     let log = slog::Logger::root(Lines.fuse(), slog::o!());
     match council::Centre::start(&boot, log) {
-        Ok(_centre) => loop {
-            std::thread::park();
-        },
+        Ok(centre) => centre.wait_to_leave(),
         Err(e) => {
             eprintln!("council! {e:#}");
             exit(1)
--- a/crates/council/src/state.rs
+++ b/crates/council/src/state.rs
@@ -1,10 +1,11 @@
-//! All that a centre knows, behind one lock, and what it makes of it. No I/O here: answers that are due are handed to
-//! the voice, writes to the scribe.
+//! All that a centre knows, and what it makes of it. No I/O: answers that are due are handed back, changes go to the
+//! core.
 use crate::feed::Feed;
+use crate::orders::Orders;
 use crate::rollouts::{self, Hosts, Rollouts};
 use crate::store::Put;
-use accord::{majority, Ballot, Id, Ms, Promises, Record, Seat};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use accord::{Caller, Change, Core, Id, Ms, Out, Told};
+use std::collections::{BTreeMap, BTreeSet};
 use tenure::{Host, Keys};
 use terms::{Boot, Config};
 use tidings::{Asked, Detail, Follow, HostNews, News, Settings, Stage, Standing};
@@ -12,13 +13,7 @@
 /// Time spans that follow from the settings.
 #[derive(Debug, Clone, Copy)]
 pub struct Spans {
-    /// For how long seats promise not to listen to another: a takeover, with the beats after it, is to be over
-    /// within the time after which machines count as in touch again.
-    pub promise: Ms,
-    /// How often a primary asks for it, and centres hear of each other.
-    pub round: Ms,
-    /// How long anything between directors may take.
-    pub call: Ms,
+    pub core: accord::Spans,
     /// For how long a host holds its keys. Half of what is allowed: a restart of the whole core is shorter, and a host
     /// that is lost takes its keys along for no longer.
     pub keep: Ms,
@@ -29,28 +24,25 @@
 
 impl Spans {
     pub fn new(boot: &Boot) -> Spans {
-        let promise = (boot.limits.in_contact.as_millis() as Ms * 2 / 5).clamp(300, 3000);
-        let keep = boot.limits.keep_max.as_millis() as Ms / 2;
-        let beat = boot.heartbeat.as_millis() as Ms;
-        Spans { promise, round: promise / 3, call: promise / 2, keep, beat, receipt: 600 }
+        let ms = |time: std::time::Duration| time.as_millis() as Ms;
+        // A takeover, with the beats after it, is to be over within the time after which machines count as in touch.
+        let lease = (ms(boot.limits.in_contact) * 2 / 5).clamp(300, 3000);
+        let core = accord::Spans {
+            lease,
+            round: lease / 3,
+            call: lease / 2,
+            // Once it has been replaced and that time is over, the next may be lost: half of it is left for the repair.
+            patience: ms(boot.limits.sync_time) / 2,
+            leave: ms(boot.limits.leeway) / 2,
+            survive: boot.survive as usize,
+        };
+        Spans { core, keep: ms(boot.limits.keep_max) / 2, beat: ms(boot.heartbeat), receipt: 600 }
     }
 }
 
-pub enum Role {
-    Idle,
-    Acting(Record),
-}
-
-/// A change that waits to be written, with the ticket by which callers wait for it.
-pub struct Change {
-    pub puts: Vec<Put>,
-    pub settings: Option<Settings>,
-    pub ticket: u64,
-}
-
 /// A caller of `admin` whose answer is not due yet.
 pub struct Parked {
-    pub request: tiny_http::Request,
+    pub caller: Caller,
     pub until: Ms,
     /// Waits for this to be written; 0 for nothing.
     pub ticket: u64,
@@ -61,15 +53,22 @@
 
 pub enum Kind {
     Order,
-    Beat { ident: String, service: Option<String> },
+    /// Another content of the number that is being written: refused once that is in force.
+    Rival,
+    Beat {
+        ident: String,
+        service: Option<String>,
+    },
 }
 
 pub struct Poll {
-    pub request: tiny_http::Request,
+    pub caller: Caller,
     pub seq: u64,
     pub until: Ms,
     /// The centre that asks, if it is one.
     pub centre: Option<Id>,
+    /// The feed and number that an edge has, told back to it where there is nothing to be told.
+    pub has: (u64, u64),
 }
 
 #[derive(Default)]
@@ -79,12 +78,6 @@
     pub edge: bool,
 }
 
-#[derive(Default)]
-pub struct Peer {
-    pub seen: Ms,
-    pub standing: Standing,
-}
-
 #[derive(Debug, Clone, Default)]
 pub struct Beat {
     pub at: Ms,
@@ -102,39 +95,30 @@
 }
 
 pub struct State {
-    pub me: Id,
+    /// Who acts, and what is on which disk.
+    pub core: Core,
     /// Where directors listen for each other.
     pub port: u16,
     pub area: String,
     pub spans: Spans,
-    pub seats: Vec<Id>,
-    pub seat: Option<Seat>,
-    pub members: BTreeSet<Id>,
-    pub peers: BTreeMap<Id, Peer>,
-    /// What is acknowledged, or may be: the same as on the disk while it backs up or acts.
-    pub held: BTreeMap<String, String>,
-    pub floor: Ballot,
-    pub seq: u64,
-    pub role: Role,
-    pub promises: Promises,
-    pub record: Record,
-    pub fit: bool,
-    /// The disk was lost, and the seat has yet to hear the others.
-    pub lost: bool,
-    /// Memory and disk may differ: only a snapshot is taken.
-    pub broken: bool,
-    /// The highest ballot that a seat has named when it refused.
-    pub top: u64,
-    pub bad_backup: Option<Id>,
+    /// What other centres last said of themselves, with what seldom changes.
+    standings: BTreeMap<Id, Standing>,
     pub feed: Feed,
     pub config: Option<Config>,
+    pub orders: Orders,
     pub followers: BTreeMap<String, Follower>,
     pub polls: Vec<Poll>,
     pub parked: Vec<Parked>,
-    pub queue: VecDeque<Change>,
-    pub tickets: u64,
-    pub written: u64,
-    pub failed: u64,
+    /// Changes that the core has not got yet.
+    pub todo: Vec<Change>,
+    tickets: u64,
+    written: u64,
+    /// Tickets that will not be written.
+    lost: BTreeSet<u64>,
+    /// The highest number of a configuration that is being written.
+    queued: Option<u64>,
+    /// Something was written, or will not be.
+    stirred: bool,
     pub beats: BTreeMap<String, Beat>,
     pub keys: Keys,
     /// Before this a primary may not know all hosts that are there.
@@ -147,72 +131,115 @@
     pub rollouts: Rollouts,
 }
 
-/// What the voice is to say, outside of the lock.
+/// An answer that is due.
 pub enum Say {
-    News(tiny_http::Request, Box<News>),
-    Text(tiny_http::Request, u16, String),
+    News(Caller, Box<News>),
+    Text(Caller, u16, String),
 }
 
 impl State {
+    /// `life`: of the feed.
+    pub fn new(boot: &Boot, spans: Spans, core: Core, life: u64) -> State {
+        State {
+            core,
+            port: boot.spare_ports.0,
+            area: boot.area.clone(),
+            spans,
+            standings: BTreeMap::new(),
+            feed: Feed::new(life),
+            config: None,
+            orders: Orders::default(),
+            followers: BTreeMap::new(),
+            polls: Vec::new(),
+            parked: Vec::new(),
+            todo: Vec::new(),
+            tickets: 0,
+            written: 0,
+            lost: BTreeSet::new(),
+            queued: None,
+            stirred: false,
+            beats: BTreeMap::new(),
+            keys: Keys::new(spans.keep),
+            settled_at: 0,
+            shown: 0,
+            laid: BTreeMap::new(),
+            asked: BTreeMap::new(),
+            edges: BTreeMap::new(),
+            rollouts: Rollouts::default(),
+        }
+    }
+
+    /// What a key's holder was promised stays as it was until the next epoch.
+    pub fn respan(&mut self, spans: Spans) {
+        self.spans = Spans { keep: self.spans.keep, ..spans };
+        self.core.spans = spans.core;
+    }
+
     pub fn acting(&self, now: Ms) -> bool {
-        matches!(self.role, Role::Acting(_)) && self.promises.until(&self.seats) > now
+        self.core.acting(now)
+    }
+
+    fn acts_by(&self) -> Option<u64> {
+        self.core.epoch()
     }
 
     /// Where the primary is, if any is heard to act.
     pub fn primary(&self, now: Ms) -> Option<&Id> {
-        let heard = |p: &&Peer| now < p.seen + self.spans.promise && p.standing.acting;
-        let epoch = |p: &&Peer| p.standing.detail.as_ref().map(|d| d.record.epoch.clone());
-        let best = self.peers.values().filter(heard).max_by_key(epoch);
-        best.map(|p| &p.standing.id).filter(|id| **id != self.me)
+        self.core.primary(now)
     }
 
-    /// Out of touch with most seats: others know better.
+    /// Out of touch with most witnesses: others know better, and nothing that this centre says may be relied on.
     pub fn alone(&self, now: Ms) -> bool {
-        let near = |id: &&Id| {
-            **id == self.me || self.peers.get(*id).is_some_and(|p| now < p.seen + self.spans.promise)
-        };
-        self.seats.iter().filter(near).count() < majority(self.seats.len())
+        !self.core.in_touch(now)
     }
 
     /// For `peer`; with the detail unless it has said that it has it.
     pub fn standing(&self, now: Ms, peer: &str) -> Standing {
         let live = |f: &(&String, &Follower)| f.1.edge && now < f.1.seen + 10_000;
+        let told = self.core.told(now);
         let detail = Detail {
-            record: self.record.clone(),
-            held: self.seat.as_ref().filter(|s| s.whole()).map(|s| s.held.clone()),
-            seats: self.seats.clone(),
-            members: self.members.iter().cloned().collect(),
+            life: told.life,
+            floor: told.floor,
+            record: told.record,
+            members: told.members,
             edges: self.followers.iter().filter(live).map(|(e, _)| e.clone()).collect(),
-            area: self.area.clone(),
+            area: told.area,
         };
-        let (sum, other) = (detail.sum(), self.peers.get(peer).map(|p| &p.standing));
+        let (sum, other) = (detail.sum(), self.standings.get(peer));
         let known = other.is_some_and(|o| o.seen == sum);
         Standing {
-            id: self.me.clone(),
-            acting: self.acting(now),
-            fit: self.fit,
+            id: told.id,
+            acting: told.acting,
+            fit: told.fit,
+            leaving: told.leaving,
             sum,
             seen: other.filter(|o| o.detail.is_some()).map_or(0, |o| o.sum),
             detail: (!known).then_some(detail),
         }
     }
 
-    pub fn hear(&mut self, now: Ms, standing: &Standing) {
-        self.members.insert(standing.id.clone());
-        let peer = self.peers.entry(standing.id.clone()).or_default();
+    /// A heartbeat of another centre. `asked`: when the call was sent that it answers.
+    pub fn hear(&mut self, now: Ms, standing: &Standing, asked: Option<Ms>, outs: &mut Vec<Out>) {
+        let kept = self.standings.entry(standing.id.clone()).or_default();
         let mut new = standing.clone();
         if new.detail.is_none() {
-            new.detail = peer.standing.detail.take().filter(|_| peer.standing.sum == new.sum);
-        }
-        (peer.seen, peer.standing) = (now, new);
-        let Some(detail) = peer.standing.detail.clone() else { return };
-        self.members.extend(detail.members);
-        if detail.record.epoch > self.record.epoch {
-            self.record = detail.record;
-        }
-        if self.seats.is_empty() {
-            self.seats = detail.seats;
+            new.detail = kept.detail.take().filter(|_| kept.sum == new.sum);
         }
+        *kept = new;
+        // What it is was lost on the way: its next call brings it, as it is told that it is not known.
+        let Some(detail) = kept.detail.clone() else { return };
+        let told = Told {
+            id: standing.id.clone(),
+            acting: standing.acting,
+            fit: standing.fit,
+            leaving: standing.leaving,
+            life: detail.life,
+            floor: detail.floor,
+            area: detail.area,
+            record: detail.record,
+            members: detail.members,
+        };
+        self.core.hear(now, &told, asked, outs);
         detail.edges.into_iter().for_each(|e| {
             self.edges.insert(e, now);
         });
@@ -237,14 +264,17 @@
         self.took_settings();
     }
 
+    /// The answer to an edge where this centre is out of touch: where else to ask, and nothing to go by.
+    fn nothing(&self, now: Ms, (feed, seq): (u64, u64)) -> News {
+        let centres = self.core.members.iter().map(|id| peer_address(id, self.port)).collect();
+        News { feed, seq, alone: true, up_ms: now, centres, ..News::default() }
+    }
+
     /// The answer to a follower.
     pub fn news(&self, now: Ms, feed: u64, seq: u64, centre: Option<&str>) -> News {
         let mut news = self.feed.since(feed, seq);
         if self.feed.planned() {
-            let epoch = match &self.role {
-                Role::Acting(record) if self.acting(now) => Some(record.epoch.n),
-                _ => None,
-            };
+            let epoch = self.acts_by().filter(|_| self.acting(now));
             news.plans_seen = self.rollouts.seen(now, epoch);
         }
         news.alone = self.alone(now);
@@ -253,40 +283,48 @@
         if let Some(peer) = centre {
             news.standing = Some(self.standing(now, peer));
         } else if news.whole || seq == 0 || news.up_ms < 10_000 {
-            news.centres = self.members.iter().map(|id| peer_address(id, self.port)).collect();
+            news.centres = self.core.members.iter().map(|id| peer_address(id, self.port)).collect();
         }
         news
     }
 
-    pub fn follow(&mut self, now: Ms, follow: &Follow, request: tiny_http::Request, say: &mut Vec<Say>) {
+    pub fn follow(
+        &mut self,
+        now: Ms,
+        follow: &Follow,
+        caller: Caller,
+        say: &mut Vec<Say>,
+        outs: &mut Vec<Out>,
+    ) {
         let centre = follow.standing.as_ref().map(|s| s.id.clone());
         if let Some(standing) = &follow.standing {
-            self.hear(now, standing);
+            self.hear(now, standing, None, outs);
         } else {
             self.edges.insert(follow.edge.clone(), now);
         }
         self.count(&follow.asked);
         if !follow.evidence.is_empty() {
-            let acts = matches!(self.role, Role::Acting(_));
+            let acts = self.acts_by().is_some();
             self.rollouts.take(now, acts, &follow.evidence);
         }
         let known = follow.feed == self.feed.id;
         let heard = if known { follow.seq } else { 0 };
         let follower = Follower { heard, seen: now, edge: centre.is_none() };
         self.followers.insert(follow.edge.clone(), follower);
-        if !known || follow.seq != self.feed.seq || self.alone(now) && centre.is_none() {
-            say.push(Say::News(
-                request,
-                Box::new(self.news(now, follow.feed, follow.seq, centre.as_deref())),
-            ));
+        let has = (follow.feed, follow.seq);
+        if centre.is_none() && self.alone(now) {
+            say.push(Say::News(caller, Box::new(self.nothing(now, has))));
+        } else if !known || follow.seq != self.feed.seq {
+            let news = self.news(now, follow.feed, follow.seq, centre.as_deref());
+            say.push(Say::News(caller, Box::new(news)));
         } else {
             let until = now + follow.wait_ms;
-            self.polls.push(Poll { request, seq: follow.seq, until, centre });
+            self.polls.push(Poll { caller, seq: follow.seq, until, centre, has });
         }
     }
 
     pub fn count(&mut self, asked: &[Asked]) {
-        let acts = matches!(self.role, Role::Acting(_));
+        let acts = self.acts_by().is_some();
         for a in asked {
             if acts {
                 self.keys.count(&a.backend, &a.counts);
@@ -299,29 +337,66 @@
 
     /// Answers polls that have waited long enough, or for which there is news.
     pub fn flush(&mut self, now: Ms, say: &mut Vec<Say>) {
-        let (seq, id) = (self.feed.seq, self.feed.id);
+        let seq = self.feed.seq;
+        self.flush_where(now, say, |poll| poll.seq < seq || now >= poll.until);
+    }
+
+    /// Answers all polls.
+    pub fn flush_all(&mut self, now: Ms, say: &mut Vec<Say>) {
+        self.flush_where(now, say, |_| true);
+    }
+
+    pub fn flush_edges(&mut self, now: Ms, say: &mut Vec<Say>) {
+        self.flush_where(now, say, |poll| poll.centre.is_none());
+    }
+
+    fn flush_where(&mut self, now: Ms, say: &mut Vec<Say>, due: impl Fn(&Poll) -> bool) {
+        let id = self.feed.id;
         for poll in std::mem::take(&mut self.polls) {
-            if poll.seq < seq || now >= poll.until {
-                let news = self.news(now, id, poll.seq, poll.centre.as_deref());
-                say.push(Say::News(poll.request, Box::new(news)));
-            } else {
+            if !due(&poll) {
                 self.polls.push(poll);
+                continue;
             }
+            let news = if poll.centre.is_none() && self.alone(now) {
+                self.nothing(now, poll.has)
+            } else {
+                self.news(now, id, poll.seq, poll.centre.as_deref())
+            };
+            say.push(Say::News(poll.caller, Box::new(news)));
         }
     }
 
     /// Have all who follow heard up to here? Who has been silent for longer than a poll is not in touch.
     pub fn all_heard(&self, now: Ms, seq: u64) -> bool {
-        let live = |f: &&Follower| now < f.seen + 1000 + self.spans.round;
+        let live = |f: &&Follower| now < f.seen + 1000 + self.spans.core.round;
         self.followers.values().filter(live).all(|f| f.heard >= seq)
     }
 
-    pub fn queue(&mut self, puts: Vec<Put>, settings: Option<Settings>) -> u64 {
+    /// A change of the control state, to be written. Its ticket tells when.
+    pub fn queue(&mut self, puts: Vec<Put>) -> u64 {
         self.tickets += 1;
-        self.queue.push_back(Change { puts, settings, ticket: self.tickets });
+        self.todo.push(Change { ticket: self.tickets, puts });
         self.tickets
     }
 
+    /// The ticket that the next change gets.
+    pub fn next_ticket(&self) -> u64 {
+        self.tickets + 1
+    }
+
+    pub fn last_ticket(&self) -> u64 {
+        self.tickets
+    }
+
+    /// The highest number that is in force, or being written.
+    pub fn newest(&self) -> Option<u64> {
+        self.feed.settings().map(|s| s.revision).max(self.queued)
+    }
+
+    pub fn queued(&mut self, revision: u64) {
+        self.queued = self.queued.max(Some(revision));
+    }
+
     /// Whose beat is waiting here, or due in a moment.
     fn back(&self, now: Ms) -> Vec<String> {
         let beat = |p: &Parked| match &p.kind {
@@ -337,14 +412,15 @@
 
     /// Answers callers that have waited for what has come, or too long.
     pub fn settle(&mut self, now: Ms, say: &mut Vec<Say>) {
-        if matches!(self.role, Role::Acting(_)) {
+        self.stirred = false;
+        if self.acts_by().is_some() {
             self.show(now);
         }
         for parked in std::mem::take(&mut self.parked) {
-            let lost = parked.ticket > 0 && parked.ticket <= self.failed && parked.ticket > self.written;
+            let lost = self.lost.contains(&parked.ticket);
             let waits = parked.ticket > self.written && !lost;
             if lost || (waits && now >= parked.until) {
-                say.push(Say::Text(parked.request, 503, "{\"why\":\"not on two disks\"}".into()));
+                say.push(Say::Text(parked.caller, 503, "{\"why\":\"not on two disks\"}".into()));
                 continue;
             }
             let deaf = parked.heard > 0 && !self.all_heard(now, parked.heard) && now < parked.until;
@@ -361,22 +437,39 @@
             }
             match &parked.kind {
                 // A process that was frozen since the write must not answer.
-                Kind::Order if !self.acting(now) => say.push(Say::Text(parked.request, 503, "{}".into())),
-                Kind::Order => say.push(Say::Text(parked.request, 200, "{}".into())),
+                Kind::Order | Kind::Rival if !self.acting(now) => {
+                    say.push(Say::Text(parked.caller, 503, "{}".into()));
+                }
+                Kind::Order => say.push(Say::Text(parked.caller, 200, "{}".into())),
+                Kind::Rival => say.push(Say::Text(parked.caller, 409, crate::admin::rival())),
                 Kind::Beat { ident, service } => {
                     let (status, text) = self.beat_answer(now, ident, service.as_deref());
-                    say.push(Say::Text(parked.request, status, text));
+                    say.push(Say::Text(parked.caller, status, text));
                 }
             }
         }
-        if matches!(self.role, Role::Acting(_)) {
+        if self.acts_by().is_some() {
             self.show(now);
         }
         self.flush(now, say);
     }
 
+    /// After something was written, or failed: who waits for it is answered.
+    pub fn settle_if_due(&mut self, now: Ms, say: &mut Vec<Say>) {
+        if self.stirred {
+            self.settle(now, say);
+        }
+    }
+
     fn beat_answer(&mut self, now: Ms, ident: &str, service: Option<&str>) -> (u16, String) {
-        let mut answer = serde_json::json!({ "reportTo": self.me });
+        // Where it could not act itself, a beat that is keyed would not get this far.
+        if self.alone(now) {
+            return (503, "{}".into());
+        }
+        let mut answer = serde_json::json!({});
+        if !self.core.leaving() {
+            answer["reportTo"] = serde_json::json!(self.core.me);
+        }
         if let Some(service) = service {
             if !self.acting(now) {
                 return (503, "{}".into());
@@ -395,8 +488,8 @@
 
     /// Tells edges what changed of who holds which keys.
     fn show(&mut self, _now: Ms) {
-        let Role::Acting(record) = &self.role else { return };
-        let base = record.epoch.n << 32;
+        let Some(epoch) = self.acts_by() else { return };
+        let base = epoch << 32;
         let mut seen = std::collections::BTreeSet::new();
         for (service, slice, ident) in self.keys.shown() {
             // Neighbours with one number are told as one; a row that changes twice needs two.
@@ -409,54 +502,67 @@
         }
     }
 
-    /// It acts from now on: what stands is known, and edges are told all of it under the new epoch.
-    pub fn took_over(&mut self, now: Ms, record: Record) {
-        let state = self.held.iter().map(|(n, v)| (n.as_str(), v.as_str()));
-        self.keys = Keys::recover(self.spans.keep, now, state);
+    /// It acts from now on. If it did not right before: what stands is known, and edges are told all of it under the new
+    /// epoch.
+    pub fn acts(&mut self, now: Ms, fresh: bool) {
+        if !fresh {
+            return;
+        }
+        let state = || self.core.held().iter().map(|(n, v)| (n.as_str(), v.as_str()));
+        (self.keys, self.orders) = (Keys::recover(self.spans.keep, now, state()), Orders::recover(state()));
+        self.queued = None;
         self.shown = 1;
-        let base = record.epoch.n << 32;
+        let base = self.acts_by().unwrap_or(0) << 32;
         for (service, slice, ident) in self.keys.all_shown() {
             let slices = self.keys.slices(&service);
             self.feed.put_row(&service, slices, slice, &ident, base + self.shown);
         }
-        if let Some(settings) = self.held.get("config").and_then(|text| serde_json::from_str(text).ok()) {
+        let settings = self.core.held().get("config").and_then(|text| serde_json::from_str(text).ok());
+        if let Some(settings) = settings {
             self.feed.put_settings(&settings);
             self.took_settings();
         }
-        for stand in self.rollouts.took_over(now, self.held.iter()) {
+        for stand in self.rollouts.took_over(now, self.core.held().iter()) {
             self.feed.put_plan(&stand);
         }
         // By then every host that is there has beaten here.
         self.settled_at = now + self.spans.beat * 5 / 2;
-        self.record = record.clone();
-        self.role = Role::Acting(record);
+        self.stirred = true;
     }
 
-    pub fn step_down(&mut self) {
-        if matches!(self.role, Role::Acting(_)) {
-            self.role = Role::Idle;
-            self.rollouts.step_down();
-            self.failed = self.tickets;
-            self.queue.clear();
+    pub fn stops(&mut self) {
+        self.rollouts.step_down();
+        self.orders.failed_all();
+        self.queued = None;
+        self.stirred = true;
+    }
+
+    pub fn failed(&mut self, tickets: &[u64]) {
+        self.lost.extend(tickets);
+        tickets.iter().for_each(|ticket| self.orders.failed(*ticket));
+        // Nobody waits for one that is long past.
+        while self.lost.len() > 10_000 {
+            self.lost.pop_first();
         }
+        self.stirred = true;
     }
 
-    /// On both disks: it is in force.
+    /// On all disks of the record: it is in force.
     pub fn wrote(&mut self, now: Ms, changes: &[Change]) {
         for change in changes {
-            for (name, value) in &change.puts {
-                self.held.insert(name.clone(), value.clone());
-            }
             self.keys.apply(now, &change.puts);
             for stand in change.puts.iter().filter_map(rollouts::read) {
                 self.feed.put_plan(&stand);
             }
-            if let Some(settings) = &change.settings {
-                self.feed.put_settings(settings);
+            let config = change.puts.iter().find(|(name, _)| name == "config");
+            if let Some(settings) = config.and_then(|(_, text)| serde_json::from_str::<Settings>(text).ok()) {
+                self.feed.put_settings(&settings);
                 self.took_settings();
             }
+            self.orders.done(change.ticket);
             self.written = self.written.max(change.ticket);
         }
+        self.stirred = true;
     }
 
     /// What plans come to; a line about each change.
@@ -464,7 +570,7 @@
         if !self.acting(now) || !self.feed.planned() {
             return Vec::new();
         }
-        let (feed, beats, beat, me) = (&self.feed, &self.beats, self.spans.beat, &self.me);
+        let (feed, beats, beat, me) = (&self.feed, &self.beats, self.spans.beat, &self.core.me);
         let all = || feed.hosts().cloned().collect();
         let dead = |ident: &str, told: Ms| match feed.host(ident) {
             None => Some(true),
@@ -478,7 +584,7 @@
         let changes = self.rollouts.tick(now, self.config.as_ref(), &Hosts { all: &all, dead: &dead });
         let (puts, lines): (Vec<Put>, Vec<String>) = changes.into_iter().unzip();
         if !puts.is_empty() {
-            self.queue(puts, None);
+            self.queue(puts);
         }
         lines
     }
@@ -519,7 +625,7 @@
                 } else if now >= first + self.spans.beat * 3 / 2 {
                     let (slices, pieces) = (tenure::slices_for(hosts.len()), tenure::pieces_for(hosts.len()));
                     let puts = self.keys.lay(now, &service, slices, pieces, &hosts);
-                    self.queue(puts, None);
+                    self.queue(puts);
                 }
                 continue;
             }
@@ -529,7 +635,7 @@
             self.keys.plan(now, &service, &hosts, most, settled);
             let puts = self.keys.expire(now, &service);
             if !puts.is_empty() {
-                self.queue(puts, None);
+                self.queue(puts);
             }
         }
     }
@@ -540,9 +646,9 @@
         let mut lost = Vec::new();
         for host in self.feed.hosts().filter(|h| !h.silent && h.stage < Stage::Gone) {
             let Some(beat) = self.beats.get(&host.ident) else { continue };
-            let mine = host.via == self.me;
-            let orphan =
-                !mine && self.peers.get(&host.via).is_none_or(|p| now > p.seen + 2 * self.spans.promise);
+            let mine = host.via == self.core.me;
+            let orphan = !mine
+                && self.core.peers.get(&host.via).is_none_or(|p| now > p.seen + 2 * self.spans.core.lease);
             if (mine && now > beat.at + quiet) || (orphan && now > beat.at + 2 * quiet) {
                 let calls = beat.calls.max(host.calls);
                 lost.push(HostNews { silent: true, calls, ..host.clone() });
@@ -555,8 +661,8 @@
         let heard: Vec<(String, Ms)> = self
             .feed
             .hosts()
-            .filter(|h| h.via != self.me && !h.silent)
-            .filter(|h| self.peers.get(&h.via).is_some_and(|p| now < p.seen + self.spans.promise))
+            .filter(|h| h.via != self.core.me && !h.silent)
+            .filter(|h| self.core.peers.get(&h.via).is_some_and(|p| now < p.seen + self.spans.core.lease))
             .map(|h| (h.ident.clone(), now))
             .collect();
         for (ident, at) in heard {
--- a/crates/council/src/store.rs
+++ b/crates/council/src/store.rs
@@ -13,16 +13,31 @@
 
 pub type Put = (String, String);
 
-/// A write: the state's changes (all of it anew if `whole`) and what the centre keeps about itself, in one batch.
-pub struct Write {
+/// What is written at once, whole or not at all: the state's changes (all of it anew if `whole`) and what the centre keeps
+/// about itself.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Batch {
     pub state: Vec<Put>,
     pub whole: bool,
     pub own: Vec<Put>,
-    pub done: Box<dyn FnOnce(bool) + Send>,
+}
+
+pub type Done = Box<dyn FnOnce(bool) + Send>;
+
+/// How the folder was found.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Kept {
+    /// Nothing was ever written here.
+    #[default]
+    Fresh,
+    /// All that was ever answered is here.
+    Whole,
+    /// Torn, or gone back to an older state: emptied.
+    Lost,
 }
 
 pub struct Scribe {
-    jobs: Sender<Write>,
+    jobs: Sender<(Batch, Done)>,
     /// When the write under way began, in ms; 0 for none.
     began: Arc<AtomicU64>,
     ok: Arc<AtomicU64>,
@@ -34,6 +49,7 @@
 pub struct Found {
     pub state: BTreeMap<String, String>,
     pub own: BTreeMap<String, String>,
+    pub kept: Kept,
 }
 
 struct Disk {
@@ -61,7 +77,7 @@
 /// Reads a folder without changing what it says, for the command line.
 pub fn read(folder: &Path) -> Result<Found> {
     let disk = open(folder).map_err(|e| eyre!("{}: {e}", folder.display()))?;
-    Ok(Found { state: all(&disk.state)?, own: all(&disk.own)? })
+    Ok(Found { state: all(&disk.state)?, own: all(&disk.own)?, kept: Kept::Whole })
 }
 
 impl Scribe {
@@ -92,7 +108,9 @@
             }
         }
         let disk = disk.ok_or_else(|| eyre!("{} can't be opened", folder.display()))?;
-        let found = Found { state: all(&disk.state)?, own: all(&disk.own)? };
+        let (state, own) = (all(&disk.state)?, all(&disk.own)?);
+        let kept = if own.is_empty() { Kept::Fresh } else { Kept::Whole };
+        let found = Found { state, own, kept };
         let (jobs, todo) = channel();
         let (began, ok) = (Arc::new(AtomicU64::new(0)), Arc::new(AtomicU64::new(1)));
         let start = Instant::now();
@@ -103,8 +121,8 @@
         Ok((Scribe { jobs, began, ok, start }, found))
     }
 
-    pub fn write(&self, write: Write) {
-        let _ = self.jobs.send(write);
+    pub fn write(&self, batch: Batch, done: Done) {
+        let _ = self.jobs.send((batch, done));
     }
 
     /// For how long the write under way has been.
@@ -124,13 +142,13 @@
 fn run(
     folder: PathBuf,
     disk: Disk,
-    todo: Receiver<Write>,
+    todo: Receiver<(Batch, Done)>,
     start: Instant,
     began: Arc<AtomicU64>,
     ok: Arc<AtomicU64>,
 ) {
     let mut disk = Some(disk);
-    while let Ok(write) = todo.recv() {
+    while let Ok((write, tell)) = todo.recv() {
         began.store(start.elapsed().as_millis() as u64 + 1, Ordering::Relaxed);
         // After an error fjall refuses all further writes of this life: it is opened anew.
         if disk.is_none() {
@@ -142,11 +160,11 @@
         }
         ok.store(done as u64, Ordering::Relaxed);
         began.store(0, Ordering::Relaxed);
-        (write.done)(done);
+        tell(done);
     }
 }
 
-fn put(disk: &Disk, write: &Write) -> fjall::Result<()> {
+fn put(disk: &Disk, write: &Batch) -> fjall::Result<()> {
     let mut batch = disk.db.batch().durability(Some(PersistMode::SyncData));
     if write.whole {
         let kept: std::collections::BTreeSet<&str> = write.state.iter().map(|(n, _)| n.as_str()).collect();
--- a/crates/council/src/voice.rs
+++ b/crates/council/src/voice.rs
@@ -1,5 +1,4 @@
 //! Writes answers, so that nobody who does not read holds up the others.
-use crate::state::Say;
 use tiny_http::{Header, Request, Response};
 
 /// What fits into a socket's buffer is written where it stands; a longer answer gets a thread of its own, as a peer
@@ -28,14 +27,3 @@
         write();
     }
 }
-
-pub fn speak(say: Vec<Say>) {
-    for say in say {
-        match say {
-            Say::News(request, news) => {
-                respond(request, 200, serde_json::to_string(&news).unwrap_or_default())
-            }
-            Say::Text(request, status, text) => respond(request, status, text),
-        }
-    }
-}
--- a/crates/tidings/src/lib.rs
+++ b/crates/tidings/src/lib.rs
@@ -8,7 +8,7 @@
 //! let text = serde_json::to_string(&follow).unwrap();
 //! assert_eq!(serde_json::from_str::<tidings::Follow>(&text).unwrap().seq, 7);
 //! ```
-use accord::{Ballot, Held, Id, Ms, No, Record};
+use accord::{Ballot, Id, Record};
 use serde::{Deserialize, Serialize};
 
 /// An edge's poll. `feed` and `seq` are those of the last answer taken (0 and 0 at first).
@@ -40,10 +40,13 @@
 #[serde(default)]
 pub struct Standing {
     pub id: Id,
-    /// It is the primary and holds the promises for it.
+    /// It is the primary and holds the lease.
     pub acting: bool,
     /// Its disk takes writes.
     pub fit: bool,
+    /// It was told to end.
+    #[serde(skip_serializing_if = "nothing")]
+    pub leaving: bool,
     /// The sum of its detail, and of the other's that it has.
     pub sum: u64,
     pub seen: u64,
@@ -54,11 +57,12 @@
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
 pub struct Detail {
+    /// Of its disk: drawn anew when that was lost.
+    pub life: u64,
+    /// The newest epoch in which its disk took part.
+    pub floor: Ballot,
     /// The newest record that it knows.
     pub record: Record,
-    /// What its seat holds, where it has one that is whole.
-    pub held: Option<Held>,
-    pub seats: Vec<Id>,
     pub members: Vec<Id>,
     /// Edges that follow it.
     pub edges: Vec<String>,
@@ -80,39 +84,6 @@
     *value == T::default()
 }
 
-/// A call to a seat.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub enum SeatCall {
-    Prepare(Ballot),
-    Accept(Record, Ms),
-    Renew(Record, Ms),
-}
-
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
-#[serde(default)]
-pub struct SeatSay {
-    pub record: Option<Record>,
-    pub no: Option<No>,
-}
-
-/// What a primary writes to its backup: a snapshot (`whole`), or the change that follows `seq - 1`.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
-#[serde(default)]
-pub struct Copy {
-    pub epoch: Ballot,
-    pub seq: u64,
-    pub whole: bool,
-    pub puts: Vec<(String, String)>,
-}
-
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
-#[serde(default)]
-pub struct CopySay {
-    pub ok: bool,
-    pub why: String,
-    pub floor: Ballot,
-}
-
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
 pub struct Asked {
@@ -131,7 +102,7 @@
     pub seq: u64,
     #[serde(skip_serializing_if = "nothing")]
     pub whole: bool,
-    /// The centre is out of touch with most seats: follow another if one answers.
+    /// The centre is out of touch with most witnesses: follow another if one answers, and take nothing from this.
     #[serde(skip_serializing_if = "nothing")]
     pub alone: bool,
     /// How long this centre has been up: a young one may not know all hosts yet.
