--- a/crates/council/src/lib.rs
+++ b/crates/council/src/lib.rs
@@ -73,6 +73,10 @@
         Ok(centre)
     }
 
+    pub fn note(&self, line: &str) {
+        slog::info!(self.log, "{line}");
+    }
+
     fn now(&self) -> Ms {
         self.start.elapsed().as_millis() as Ms + 1
     }
--- a/crates/council/src/main.rs
+++ b/crates/council/src/main.rs
@@ -1,6 +1,13 @@
 //! `council`: the program of a centre. Settings: the file that COPPERSAIL_SETTINGS names.
+mod file;
+
+use file::File;
+use signal_hook::consts::{SIGHUP, SIGTERM};
+use signal_hook::iterator::Signals;
 use slog::{Drain, Level, Never, OwnedKVList, Record};
 use std::process::exit;
+use std::sync::mpsc::{channel, Receiver, RecvTimeoutError};
+use std::time::Duration;
 
 /// One line a fact, on standard error, with the prefix of this part.
 struct Lines;
@@ -16,6 +23,18 @@
     }
 }
 
+/// How soon a settings file is seen that changed without a signal.
+const LOOK: Duration = Duration::from_secs(1);
+
+/// Signals, from now on. A process without a handler ends by them.
+fn signals() -> std::io::Result<Receiver<i32>> {
+    let mut signals = Signals::new([SIGHUP, SIGTERM])?;
+    let (tell, told) = channel();
+    let run = move || signals.forever().try_for_each(|signal| tell.send(signal)).unwrap_or(());
+    std::thread::Builder::new().name("signals".into()).stack_size(128 * 1024).spawn(run)?;
+    Ok(told)
+}
+
 fn main() {
     let mut words = lexopt::Parser::from_env();
     match words.next() {
@@ -29,6 +48,12 @@
             exit(2);
         }
     }
+    let told = signals().unwrap_or_else(|e| {
+        eprintln!("council! signals can't be taken: {e}");
+        exit(1)
+    });
+    // Looked at before it is read: what is written meanwhile is seen as a change.
+    let mut file = File::now();
     let boot = terms::Boot::read().unwrap_or_else(|fault| {
         eprintln!("council! {fault}");
         exit(2)
@@ -40,11 +65,32 @@
         exit(101)
     }));
     let log = slog::Logger::root(Lines.fuse(), slog::o!());
-    match council::Centre::start(&boot, log) {
-        Ok(centre) => centre.wait_to_leave(),
-        Err(e) => {
-            eprintln!("council! {e:#}");
-            exit(1)
+    let centre = council::Centre::start(&boot, log).unwrap_or_else(|e| {
+        eprintln!("council! {e:#}");
+        exit(1)
+    });
+    loop {
+        match told.recv_timeout(LOOK) {
+            Ok(SIGTERM) => {
+                centre.term();
+                let centre = centre.clone();
+                let leave = move || {
+                    centre.wait_to_leave();
+                    exit(0)
+                };
+                if std::thread::Builder::new().stack_size(64 * 1024).spawn(leave).is_err() {
+                    exit(0)
+                }
+                continue;
+            }
+            Ok(_) => file = File::now(),
+            Err(RecvTimeoutError::Timeout) if file.changed() => {}
+            Err(RecvTimeoutError::Timeout) => continue,
+            Err(RecvTimeoutError::Disconnected) => exit(1),
+        }
+        match terms::Boot::read() {
+            Ok(boot) => centre.reread(boot),
+            Err(fault) => centre.note(&format!("Settings are not taken, nothing changes: {fault}.")),
         }
     }
 }
--- a/crates/council/src/orders.rs
+++ b/crates/council/src/orders.rs
@@ -46,6 +46,7 @@
 /// Names a content. Bodies that are equal as JSON have one digest, whatever the order of their fields.
 pub fn digest(body: &str) -> String {
     let canonical = serde_json::from_str::<serde_json::Value>(body).map(|mut value| {
+        // They are sorted already, unless some package of the build has `serde_json` keep their order.
         value.sort_all_objects();
         value.to_string()
     });
--- /dev/null
+++ b/crates/council/tests/common/mod.rs
@@ -0,0 +1,141 @@
+//! Three real centres on loopback, seen from outside. Waits are polls that a centre holds, with an end.
+#![allow(dead_code)]
+
+use errand::Caller;
+use serde_json::{json, Value};
+use std::fs::File;
+use std::path::PathBuf;
+use std::process::{Child, Command};
+use std::time::{Duration, Instant};
+use tidings::{Follow, News};
+
+pub struct Core {
+    pub ips: Vec<String>,
+    folder: PathBuf,
+    pub children: Vec<Option<Child>>,
+    pub caller: Caller,
+}
+
+impl Drop for Core {
+    fn drop(&mut self) {
+        (0..3).for_each(|n| self.kill(n));
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+impl Core {
+    pub fn start(test: u8) -> Core {
+        let net = std::process::id() % 200 + 20;
+        let ips = (1..4).map(|n| format!("127.{net}.{test}.{n}")).collect();
+        let folder = std::env::temp_dir().join(format!("council-{}-{test}", std::process::id()));
+        let caller = Caller::new(Duration::from_millis(300), Duration::from_millis(1500));
+        let mut core = Core { ips, folder, children: vec![None, None, None], caller };
+        (0..3).for_each(|n| core.run(n, true));
+        core
+    }
+
+    pub fn data(&self, n: usize) -> PathBuf {
+        self.folder.join(n.to_string())
+    }
+
+    pub fn settings_file(&self, n: usize) -> PathBuf {
+        self.folder.join(format!("{n}.json"))
+    }
+
+    /// What the process has written so far, over all its lives.
+    pub fn log(&self, n: usize) -> String {
+        std::fs::read_to_string(self.folder.join(format!("{n}.log"))).unwrap()
+    }
+
+    pub fn run(&mut self, n: usize, first: bool) {
+        std::fs::create_dir_all(self.data(n)).unwrap();
+        let peers: Vec<String> = self.ips.iter().map(|ip| format!("{ip}:8544")).collect();
+        let boot = json!({
+            "self": {"ipAddress": self.ips[n], "area": "a", "initialBoot": first, "dataFolder": self.data(n)},
+            "network": {"binds": {"admin": peers[n]}, "sparePorts": [7540, 7555], "knownPeers": peers},
+            "provider": {"heartbeat": "300ms"},
+            "terms": {"survive": {"boxes": 1}, "timeLimits": {"inContact": "1500ms", "keepMax": "2s"}}
+        });
+        let log = File::options().create(true).append(true).open(self.folder.join(format!("{n}.log")));
+        std::fs::write(self.settings_file(n), boot.to_string()).unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_council"));
+        command.env("COPPERSAIL_SETTINGS", self.settings_file(n)).stderr(log.unwrap());
+        self.children[n] = Some(command.spawn().unwrap());
+    }
+
+    /// As SIGKILL ends it.
+    pub fn kill(&mut self, n: usize) {
+        if let Some(mut child) = self.children[n].take() {
+            child.kill().unwrap();
+            child.wait().unwrap();
+        }
+    }
+
+    /// A call at one centre, which may send it on twice. None: no clear answer.
+    pub fn at(&self, n: usize, method: &str, path: &str, body: &str) -> Option<(u16, String)> {
+        let config = ureq::Agent::config_builder()
+            .http_status_as_error(false)
+            .timeout_global(Some(Duration::from_millis(1500)))
+            .build();
+        let agent: ureq::Agent = config.into();
+        let mut url = format!("http://{}:8544{path}", self.ips[n]);
+        for _ in 0..3 {
+            let call = match method {
+                "POST" => agent.post(&url).config().max_redirects(0).build().send(body),
+                _ => agent.get(&url).config().max_redirects(0).build().call(),
+            };
+            let mut answer = call.ok()?;
+            match answer.status().as_u16() {
+                307 => url = answer.headers()["location"].to_str().unwrap().into(),
+                503 => return None,
+                status => return Some((status, answer.body_mut().read_to_string().ok()?)),
+            }
+        }
+        None
+    }
+
+    /// At any centre that runs.
+    pub fn admin(&self, method: &str, path: &str, body: &str) -> Option<(u16, String)> {
+        let running = (0..3).filter(|n| self.children[*n].is_some());
+        running.into_iter().find_map(|n| self.at(n, method, path, body))
+    }
+
+    /// Until somebody answers for all; a held poll passes the time between.
+    pub fn order(&self, method: &str, path: &str, body: &str) -> (u16, String) {
+        let end = Instant::now() + Duration::from_secs(30);
+        while Instant::now() < end {
+            if let Some(answer) = self.admin(method, path, body) {
+                return answer;
+            }
+            self.held(200);
+        }
+        panic!("nobody took {method} {path}");
+    }
+
+    pub fn held(&self, wait_ms: u64) -> Option<News> {
+        let live = self.children.iter().position(|c| c.is_some()).unwrap_or(0);
+        let address = format!("{}:7540", self.ips[live]);
+        let mut follow = Follow { edge: "e".into(), ..Follow::default() };
+        let news: News = self.caller.post(&address, "/follow", &follow).ok()?;
+        (follow.feed, follow.seq, follow.wait_ms) = (news.feed, news.seq, wait_ms);
+        self.caller.post(&address, "/follow", &follow).ok().or(Some(news))
+    }
+
+    pub fn replace(&self, revision: u64, prefix: &str) -> u16 {
+        self.order("POST", "/settings/replace", &settings(revision, prefix).to_string()).0
+    }
+
+    pub fn read(&self) -> Value {
+        serde_json::from_str(&self.order("GET", "/settings/read", "").1).unwrap()
+    }
+}
+
+pub fn settings(revision: u64, prefix: &str) -> Value {
+    json!({
+        "revision": format!("r{revision}"),
+        "routes": {"columns": ["name", "domain", "pathStart", "sort", "giveUp", "target_time", "backend"],
+                   "rows": [["r", "d.example", prefix, "repeatable", "1000ms", "400ms", "s"]]},
+        "backends": {"columns": ["name", "checkPath", "maxConnections", "splitUp"], "rows": [["s", "/w", 10, null]]},
+        "caps": {"headSizeBytes": 16384, "bodySizeBytes": 1000, "headWait": "3000ms", "quiet": "15000ms"}
+    })
+}
