--- a/crates/council/tests/centre.rs
+++ b/crates/council/tests/centre.rs
@@ -30,7 +30,7 @@
     assert_eq!(core.replace(7, "/seven/"), 200);
     assert_eq!(core.replace(4, "/four/"), 200, "an older one is acknowledged");
     assert_eq!(core.replace(7, "/seven/"), 200, "the same again is acknowledged");
-    assert_eq!(core.replace(7, "/other/"), 409, "one number has one content");
+    assert_eq!(core.replace(7, "/other/"), 409, "another content has that number");
     assert_eq!(core.read(), settings(7, "/seven/"));
     // The first of the seats is the first primary.
     core.kill(0);
--- /dev/null
+++ b/crates/council/tests/orders.rs
@@ -0,0 +1,155 @@
+//! One number, one content, at real processes: rivals, orders that are sent again, takeovers and restarts.
+mod common;
+
+use common::{settings, Core};
+use std::sync::Barrier;
+use std::time::{Duration, Instant};
+
+fn order(core: &Core, n: usize, revision: u64, prefix: &str) -> Option<(u16, String)> {
+    core.at(n, "POST", "/settings/replace", &settings(revision, prefix).to_string())
+}
+
+/// As an operator does: again and again, beginning at one centre, until there is a clear answer.
+fn clear(core: &Core, first: usize, revision: u64, prefix: &str) -> u16 {
+    let end = Instant::now() + Duration::from_secs(30);
+    for n in (first..).map(|n| n % 3) {
+        assert!(Instant::now() < end, "no clear answer to r{revision}");
+        match order(core, n, revision, prefix) {
+            Some((409, why)) => {
+                assert!(!why.is_empty() && !why.contains('\n'), "{why}");
+                return 409;
+            }
+            Some((status, why)) => {
+                assert_eq!(status, 200, "r{revision} {prefix}: {why}");
+                return 200;
+            }
+            None => drop(core.held(50)),
+        }
+    }
+    unreachable!()
+}
+
+fn restart(core: &mut Core) {
+    (0..3).for_each(|n| core.kill(n));
+    (0..3).for_each(|n| core.run(n, false));
+}
+
+#[test]
+fn another_content_under_a_number_is_refused_wherever_it_is_sent_and_the_first_stays() {
+    let mut core = Core::start(30);
+    assert_eq!(clear(&core, 0, 5, "/five/"), 200);
+    assert_eq!(clear(&core, 0, 9, "/nine/"), 200);
+    for again in 0..2 {
+        for n in 0..3 {
+            assert_eq!(clear(&core, n, 9, "/other/"), 409, "newest, at {n}");
+            assert_eq!(clear(&core, n, 5, "/other/"), 409, "older, at {n}");
+            assert_eq!(clear(&core, n, 9, "/nine/"), 200, "the same again, at {n}");
+            assert_eq!(clear(&core, n, 5, "/five/"), 200, "the same older one again, at {n}");
+        }
+        // A lower number that nobody has is acknowledged, leaves everything as it is, and has one content then.
+        assert_eq!(clear(&core, again, 7 + again as u64, "/late/"), 200);
+        assert_eq!(clear(&core, again, 7 + again as u64, "/later/"), 409);
+        assert_eq!(core.read(), settings(9, "/nine/"));
+        restart(&mut core);
+    }
+    assert_eq!(clear(&core, 0, 7, "/later/"), 409);
+}
+
+#[test]
+fn of_two_contents_sent_at_once_under_one_number_exactly_one_is_acknowledged() {
+    let core = Core::start(31);
+    assert_eq!(clear(&core, 0, 1, "/one/"), 200);
+    for revision in 2..22 {
+        let (start, contents) = (Barrier::new(2), ["/a/", "/b/"]);
+        let statuses = std::thread::scope(|scope| {
+            let both = [0, 1].map(|operator| {
+                let (core, start) = (&core, &start);
+                scope.spawn(move || {
+                    start.wait();
+                    clear(core, operator + revision as usize, revision, contents[operator])
+                })
+            });
+            both.map(|operator| operator.join().unwrap())
+        });
+        assert!(statuses == [200, 409] || statuses == [409, 200], "r{revision}: {statuses:?}");
+        let first = contents[statuses.iter().position(|s| *s == 200).unwrap()];
+        assert_eq!(core.read(), settings(revision, first));
+    }
+}
+
+#[test]
+fn the_same_order_is_never_refused_before_and_after_a_takeover() {
+    let mut core = Core::start(32);
+    assert_eq!(clear(&core, 0, 1, "/one/"), 200);
+    for round in 0..6u64 {
+        let (lost, revision) = (round as usize % 3, 10 + 2 * round);
+        assert_eq!(clear(&core, lost, revision, "/taken/"), 200);
+        // This one may be lost on its way, taken, or taken without an answer.
+        let sent = std::thread::scope(|scope| {
+            let sent = scope.spawn(|| order(&core, lost, revision + 1, "/sent/"));
+            if round % 2 == 0 {
+                core.held(1);
+            }
+            // The process alone; the thread still waits for its answer.
+            let pid = core.children[lost].as_ref().unwrap().id().to_string();
+            assert!(std::process::Command::new("sh")
+                .args(["-c", &format!("kill -KILL {pid}")])
+                .status()
+                .unwrap()
+                .success());
+            sent.join().unwrap()
+        });
+        assert!(sent.is_none_or(|(status, _)| status == 200), "an order was refused");
+        core.kill(lost);
+        // While nobody acts, and once somebody does.
+        let others = [(lost + 1) % 3, (lost + 2) % 3];
+        for n in others {
+            let answer = order(&core, n, revision, "/taken/");
+            assert!(answer.is_none_or(|(status, _)| status == 200), "refused at {n} in round {round}");
+        }
+        for n in others {
+            assert_eq!(clear(&core, n, revision, "/taken/"), 200, "round {round}");
+            assert_eq!(clear(&core, n, revision + 1, "/sent/"), 200, "round {round}");
+            assert_eq!(clear(&core, n, revision, "/other/"), 409, "round {round}");
+            assert_eq!(clear(&core, n, revision + 1, "/other/"), 409, "round {round}");
+        }
+        assert_eq!(core.read(), settings(revision + 1, "/sent/"));
+        core.run(lost, false);
+    }
+}
+
+#[test]
+fn eight_orders_under_way_two_of_them_with_one_number_are_remembered_over_a_restart_of_all() {
+    let mut core = Core::start(33);
+    assert_eq!(clear(&core, 0, 1, "/one/"), 200);
+    for round in 0..3u64 {
+        // The seventh and the eighth have one number, the second highest.
+        let base = 100 * (round + 1);
+        let numbers = [7, 1, 5, 2, 4, 3, 6, 6].map(|n| base + n);
+        let contents = [0, 1, 2, 3, 4, 5, 6, 7].map(|n| format!("/{round}-{n}/"));
+        let start = Barrier::new(8);
+        let statuses = std::thread::scope(|scope| {
+            let all = [0, 1, 2, 3, 4, 5, 6, 7].map(|n| {
+                let (core, start, contents) = (&core, &start, &contents);
+                scope.spawn(move || {
+                    start.wait();
+                    clear(core, n, numbers[n], &contents[n])
+                })
+            });
+            all.map(|one| one.join().unwrap())
+        });
+        assert_eq!(statuses[..6], [200; 6]);
+        assert!(statuses[6..] == [200, 409] || statuses[6..] == [409, 200], "{statuses:?}");
+        for _ in 0..2 {
+            assert_eq!(core.read(), settings(numbers[0], &contents[0]));
+            for n in 0..8 {
+                assert_eq!(
+                    clear(&core, n, numbers[n], &contents[n]),
+                    statuses[n],
+                    "round {round}, order {n}"
+                );
+            }
+            restart(&mut core);
+        }
+    }
+}
