--- a/crates/transit/src/edge.rs
+++ b/crates/transit/src/edge.rs
@@ -138,8 +138,9 @@
         *self.stay.borrow() > Stay::Open
     }
 
-    /// Takes what a centre told.
+    /// Takes what a centre told; that it may, `follow::Round::heed` has decided.
     pub fn take(&self, news: News) {
+        debug_assert!(!news.alone, "a centre without a majority is not heeded");
         let now = self.now();
         if let Some(settings) = &news.settings {
             let held = self.told.borrow().as_ref().map_or(0, |told| told.config.revision);
@@ -157,9 +158,7 @@
             }
         }
         let changed = self.book.borrow_mut().merge(&news, now);
-        if self.heard_at.get().is_none() && self.book.borrow().heard {
-            self.heard_at.set(Some(now));
-        }
+        self.heard_at.set(self.heard_at.get().or(Some(now)));
         for ident in &changed.left {
             self.pools.borrow_mut().drop_idle(ident);
         }
--- a/crates/transit/src/steer.rs
+++ b/crates/transit/src/steer.rs
@@ -131,12 +131,14 @@
             steer.outbox.on.store(on, Ordering::Relaxed);
             steer.ledger.borrow_mut().clear();
         }
-        if let (Some(seen), Some(asked)) = (news.plans_seen, news.asked_at) {
+        // What a primary before the one heard of had says nothing of now.
+        let seen = news.plans_seen.filter(|seen| seen.epoch >= steer.epoch.get());
+        if let (Some(seen), Some(asked)) = (seen, news.asked_at) {
             let ago = asked.elapsed().as_millis() as Ms + seen.age_ms;
             if let Some(at) = self.now().checked_sub(ago) {
                 sides.fresh(at);
             }
-            if seen.epoch > steer.epoch.replace(seen.epoch.max(steer.epoch.get())) {
+            if seen.epoch > steer.epoch.replace(seen.epoch) {
                 steer.ledger.borrow_mut().again();
             }
         }
--- a/crates/transit/tests/transit/rollout.rs
+++ b/crates/transit/tests/transit/rollout.rs
@@ -135,6 +135,18 @@
         for n in 0..30 {
             assert!(ask(&rig, "/once/", n).await.ends_with("old"));
         }
+        // Nor is one of a primary before the one last heard of.
+        let last = Some(Seen { epoch: 2, age_ms: 2_600 });
+        rig.edge.take(News { plans_seen: last, asked_at: Some(Instant::now()), ..News::default() });
+        rig.edge.take(told(vec![], 1));
+        for n in 30..60 {
+            assert!(ask(&rig, "/once/", n).await.ends_with("old"));
+        }
         assert_eq!(new.count(), 0);
+        rig.edge.take(told(vec![], 2));
+        for n in 60..90 {
+            ask(&rig, "/once/", n).await;
+        }
+        assert!(new.count() > 0);
     });
 }
