--- a/crates/sojourn/src/desk.rs
+++ b/crates/sojourn/src/desk.rs
@@ -498,7 +498,9 @@
             return vec![];
         };
         mine.record.merge(record);
-        mine.promised.retain(|(place, _)| *place != from);
+        if !terms.fault(Fault::CountedTwice) {
+            mine.promised.retain(|(place, _)| *place != from);
+        }
         mine.promised.push((from, life));
         mine.refused.retain(|place| *place != from);
         let healed = round == 0;
@@ -611,7 +613,8 @@
         let Some(sending) = mine.sendings.iter_mut().find(|sending| sending.attempt == attempt) else {
             return vec![];
         };
-        if sending.phase != Phase::Entering || sending.at.contains(&from) {
+        let twice = sending.at.contains(&from) && !terms.fault(Fault::CountedTwice);
+        if sending.phase != Phase::Entering || twice {
             return vec![];
         }
         sending.at.push(from);
--- a/crates/sojourn/src/lib.rs
+++ b/crates/sojourn/src/lib.rs
@@ -55,4 +55,6 @@
     Forgetful,
     /// An outcome that is unknown is taken for one that did not run.
     SentAgain,
+    /// What one seat says twice counts as two seats.
+    CountedTwice,
 }
--- a/crates/sojourn/src/model.rs
+++ b/crates/sojourn/src/model.rs
@@ -1,5 +1,5 @@
 //! Every order of events of a small world: three sites, two sessions, one loss. What sites tell each other arrives in
-//! any order or never.
+//! any order, twice or never.
 use crate::{Answer, Ask, Fault, Id, Msg, Out, Outcome, Place, Reply, Site, Terms, Ticket};
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -16,6 +16,8 @@
     /// How many sessions a site holds.
     room: usize,
     losses: u8,
+    /// How many messages arrive once more, at any time later.
+    doubles: u8,
     /// How often a claim is made again.
     tries: u32,
     /// Outcomes of a sending that are told apart; with none it never ends.
@@ -56,6 +58,7 @@
     /// Times that each session's confirmation ran.
     ledger: [u8; 2],
     losses: u8,
+    doubles: u8,
 }
 
 impl World {
@@ -139,6 +142,13 @@
                 let (from, to, msg) = Mail::clone(&mail.1);
                 w.act(plan, to, |site| site.hear(NOW, from, msg))
             });
+            if self.doubles > 0 {
+                step(&|w| {
+                    w.doubles -= 1;
+                    let (from, to, msg) = Mail::clone(&mail.1);
+                    w.act(plan, to, |site| site.hear(NOW, from, msg))
+                });
+            }
         }
         for &(place, ticket) in &self.runs {
             let outcomes = [
@@ -192,6 +202,7 @@
         runs: BTreeSet::new(),
         ledger: [0; 2],
         losses: plan.losses,
+        doubles: plan.doubles,
     };
     let found = Found {
         seen: (0..64).map(|_| Mutex::default()).collect(),
@@ -282,6 +293,7 @@
     asks: &[(0, 0), (1, 0)],
     room: 4,
     losses: 1,
+    doubles: 0,
     tries: 0,
     outcomes: 1,
     quiet: false,
@@ -297,6 +309,8 @@
         Plan { asks: &[(0, 0)], outcomes: 3, ..CROSSING },
         Plan { asks: &[(0, 0), (0, 0)], losses: 0, outcomes: 2, ..CROSSING },
         CROWDED,
+        Plan { asks: &[(0, 0)], doubles: 1, outcomes: 2, ..CROSSING },
+        Plan { losses: 0, doubles: 1, outcomes: 0, quiet: true, ..CROSSING },
     ] {
         let states = search(plan).unwrap_or_else(|fault| panic!("{fault:?} in {plan:?}"));
         assert!(states > 100, "{plan:?} has {states}");
@@ -340,6 +354,7 @@
         (Fault::OneCopy, Plan { losses: 0, ..CROSSING }),
         (Fault::Forgetful, CROSSING),
         (Fault::SentAgain, Plan { losses: 0, ..CROSSING }),
+        (Fault::CountedTwice, Plan { losses: 0, doubles: 2, ..CROSSING }),
     ] {
         let found = search(Plan { fault: Some(fault), most: 300_000, ..plan });
         assert!(found.is_err_and(|(what, _)| what.contains("ran twice")), "{fault:?} is not found");
