--- a/crates/transit/src/conns.rs
+++ b/crates/transit/src/conns.rs
@@ -9,7 +9,7 @@
 use hyper::rt::{Read, ReadBufCursor, Write};
 use rustc_hash::FxHashMap;
 use socket2::SockRef;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
@@ -32,8 +32,62 @@
 /// A socket that hyper drives while its pool can look at it.
 struct Wire(Rc<RefCell<Line>>);
 
-/// A connection's socket, and who looks out for what comes twice on it, where a plan steers.
-struct Line(TcpStream, Option<Box<Lookout>>);
+/// A connection's socket, as far as the request that goes out on it next.
+struct Line {
+    stream: TcpStream,
+    /// Looks out for what comes twice, where a plan steers.
+    lookout: Option<Box<Lookout>>,
+    out: Out,
+    /// The socket took no more when last written to.
+    choked: bool,
+}
+
+/// How much of a request the host may have.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Out {
+    /// None of it. It may begin until then, unless the host has sent something or ended meanwhile.
+    Due(Instant),
+    /// None of it, and never any.
+    Barred,
+    /// Some of it, perhaps all.
+    Begun,
+}
+
+impl Line {
+    fn new(stream: TcpStream, until: Instant) -> Rc<RefCell<Line>> {
+        Rc::new(RefCell::new(Line { stream, lookout: None, out: Out::Due(until), choked: false }))
+    }
+
+    /// Looked at right before a request's first byte: this process may have stood still since the connection was
+    /// chosen, while the host's time to keep it ran on.
+    fn may_write(&mut self) -> io::Result<()> {
+        if let Out::Due(until) = self.out {
+            if Instant::now() >= until || !quiet(&self.stream) {
+                self.out = Out::Barred;
+            }
+        }
+        if self.out == Out::Barred {
+            return Err(io::ErrorKind::ConnectionAborted.into());
+        }
+        Ok(())
+    }
+
+    /// Whether any of the request was written. If not, none of it is any more.
+    fn begun(&mut self) -> bool {
+        if self.out != Out::Begun {
+            self.out = Out::Barred;
+        }
+        self.out == Out::Begun
+    }
+
+    fn written(&mut self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        self.choked = written.is_pending();
+        if matches!(written, Poll::Ready(Ok(1..))) {
+            self.out = Out::Begun;
+        }
+        written
+    }
+}
 
 impl Read for Wire {
     fn poll_read(
@@ -45,8 +99,8 @@
         let most = cursor.remaining().min(READ_SIZE);
         let mut read = ReadBuf::new(&mut bytes[..most]);
         let mut line = self.0.borrow_mut();
-        ready!(Pin::new(&mut line.0).poll_read(cx, &mut read))?;
-        if let Some(lookout) = &mut line.1 {
+        ready!(Pin::new(&mut line.stream).poll_read(cx, &mut read))?;
+        if let Some(lookout) = &mut line.lookout {
             lookout.read(read.filled());
         }
         cursor.put_slice(read.filled());
@@ -56,7 +110,10 @@
 
 impl Write for Wire {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.0.borrow_mut().0).poll_write(cx, bytes)
+        let mut line = self.0.borrow_mut();
+        line.may_write()?;
+        let written = Pin::new(&mut line.stream).poll_write(cx, bytes);
+        line.written(written)
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -68,25 +125,48 @@
         cx: &mut Context<'_>,
         bytes: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.0.borrow_mut().0).poll_write_vectored(cx, bytes)
+        let mut line = self.0.borrow_mut();
+        line.may_write()?;
+        let written = Pin::new(&mut line.stream).poll_write_vectored(cx, bytes);
+        line.written(written)
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.0.borrow_mut().0).poll_flush(cx)
+        Pin::new(&mut self.0.borrow_mut().stream).poll_flush(cx)
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.0.borrow_mut().0).poll_shutdown(cx)
+        Pin::new(&mut self.0.borrow_mut().stream).poll_shutdown(cx)
     }
 }
 
 struct Idle {
+    number: u64,
     sender: SendRequest<Sent>,
-    stream: Rc<RefCell<Line>>,
+    line: Rc<RefCell<Line>>,
     since: Instant,
+    /// The host has not counted its idle time from before this.
+    at_least: Instant,
     keep: Option<Duration>,
 }
 
+thread_local! {
+    /// When this thread last went to look for input, and the time before that.
+    static LOOKED: Cell<[Option<Instant>; 2]> = const { Cell::new([None; 2]) };
+}
+
+/// The thread has nothing left to do and goes to look for input.
+pub fn look() {
+    let [last, _] = LOOKED.get();
+    LOOKED.set([Some(Instant::now()), last]);
+}
+
+/// An answer to what was sent at `sent` has just been read. It may have waited here since a moment after this: it
+/// had not come when the thread looked for input the time before last, and whatever stood still stood still after that.
+fn may_have_come(sent: Instant) -> Instant {
+    LOOKED.get()[1].map_or(sent, |looked| looked.max(sent))
+}
+
 #[derive(Default)]
 struct Pool {
     idle: Vec<Idle>,
@@ -94,39 +174,58 @@
 }
 
 #[derive(Default)]
-pub struct Pools(FxHashMap<Rc<str>, Pool>);
+pub struct Pools {
+    hosts: FxHashMap<Rc<str>, Pool>,
+    /// Connections that have come up.
+    numbers: u64,
+}
+
+/// What a request asks of a connection.
+pub struct Need<'a> {
+    pub repeatable: bool,
+    /// This edge's part of the host's connections.
+    pub part: u32,
+    /// For a new one to come up.
+    pub most: Duration,
+    /// Those that have carried the request before: a late second answer to that has the id of this request too.
+    pub before: &'a [u64],
+}
 
 impl Pools {
     /// Connections to a host that gets no more requests.
     pub fn drop_idle(&mut self, ident: &str) {
-        if let Some(pool) = self.0.get_mut(ident) {
+        if let Some(pool) = self.hosts.get_mut(ident) {
             pool.idle.clear();
         }
     }
 
     pub fn sweep(&mut self, now: Instant) {
-        for pool in self.0.values_mut() {
+        for pool in self.hosts.values_mut() {
             pool.idle.retain(|idle| {
                 !idle.sender.is_closed() && now.duration_since(idle.since) < pause::kept(idle.keep, true)
             });
         }
-        self.0.retain(|_, pool| pool.open > 0 || !pool.idle.is_empty());
+        self.hosts.retain(|_, pool| pool.open > 0 || !pool.idle.is_empty());
     }
 
     /// The connection used last that may safely carry a request now.
-    fn kept(&mut self, ident: &str, repeatable: bool) -> Option<(SendRequest<Sent>, Rc<RefCell<Line>>)> {
-        let idle = &mut self.0.get_mut(ident)?.idle;
-        while let Some(one) = idle.pop() {
-            if one.since.elapsed() >= pause::kept(one.keep, true) || one.sender.is_closed() {
+    fn kept(&mut self, ident: &str, need: &Need<'_>) -> Option<Idle> {
+        let idle = &mut self.hosts.get_mut(ident)?.idle;
+        let now = Instant::now();
+        for at in (0..idle.len()).rev() {
+            let one = &idle[at];
+            let since = if need.repeatable { one.since } else { one.at_least };
+            let until = since + pause::kept(one.keep, need.repeatable);
+            let over = now >= one.since + pause::kept(one.keep, true) || one.sender.is_closed();
+            // It may still do for another request.
+            if !over && (now >= until || need.before.contains(&one.number)) {
                 continue;
             }
-            if one.since.elapsed() >= pause::kept(one.keep, repeatable) {
-                // Those below it have waited for longer; it may still do for another request.
-                idle.push(one);
-                return None;
-            }
-            if one.sender.is_ready() && quiet(&one.stream) {
-                return Some((one.sender, one.stream));
+            let one = idle.remove(at);
+            let ready = !over && one.sender.is_ready() && quiet(&one.line.borrow().stream);
+            if ready {
+                one.line.borrow_mut().out = Out::Due(until);
+                return Some(one);
             }
         }
         None
@@ -134,9 +233,9 @@
 }
 
 /// Whether nothing has come, neither bytes that nobody asked for nor the end.
-fn quiet(stream: &RefCell<Line>) -> bool {
+fn quiet(stream: &TcpStream) -> bool {
     let mut byte = [MaybeUninit::uninit()];
-    matches!(SockRef::from(&stream.borrow().0).peek(&mut byte), Err(wrong) if wrong.kind() == io::ErrorKind::WouldBlock)
+    matches!(SockRef::from(stream).peek(&mut byte), Err(wrong) if wrong.kind() == io::ErrorKind::WouldBlock)
 }
 
 /// A connection's place in its host's count.
@@ -144,7 +243,7 @@
 
 impl Drop for Seat {
     fn drop(&mut self) {
-        if let Some(pool) = self.0.pools.borrow_mut().0.get_mut(&self.1) {
+        if let Some(pool) = self.0.pools.borrow_mut().hosts.get_mut(&self.1) {
             pool.open = pool.open.saturating_sub(1);
         }
     }
@@ -154,8 +253,10 @@
 pub struct Lease {
     edge: Rc<Edge>,
     ident: Rc<str>,
+    pub number: u64,
     pub sender: SendRequest<Sent>,
-    stream: Rc<RefCell<Line>>,
+    line: Rc<RefCell<Line>>,
+    taken: Instant,
     pub keep: Option<Duration>,
     pub reused: bool,
 }
@@ -166,19 +267,21 @@
         edge: &Rc<Edge>,
         ident: &Rc<str>,
         address: SocketAddr,
-        repeatable: bool,
-        part: u32,
-        most: Duration,
+        need: Need<'_>,
     ) -> Result<Lease, Unsent> {
         let (edge, ident) = (edge.clone(), ident.clone());
-        let kept = edge.pools.borrow_mut().kept(&ident, repeatable);
-        if let Some((sender, stream)) = kept {
-            return Ok(Lease { edge, ident, sender, stream, keep: None, reused: true });
+        let keep = None;
+        let kept = edge.pools.borrow_mut().kept(&ident, &need);
+        if let Some(Idle { number, sender, line, .. }) = kept {
+            let taken = Instant::now();
+            return Ok(Lease { edge, ident, number, sender, line, taken, keep, reused: true });
         }
-        let seat = {
+        let (seat, number) = {
             let mut pools = edge.pools.borrow_mut();
-            let pool = pools.0.entry(ident.clone()).or_default();
-            if pool.open >= part {
+            pools.numbers += 1;
+            let number = pools.numbers;
+            let pool = pools.hosts.entry(ident.clone()).or_default();
+            if pool.open >= need.part {
                 // Idle ones that this request must not use make room for one that it may.
                 if pool.idle.is_empty() {
                     return Err(Unsent::Full);
@@ -186,47 +289,57 @@
                 pool.idle.remove(0);
             }
             pool.open += 1;
-            Seat(edge.clone(), ident.clone())
+            (Seat(edge.clone(), ident.clone()), number)
         };
-        let stream = match timeout(most, TcpStream::connect(address)).await {
+        let stream = match timeout(need.most, TcpStream::connect(address)).await {
             Ok(Ok(stream)) => stream,
             _ => return Err(Unsent::Unreachable),
         };
         let socket = SockRef::from(&stream);
         let _ = socket.set_tcp_nodelay(true);
         let _ = socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED));
-        let stream = Rc::new(RefCell::new(Line(stream, None)));
-        let wire = Wire(stream.clone());
+        let taken = Instant::now();
+        let line = Line::new(stream, taken + pause::kept(keep, need.repeatable));
+        let wire = Wire(line.clone());
         let handshake = http1::Builder::new().max_buf_size(HELD).handshake(wire).await;
         let Ok((sender, connection)) = handshake else { return Err(Unsent::Unreachable) };
         tokio::task::spawn_local(async move {
             let _seat = seat;
             let _ = connection.await;
         });
-        Ok(Lease { edge, ident, sender, stream, keep: None, reused: false })
+        Ok(Lease { edge, ident, number, sender, line, taken, keep, reused: false })
+    }
+
+    pub fn begun(&self) -> bool {
+        self.line.borrow_mut().begun()
+    }
+
+    /// Whether bytes of the request still wait for the socket.
+    pub fn choked(&self) -> bool {
+        self.line.borrow().choked
     }
 
     /// Looks out for a second answer to the request that goes out next, if a plan asks for it.
     pub fn watch(&self, edge: &Rc<Edge>, id: &HeaderValue, way: Option<&Way>, route: &str) {
-        let mut line = self.stream.borrow_mut();
-        let last = line.1.take();
-        line.1 = way.map(|way| Lookout::next(last, edge, id, way, route));
+        let mut line = self.line.borrow_mut();
+        let last = line.lookout.take();
+        line.lookout = way.map(|way| Lookout::next(last, edge, id, way, route));
     }
 
     /// After a whole answer that leaves no doubt.
     pub fn give_back(self) {
-        let Lease { edge, ident, mut sender, stream, keep, .. } = self;
+        let Lease { edge, ident, number, mut sender, line, taken, keep, .. } = self;
         if sender.is_closed() || keep.is_some_and(|keep| keep.is_zero()) {
             return;
         }
+        let (since, at_least) = (Instant::now(), may_have_come(taken));
         if sender.is_ready() {
-            edge.keep(&ident, Idle { sender, stream, since: Instant::now(), keep });
+            edge.keep(&ident, Idle { number, sender, line, since, at_least, keep });
             return;
         }
-        let since = Instant::now();
         tokio::task::spawn_local(async move {
             if sender.ready().await.is_ok() {
-                edge.keep(&ident, Idle { sender, stream, since, keep });
+                edge.keep(&ident, Idle { number, sender, line, since, at_least, keep });
             }
         });
     }
@@ -235,7 +348,7 @@
 impl Edge {
     fn keep(&self, ident: &str, idle: Idle) {
         let usable = self.book.borrow().host(ident).is_some_and(|host| host.usable(self.now()));
-        if let (true, Some(pool)) = (usable, self.pools.borrow_mut().0.get_mut(ident)) {
+        if let (true, Some(pool)) = (usable, self.pools.borrow_mut().hosts.get_mut(ident)) {
             pool.idle.push(idle);
         }
     }
@@ -282,3 +395,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "conns_tests.rs"]
+mod tests;
--- a/crates/transit/src/lib.rs
+++ b/crates/transit/src/lib.rs
@@ -39,7 +39,8 @@
 
 /// `sessions`: the operators' file for sessions that travel, if there is one.
 pub fn run(boot: Boot, sessions: Option<String>, log: Logger) -> eyre::Result<()> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().on_thread_park(conns::look).build()?;
     LocalSet::new().block_on(&runtime, stay(boot, sessions, log))
 }
 
--- a/crates/transit/src/pass.rs
+++ b/crates/transit/src/pass.rs
@@ -1,5 +1,5 @@
 //! One request: from its head to the answer.
-use crate::conns::{Lease, Working};
+use crate::conns::{Lease, Need, Working};
 use crate::edge::{Edge, Told};
 use crate::front::Scan;
 use crate::reply::{self, Flow, Kind, Long, Reply, Sent};
@@ -249,11 +249,24 @@
 
 pub(crate) async fn pass(edge: &Rc<Edge>, told: &Told, taken: Taken<'_>, body: Incoming) -> Response<Reply> {
     match take_body(edge, told, taken.until, body).await {
-        Ok(held) => forward(edge, taken, held).await,
+        Ok(held) => forward(edge, taken, held).await.answer,
         Err(answer) => answer,
     }
 }
 
+/// How a request ended.
+pub(crate) struct Passed {
+    pub answer: Response<Reply>,
+    /// None: the answer is the host's own.
+    pub closing: Option<Closing>,
+}
+
+impl Passed {
+    fn own(answer: Answer) -> Passed {
+        Passed { answer: answer.out(), closing: None }
+    }
+}
+
 pub(crate) async fn take_body(
     edge: &Edge,
     told: &Told,
@@ -268,7 +281,7 @@
     }
 }
 
-pub(crate) async fn forward(edge: &Rc<Edge>, taken: Taken<'_>, mut held: Held) -> Response<Reply> {
+pub(crate) async fn forward(edge: &Rc<Edge>, taken: Taken<'_>, mut held: Held) -> Passed {
     let now = edge.now();
     edge.with_budget(taken.service, |budget| budget.request(&edge.budget_terms(), now));
     if let Some(slice) = taken.key.and_then(|key| edge.book.borrow().slice(taken.service, key)) {
@@ -280,7 +293,9 @@
     let mut failed: Option<Answer> = None;
     let mut for_key = false;
     let mut told_back = None;
-    let (mut way, mut may_have_run) = (taken.way.clone(), false);
+    let mut way = taken.way.clone();
+    // Connections that have carried it.
+    let mut carried: Vec<u64> = Vec::new();
     let wait_until = now + pause::for_holder(taken.route.target_time, taken.left(now));
     loop {
         let now = edge.now();
@@ -315,7 +330,8 @@
             }
             // What has certainly not run may go to the sound version.
             Choice::Nobody
-                if !may_have_run && way.as_ref().is_some_and(|way| way.hosts().is_some_and(|h| h.1)) =>
+                if !tally.may_have_run()
+                    && way.as_ref().is_some_and(|way| way.hosts().is_some_and(|h| h.1)) =>
             {
                 way = way.map(Way::old);
                 continue;
@@ -331,7 +347,7 @@
         let body = match &mut held {
             Held::Whole(bytes) => Sent::Whole((!bytes.is_empty()).then(|| bytes.clone())),
             Held::Long(flow) => match flow.take() {
-                Some(flow) => Sent::Flow(flow),
+                Some(flow) => Sent::Flow(flow, Rc::default()),
                 // Its beginning is gone with the try before.
                 None => break,
             },
@@ -340,14 +356,14 @@
             Some(way) => (Some(Instant::now()), edge.steered(way, &ident, now)),
             None => (None, false),
         };
-        let (verdict, unused) = go(edge, &taken, &ident, body, &mut told_back, way.as_ref()).await;
+        let (verdict, unused) =
+            go(edge, &taken, &ident, body, &mut told_back, &mut carried, way.as_ref()).await;
         if let (Some(way), Some(since)) = (&way, since) {
             let failed = matches!(&verdict, Verdict::Ran(answer) if answer.status.is_server_error());
             let aim = taken.route.target_time.map_or(Ms::MAX, |time| time.as_millis() as Ms);
             edge.weigh(way, &taken.route.name, &ident, &verdict, failed, steer::took(since), aim, aside);
         }
-        may_have_run |= matches!(&verdict, Verdict::Ran(_) | Verdict::MayHaveRun(_));
-        if let (Held::Long(flow), Some(Sent::Flow(back))) = (&mut held, unused) {
+        if let (Held::Long(flow), Some(Sent::Flow(back, _))) = (&mut held, unused) {
             *flow = Some(back);
         }
         tally.take(&verdict);
@@ -369,29 +385,28 @@
             _ => tried.push(ident),
         }
         let again = verdict.again(taken.route.repeatable);
-        if let Verdict::Ran(answer) = verdict {
-            // Such a failure is a host's own, and another may do better; a 504 has used up the time.
-            let own = [StatusCode::INTERNAL_SERVER_ERROR, StatusCode::BAD_GATEWAY].contains(&answer.status);
-            if own && taken.route.repeatable && failed.is_none() && matches!(held, Held::Whole(_)) {
+        match verdict {
+            Verdict::Ran(answer) => return Passed::own(answer),
+            Verdict::Failed(answer) if again && failed.is_none() && matches!(held, Held::Whole(_)) => {
                 failed = Some(answer);
-                continue;
             }
-            return answer.out();
-        }
-        if !again {
-            break;
+            Verdict::Failed(answer) => return Passed::own(answer),
+            _ if !again => break,
+            _ => {}
         }
     }
     if let Some(answer) = failed {
-        return answer.out();
+        return Passed::own(answer);
     }
-    match tally.closing() {
+    let closing = tally.closing();
+    let answer = match closing {
         Closing::Later => {
             let left = taken.left(edge.now());
             reply::later(told_back.map_or_else(|| back(edge, left, for_key), |told: Ms| told.min(left / 3)))
         }
         other => reply::own(other.status()),
-    }
+    };
+    Passed { answer, closing: Some(closing) }
 }
 
 /// One try at one host, and the body back if none of it was sent.
@@ -401,6 +416,7 @@
     ident: &Rc<str>,
     body: Sent,
     told_back: &mut Option<Ms>,
+    carried: &mut Vec<u64>,
     way: Option<&Way>,
 ) -> (Verdict<Answer>, Option<Sent>) {
     let mut working = Working::new(edge, ident);
@@ -408,8 +424,8 @@
         return (Verdict::NotSent(Unsent::Leaving), Some(body));
     };
     let most = pause::for_connect(taken.route.target_time, taken.left(edge.now()));
-    let lease = Lease::take(edge, ident, address, taken.route.repeatable, taken.part, most).await;
-    let mut lease = match lease {
+    let need = Need { repeatable: taken.route.repeatable, part: taken.part, most, before: carried };
+    let mut lease = match Lease::take(edge, ident, address, need).await {
         Ok(lease) => lease,
         Err(unsent) => {
             if unsent == Unsent::Unreachable {
@@ -429,6 +445,8 @@
     let Ok(wanted) = HeaderValue::from_str(ident) else {
         return (Verdict::NotSent(Unsent::Leaving), Some(body));
     };
+    carried.push(lease.number);
+    let taken_whole = body.taken();
     let mut request = Request::new(body);
     *request.method_mut() = taken.method.clone();
     *request.uri_mut() = taken.uri.clone();
@@ -440,23 +458,28 @@
     let answer = match timeout_at(until, lease.sender.try_send_request(request)).await {
         Ok(Ok(answer)) => answer,
         Ok(Err(mut wrong)) => {
-            if let Some(request) = wrong.take_message() {
-                return (Verdict::NotSent(Unsent::Closed), Some(request.into_body()));
-            }
+            let body = wrong.take_message().map(Request::into_body);
             // Kept connections end for many reasons; a new one ends for the host's.
             // Nor is a host to blame for what the client sent.
             if !lease.reused && !wrong.error().is_user() {
                 working.bad(Sign::Broken);
             }
+            if body.is_some() || !lease.begun() {
+                let unsent = if lease.reused { Unsent::Closed } else { Unsent::Unreachable };
+                return (Verdict::NotSent(unsent), body);
+            }
             let foreign = wrong.error().is_parse();
             return (Verdict::MayHaveRun(if foreign { Broke::Foreign } else { Broke::Reset }), None);
         }
+        Err(_) if !lease.begun() => return (Verdict::NotSent(Unsent::Late), None),
         Err(_) => {
             working.bad(Sign::Silent);
             return (Verdict::MayHaveRun(Broke::Silent), None);
         }
     };
-    let one = Try { edge, taken, ident, lease, sent_at, busy };
+    // What comes before all of the request was sent may be answered again when the rest has come.
+    let early = !taken_whole() || lease.choked();
+    let one = Try { edge, taken, ident, lease, sent_at, busy, early };
     match one.read(answer, &mut working, told_back).await {
         Ok(verdict) => (verdict, None),
         Err(broke) => {
@@ -475,6 +498,8 @@
     sent_at: Ms,
     /// Requests at the host when it was sent.
     busy: f32,
+    /// Answered before all of it was sent.
+    early: bool,
 }
 
 impl Try<'_> {
@@ -492,7 +517,7 @@
         }
         self.note_load(&headers);
         self.lease.keep = kept_for(&headers);
-        let keeps = head.version == Version::HTTP_11 && !closes(&headers);
+        let keeps = head.version == Version::HTTP_11 && !closes(&headers) && !self.early;
         let framed = body.size_hint().exact().is_some() || headers.contains_key(TRANSFER_ENCODING);
         let until = self.edge.at(self.taken.until);
         if let Some(turned) = self.turned(status, &headers) {
@@ -512,8 +537,8 @@
             }
             return Ok(Verdict::TurnedAway(turned));
         }
-        // A promise that the host did not make must not be passed on as one.
-        if [408, 429, 503].contains(&status.as_u16()) {
+        // A promise that the host did not make must not be passed on as one, nor one beside an answer.
+        if [408, 429, 503].contains(&status.as_u16()) || headers.contains_key(&NOT_RUN) {
             return Err(Broke::Unsealed);
         }
         let sealed = !status.is_success() || headers.contains_key(&SERVER_SEAL);
@@ -549,12 +574,18 @@
                 Reply { kind: Kind::Long(Box::new(Long { flow, lease, working, until })), done: None }
             }
         };
-        Ok(Verdict::Ran(Answer { status, headers, body }))
+        let answer = Answer { status, headers, body };
+        // Such a failure is a host's own; a 504 has used up the time.
+        Ok(match status {
+            StatusCode::INTERNAL_SERVER_ERROR | StatusCode::BAD_GATEWAY => Verdict::Failed(answer),
+            _ => Verdict::Ran(answer),
+        })
     }
 
     fn turned(&self, status: StatusCode, headers: &HeaderMap) -> Option<Turned> {
         if status != StatusCode::MISDIRECTED_REQUEST {
-            return headers.contains_key(&NOT_RUN).then_some(Turned::Full);
+            let error = status.is_client_error() || status.is_server_error();
+            return (error && headers.contains_key(&NOT_RUN)).then_some(Turned::Full);
         }
         let other = headers.get(&SERVER_ID).is_some_and(|id| id.as_bytes() != self.ident.as_bytes());
         Some(if self.taken.key.is_some() && !other { Turned::Unheld } else { Turned::Elsewhere })
--- a/crates/transit/src/reply.rs
+++ b/crates/transit/src/reply.rs
@@ -5,10 +5,12 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::header::{HeaderValue, CONNECTION, CONTENT_LENGTH, RETRY_AFTER};
 use hyper::{Response, StatusCode};
+use std::cell::Cell;
 use std::collections::VecDeque;
 use std::fmt;
 use std::future::Future;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{ready, Context, Poll};
 use tokio::time::Sleep;
 
@@ -76,7 +78,19 @@
 /// A request's body on its way to a host.
 pub enum Sent {
     Whole(Option<Bytes>),
-    Flow(Flow),
+    /// Set once all of it was taken to be written.
+    Flow(Flow, Rc<Cell<bool>>),
+}
+
+impl Sent {
+    /// Tells whether all of it was taken to be written.
+    pub fn taken(&self) -> impl Fn() -> bool {
+        let ended = match self {
+            Sent::Whole(_) => None,
+            Sent::Flow(_, ended) => Some(ended.clone()),
+        };
+        move || ended.as_ref().is_none_or(|ended| ended.get())
+    }
 }
 
 impl Body for Sent {
@@ -86,21 +100,25 @@
     fn poll_frame(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
         match self.get_mut() {
             Sent::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Sent::Flow(flow) => flow.poll(cx),
+            Sent::Flow(flow, ended) => {
+                let frame = flow.poll(cx);
+                ended.set(matches!(frame, Poll::Ready(None)) || flow.ended());
+                frame
+            }
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match self {
             Sent::Whole(bytes) => bytes.as_ref().is_none_or(|bytes| bytes.is_empty()),
-            Sent::Flow(flow) => flow.ended(),
+            Sent::Flow(flow, _) => flow.ended(),
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
             Sent::Whole(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64)),
-            Sent::Flow(flow) => flow.hint(),
+            Sent::Flow(flow, _) => flow.hint(),
         }
     }
 }
--- a/crates/transit/src/sessions.rs
+++ b/crates/transit/src/sessions.rs
@@ -1,6 +1,6 @@
 //! Sessions that travel between edges: the sockets and headers around `sojourn`, which decides. Off without a file.
 use crate::edge::{Edge, Told};
-use crate::pass::{self, Held, Taken};
+use crate::pass::{self, Held, Passed, Taken};
 use crate::reply::{self, Kind, Reply};
 use bytes::Bytes;
 use eyre::{eyre, WrapErr};
@@ -28,6 +28,7 @@
 use tokio::sync::mpsc::{unbounded_channel, UnboundedSender};
 use tokio::task::spawn_local;
 use tokio::time::timeout;
+use verdict::Closing;
 
 const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 const REPLAYED: HeaderName = HeaderName::from_static("idempotent-replayed");
@@ -553,11 +554,11 @@
         self.with(|site, now| site.ask(now, ask));
         let mut answer = match turns.recv().await {
             Some(Turn::Run) => {
-                let answer = pass::forward(edge, taken, Held::Whole(body)).await;
-                self.with(|site, now| site.ran(now, ticket, ended(&answer)));
+                let passed = pass::forward(edge, taken, Held::Whole(body)).await;
+                self.with(|site, now| site.ran(now, ticket, ended(&passed)));
                 // Until it is kept twice, or the wait for that is over.
                 let _ = turns.recv().await;
-                answer
+                passed.answer
             }
             Some(Turn::Answer(said)) => self.say(said, edge),
             Some(Turn::Done) | None => outcome(502, "unknown"),
@@ -601,13 +602,12 @@
     answer
 }
 
-/// What the edge's answer says about the host: only a host's own carries the request's id.
-fn ended(answer: &Response<Reply>) -> Outcome {
-    if !answer.headers().contains_key(TRY_ID) {
-        return match answer.status() {
-            StatusCode::SERVICE_UNAVAILABLE => Outcome::NotRun,
-            _ => Outcome::Unknown,
-        };
+/// What is kept of how a sending ended.
+fn ended(Passed { answer, closing }: &Passed) -> Outcome {
+    match closing {
+        Some(Closing::Later) => return Outcome::NotRun,
+        Some(Closing::Unknown | Closing::Late) => return Outcome::Unknown,
+        None => {}
     }
     let Kind::Whole(body) = &answer.body().kind else { return Outcome::RanLong };
     let text = |(name, value): (&HeaderName, &HeaderValue)| {
--- a/crates/transit/src/steer.rs
+++ b/crates/transit/src/steer.rs
@@ -180,13 +180,15 @@
         let kind = match verdict {
             Verdict::NotSent(_) | Verdict::TurnedAway(_) => None,
             Verdict::Ran(_) if aside => Some(Kind::Aside),
+            Verdict::Failed(_) if aside => Some(Kind::Aside),
+            Verdict::Failed(_) => Some(Kind::Failed),
             Verdict::Ran(_) if failed => Some(Kind::Failed),
             Verdict::Ran(_) if took > aim => Some(Kind::Late),
             Verdict::Ran(_) => Some(Kind::Good),
             Verdict::MayHaveRun(Broke::Foreign | Broke::Unsealed) => Some(Kind::Foreign),
             Verdict::MayHaveRun(_) => Some(Kind::Lost),
         };
-        let answered = matches!(verdict, Verdict::Ran(_)).then_some(took);
+        let answered = matches!(verdict, Verdict::Ran(_) | Verdict::Failed(_)).then_some(took);
         let (now, mut ledger) = (self.now(), self.steer.ledger.borrow_mut());
         ledger.note(now, &way.plan, way.number, route, way.side, Kind::Offered, None, None);
         if let Some(kind) = kind {
--- /dev/null
+++ b/crates/transit/tests/transit/answers.rs
@@ -0,0 +1,97 @@
+//! Answers that come late, twice or too soon: none reaches another caller, and none is taken for what it is not.
+use crate::stand_ins::*;
+use std::rc::Rc;
+use tidings::{HostNews, News, Stage};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+#[test]
+fn a_late_answer_belongs_to_nobody() {
+    play(|| async {
+        let host = host("i-1", |number, head| match number {
+            0 => Act::Send(good(head, "first")),
+            // The one before is answered once more, where this one's answer is due.
+            1 => Act::Send([good("Try-Id: 1\r\n", "late"), good(head, "second")].concat()),
+            2 => Act::Hold(Rc::default()),
+            3 => Act::Send([b"HTTP/1.1 103 Early Hints\r\n\r\n".to_vec(), good(head, "fourth")].concat()),
+            _ => unreachable!(),
+        })
+        .await;
+        let rig = rig(&[&host]).await;
+        let mut got = Vec::new();
+        for (path, id) in [("/once/", "1"), ("/once/", "2"), ("/short/", "3"), ("/once/", "4")] {
+            let answer = rig.get(path, id).await;
+            let body = answer.split_once("\r\n\r\n").unwrap().1;
+            got.push((status(&answer), body.to_string(), host.connections.get()));
+        }
+        let of = |status, body: &str, connection| (status, body.into(), connection);
+        // Neither a connection that brought something foreign nor one that stayed silent is used again.
+        assert_eq!(got, [of(200, "first", 1), of(502, "", 1), of(504, "", 2), of(200, "fourth", 3)]);
+        assert_eq!(host.count(), 4);
+    });
+}
+
+/// A holder that is full is asked again, under the same id: where its refusal comes twice on one connection, the
+/// second would be taken for the answer to the second sending, which runs.
+#[test]
+fn a_request_goes_out_once_on_each_connection() {
+    play(|| async {
+        let host = bare("i-1", |number, mut stream, host| async move {
+            let full = |head: &str| answer(head, "503 Full", "Not-Run: 1\r\n", "");
+            let mut sent = 0;
+            while let Some(head) = read_message(&mut stream).await {
+                host.note(&head);
+                let bytes = match (number, sent) {
+                    (0, 0) => full(&head),
+                    (0, _) => [full(&head), good(&head, "run")].concat(),
+                    _ => good(&head, "run"),
+                };
+                stream.write_all(&bytes).await.unwrap();
+                sent += 1;
+            }
+        })
+        .await;
+        let rig = rig(&[]).await;
+        let parted = HostNews { backend: "parted".into(), ..host.news(Stage::Ready, 1) };
+        rig.edge.take(News { hosts: vec![parted], ..News::default() });
+        rig.rows(vec![(1, "i-1".into(), 1)]);
+        let asked = request("/seat/", "1", "Shard-Key: 20000\r\nConnection: close\r\n");
+        let answer = rig.raw(asked.as_bytes()).await;
+        assert!(status(&answer) == 200 && answer.ends_with("run"), "{answer}");
+        assert_eq!((host.count(), host.connections.get()), (2, 2));
+    });
+}
+
+#[test]
+fn a_connection_answered_too_soon_is_not_used_again() {
+    play(|| async {
+        let host = bare("i-1", |number, mut stream, host| async move {
+            if number == 0 {
+                let (mut head, mut byte) = (Vec::new(), [0]);
+                while !head.ends_with(b"\r\n\r\n") && matches!(stream.read(&mut byte).await, Ok(1)) {
+                    head.push(byte[0]);
+                }
+                let head = String::from_utf8(head).unwrap();
+                stream.write_all(&good(&head, "too soon")).await.unwrap();
+                let (mut rest, mut more) = (300_000, vec![0; 300_000]);
+                while let Ok(count @ 1..) = stream.read(&mut more[..rest]).await {
+                    rest -= count;
+                }
+                host.note(&head);
+            }
+            while let Some(head) = read_message(&mut stream).await {
+                host.note(&head);
+                stream.write_all(&good(&head, "in time")).await.unwrap();
+            }
+        })
+        .await;
+        let rig = rig(&[&host]).await;
+        let mut client = rig.connect().await;
+        let head = request("/once/", "1", "Content-Length: 300000\r\n");
+        client.write_all(&[head.as_bytes(), &[7; 200_000]].concat()).await.unwrap();
+        assert!(read_message(&mut client).await.unwrap().ends_with("too soon"));
+        let _ = client.write_all(&[7; 100_000]).await;
+        host.read(1).await;
+        assert!(rig.get("/once/", "2").await.ends_with("in time"));
+        assert_eq!(host.connections.get(), 2);
+    });
+}
--- a/crates/transit/tests/transit/main.rs
+++ b/crates/transit/tests/transit/main.rs
@@ -1,4 +1,5 @@
 //! The edge among hosts that fail in every way that the protocol tells of.
+mod answers;
 mod follow;
 mod rollout;
 mod sessions;
@@ -96,7 +97,7 @@
 #[test]
 fn broken_answers_are_neither_passed_on_nor_run_twice() {
     type Break = fn(&str) -> Act;
-    let ways: [(&str, Break); 12] = [
+    let ways: [(&str, Break); 14] = [
         ("reset before the answer", |_| Act::Reset),
         ("closed before the answer", |_| Act::End(vec![])),
         ("closed in the head", |_| Act::End(b"HTTP/1.1 200 OK\r\nTry-I".to_vec())),
@@ -127,6 +128,13 @@
         ("encoded", |head| {
             Act::Send(answer(head, "200 OK", "Server-Seal: s\r\nContent-Encoding: gzip\r\n", "whole"))
         }),
+        ("another protocol", |head| {
+            let more = "Upgrade: other\r\nConnection: upgrade\r\nServer-Seal: s\r\n";
+            Act::Send(answer(head, "101 Switching Protocols", more, ""))
+        }),
+        ("an answer and a promise at once", |head| {
+            Act::Send(answer(head, "200 OK", "Server-Seal: s\r\nNot-Run: 1\r\n", "whole"))
+        }),
         ("a promise that is none", |head| Act::Send(answer(head, "503 Busy", "", ""))),
     ];
     for (way, broken) in ways {
--- a/crates/transit/tests/transit/stand_ins.rs
+++ b/crates/transit/tests/transit/stand_ins.rs
@@ -32,6 +32,7 @@
     Hold(Rc<Notify>),
 }
 
+#[derive(Clone)]
 pub struct Host {
     pub ident: String,
     pub address: SocketAddr,
@@ -62,39 +63,42 @@
 
 /// The number of a request counts from 0 over all connections.
 pub async fn host(ident: &str, script: impl Fn(usize, &str) -> Act + 'static) -> Host {
+    let script = Rc::new(script);
+    bare(ident, move |_, stream, host| {
+        let script = script.clone();
+        async move { talk(stream, &host, &*script).await }
+    })
+    .await
+}
+
+/// A host that does with each connection as told; they count from 0.
+pub async fn bare<F: Future<Output = ()> + 'static>(
+    ident: &str,
+    serve: impl Fn(usize, TcpStream, Host) -> F + 'static,
+) -> Host {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
-    let (seen, event): (Rc<RefCell<Vec<String>>>, Rc<Notify>) = Default::default();
+    let (seen, event) = Default::default();
     let (connections, ended): (Rc<Cell<usize>>, Rc<Cell<usize>>) = Default::default();
     let host = Host { ident: ident.into(), address, seen, event, connections, ended };
-    let (seen, event) = (host.seen.clone(), host.event.clone());
-    let (connections, ended) = (host.connections.clone(), host.ended.clone());
-    let script = Rc::new(script);
+    let all = host.clone();
     spawn_local(async move {
         while let Ok((stream, _)) = listener.accept().await {
-            connections.set(connections.get() + 1);
-            let (seen, event, ended, script) = (seen.clone(), event.clone(), ended.clone(), script.clone());
+            let (host, serving) = (all.clone(), serve(all.connections.get(), stream, all.clone()));
+            all.connections.set(all.connections.get() + 1);
             spawn_local(async move {
-                talk(stream, &seen, &event, &*script).await;
-                ended.set(ended.get() + 1);
-                event.notify_waiters();
+                serving.await;
+                host.ended.set(host.ended.get() + 1);
+                host.event.notify_waiters();
             });
         }
     });
     host
 }
 
-async fn talk(
-    mut stream: TcpStream,
-    seen: &RefCell<Vec<String>>,
-    event: &Notify,
-    script: &dyn Fn(usize, &str) -> Act,
-) {
+async fn talk(mut stream: TcpStream, host: &Host, script: &dyn Fn(usize, &str) -> Act) {
     while let Some(head) = read_message(&mut stream).await {
-        let number = seen.borrow().len();
-        seen.borrow_mut().push(head.clone());
-        event.notify_waiters();
-        match script(number, &head) {
+        match script(host.note(&head), &head) {
             Act::Send(bytes) => stream.write_all(&bytes).await.unwrap_or_default(),
             Act::End(bytes) => {
                 let _ = stream.write_all(&bytes).await;
@@ -136,6 +140,13 @@
 }
 
 impl Host {
+    /// The number of a request that has been read.
+    pub fn note(&self, head: &str) -> usize {
+        self.seen.borrow_mut().push(head.into());
+        self.event.notify_waiters();
+        self.count() - 1
+    }
+
     pub fn count(&self) -> usize {
         self.seen.borrow().len()
     }
@@ -186,7 +197,8 @@
 ["again","a.example","/again/","repeatable","9000ms","1000ms",0,null,3,"plain"],
 ["once","a.example","/once/","single_shot","9000ms","1000ms",0,null,3,"plain"],
 ["short","a.example","/short/","single_shot","150ms","100ms",0,null,3,"plain"],
-["key","a.example","/key/","repeatable","9000ms","1000ms",0,null,3,"parted"]]},
+["key","a.example","/key/","repeatable","9000ms","1000ms",0,null,3,"parted"],
+["seat","a.example","/seat/","single_shot","9000ms","1000ms",0,null,3,"parted"]]},
 "backends":{"columns":["name","checkPath","maxConnections","protocol","encrypted","splitUp"],"rows":[["plain","/well",100,"h1",false,null],["parted","/well",100,"h1",false,true]]},
 "caps":{"headSizeBytes":9000,"bodySizeBytes":400000,"headWait":"HEADWAIT","quiet":"15000ms"}}"#;
 
--- a/crates/verdict/src/lib.rs
+++ b/crates/verdict/src/lib.rs
@@ -24,6 +24,8 @@
     /// The host says that it did not run it and never will.
     TurnedAway(Turned),
     Ran(A),
+    /// It ran, and the host says that it failed: another host may do better.
+    Failed(A),
     MayHaveRun(Broke),
 }
 
@@ -33,8 +35,10 @@
     Unreachable,
     /// This edge's part of the host's connections is used up.
     Full,
-    /// The connection had ended before the request was written.
+    /// The connection had ended, or could no longer be trusted, before the request's first byte.
     Closed,
+    /// The time was up before its first byte.
+    Late,
     /// The host began to leave, or ended, in the meantime.
     Leaving,
 }
@@ -70,7 +74,7 @@
         match self {
             Verdict::NotSent(_) | Verdict::TurnedAway(_) => true,
             Verdict::MayHaveRun(Broke::Silent) => false,
-            Verdict::MayHaveRun(_) => repeatable,
+            Verdict::MayHaveRun(_) | Verdict::Failed(_) => repeatable,
             Verdict::Ran(_) => false,
         }
     }
@@ -117,7 +121,7 @@
         match verdict {
             Verdict::NotSent(_) => self.unsent += 1,
             Verdict::TurnedAway(_) => self.arrived += 1,
-            Verdict::Ran(_) => (self.arrived, self.ran) = (self.arrived + 1, true),
+            Verdict::Ran(_) | Verdict::Failed(_) => (self.arrived, self.ran) = (self.arrived + 1, true),
             Verdict::MayHaveRun(cause) => {
                 (self.arrived, self.ran) = (self.arrived + 1, true);
                 self.silent = *cause == Broke::Silent;
@@ -125,6 +129,11 @@
         }
     }
 
+    /// Whether any try has run, or may have.
+    pub fn may_have_run(&self) -> bool {
+        self.ran
+    }
+
     /// A request that may have run is never told to come back: the promise of a 503 would be broken.
     pub fn closing(&self) -> Closing {
         match (self.ran, self.silent) {
