--- a/crates/transit/tests/transit/answers.rs
+++ b/crates/transit/tests/transit/answers.rs
@@ -8,25 +8,30 @@
 fn a_late_answer_belongs_to_nobody() {
     play(|| async {
         let host = host("i-1", |number, head| match number {
-            0 => Act::Send(good(head, "first")),
+            // It was to be kept, and is closed.
+            0 => Act::End(good(head, "closed")),
+            1 => Act::Send(good(head, "first")),
             // The one before is answered once more, where this one's answer is due.
-            1 => Act::Send([good("Try-Id: 1\r\n", "late"), good(head, "second")].concat()),
-            2 => Act::Hold(Rc::default()),
-            3 => Act::Send([b"HTTP/1.1 103 Early Hints\r\n\r\n".to_vec(), good(head, "fourth")].concat()),
+            2 => Act::Send([good("Try-Id: 1\r\n", "late"), good(head, "second")].concat()),
+            3 => Act::Hold(Rc::default()),
+            4 => Act::Send([b"HTTP/1.1 103 Early Hints\r\n\r\n".to_vec(), good(head, "fourth")].concat()),
             _ => unreachable!(),
         })
         .await;
         let rig = rig(&[&host]).await;
         let mut got = Vec::new();
-        for (path, id) in [("/once/", "1"), ("/once/", "2"), ("/short/", "3"), ("/once/", "4")] {
+        for (path, id) in
+            [("/once/", "0"), ("/once/", "1"), ("/once/", "2"), ("/short/", "3"), ("/once/", "4")]
+        {
             let answer = rig.get(path, id).await;
             let body = answer.split_once("\r\n\r\n").unwrap().1;
             got.push((status(&answer), body.to_string(), host.connections.get()));
         }
         let of = |status, body: &str, connection| (status, body.into(), connection);
-        // Neither a connection that brought something foreign nor one that stayed silent is used again.
-        assert_eq!(got, [of(200, "first", 1), of(502, "", 1), of(504, "", 2), of(200, "fourth", 3)]);
-        assert_eq!(host.count(), 4);
+        // No connection is used again that brought something foreign or stayed silent.
+        let first = [of(200, "closed", 1), of(200, "first", 2), of(502, "", 2)];
+        assert_eq!(got, [&first[..], &[of(504, "", 3), of(200, "fourth", 4)]].concat());
+        assert_eq!(host.count(), 5);
     });
 }
 
--- a/crates/transit/tests/transit/sessions.rs
+++ b/crates/transit/tests/transit/sessions.rs
@@ -122,7 +122,9 @@
         let until = gate.clone();
         let host = host("i-1", move |number, _| match number {
             0 | 2 => Act::Hold(until.clone()),
-            _ => Act::Reset,
+            1 => Act::Reset,
+            // Silence.
+            _ => Act::Hold(Rc::default()),
         })
         .await;
         let trio = trio("held", &[&host]).await;
@@ -156,6 +158,12 @@
             }
         }
         assert_eq!(host.count(), 3);
+        // The host stays silent until the time is up: it may have run.
+        let short = confirm(&token, "k-4", "18", "d").replace("5000", "150");
+        assert_eq!(status(&trio.ask(0, &short).await), 504);
+        let again = trio.ask(1, &confirm(&token, "k-4", "19", "d")).await;
+        assert_eq!((status(&again), header(&again, "session-outcome").as_deref()), (502, Some("unknown")));
+        assert_eq!(host.count(), 4);
     });
 }
 
