--- a/crates/transit/tests/transit/sessions.rs
+++ b/crates/transit/tests/transit/sessions.rs
@@ -102,7 +102,8 @@
         }
         assert_eq!(status(&trio.ask(2, &confirm(&token, "k-1", "16", "for ten")).await), 422);
         assert_eq!(status(&trio.ask(2, &confirm(&token, "", "17", "for two")).await), 400);
-        let forged = format!("{}A", &token[..token.len() - 1]);
+        let (rest, last) = token.split_at(token.len() - 1);
+        let forged = format!("{rest}{}", if last == "A" { "B" } else { "A" });
         let refused = trio.ask(2, &confirm(&forged, "k-1", "18", "for two")).await;
         assert!(status(&refused) == 428 && header(&refused, "session").is_some_and(|new| new != token));
         assert_eq!(host.count(), 1);
@@ -122,7 +123,9 @@
         let until = gate.clone();
         let host = host("i-1", move |number, _| match number {
             0 | 2 => Act::Hold(until.clone()),
-            _ => Act::Reset,
+            1 => Act::Reset,
+            // Silence.
+            _ => Act::Hold(Rc::default()),
         })
         .await;
         let trio = trio("held", &[&host]).await;
@@ -156,6 +159,12 @@
             }
         }
         assert_eq!(host.count(), 3);
+        // The host stays silent until the time is up: it may have run.
+        let short = confirm(&token, "k-4", "18", "d").replace("5000", "150");
+        assert_eq!(status(&trio.ask(0, &short).await), 504);
+        let again = trio.ask(1, &confirm(&token, "k-4", "19", "d")).await;
+        assert_eq!((status(&again), header(&again, "session-outcome").as_deref()), (502, Some("unknown")));
+        assert_eq!(host.count(), 4);
     });
 }
 
