--- a/crates/council/src/helm.rs
+++ b/crates/council/src/helm.rs
@@ -1,7 +1,7 @@
 //! Taking over and handing over, and the writing of changes to both disks.
 use crate::links::caller;
 use crate::state::{Change, Role, State};
-use crate::store::Write;
+use crate::store::Batch;
 use crate::Centre;
 use accord::{majority, Ballot, Id, Ms, Record};
 use errand::Caller;
@@ -174,7 +174,7 @@
         let puts: Vec<_> = state.held.iter().map(|(n, v)| (n.clone(), v.clone())).collect();
         let own = vec![("floor".to_string(), serde_json::to_string(&ballot).unwrap_or_default())];
         let done = Box::new(move |ok| tell.send(ok).unwrap_or(()));
-        centre.scribe.write(Write { state: puts.clone(), whole: true, own, done });
+        centre.scribe.write(Batch { state: puts.clone(), whole: true, own }, done);
         (puts, partners(&state, now, &base, shunned))
     };
     if wait(&told, 2 * spans.call) != Some(true) {
@@ -211,7 +211,7 @@
         let (tell, told) = channel();
         let own = Vec::new();
         let done = Box::new(move |ok| tell.send(ok).unwrap_or(()));
-        centre.scribe.write(Write { state: copy.puts.clone(), whole: false, own, done });
+        centre.scribe.write(Batch { state: copy.puts.clone(), whole: false, own }, done);
         let alone = record.backup == record.primary;
         let mut there = alone;
         for _ in 0..2 {
--- /dev/null
+++ b/crates/council/src/inspect.rs
@@ -0,0 +1,42 @@
+//! `council --inspect FOLDER`: what the disk of a stopped centre holds. Opening writes, so it is done on a copy in the
+//! temporary folder.
+use council::store::{self, Fault, Found, Kept};
+use std::path::Path;
+
+/// Prints one line a fact; the exit status.
+pub fn run(folder: &Path) -> i32 {
+    if !folder.is_dir() {
+        eprintln!("council! --inspect: {}, expected the data folder of a stopped centre", folder.display());
+        return 2;
+    }
+    match store::read(folder) {
+        Ok(found) => {
+            lines(&found).iter().for_each(|line| println!("{line}"));
+            (found.kept != Kept::Whole) as i32
+        }
+        Err(Fault::Torn(why)) => {
+            println!("kept: torn, {why}");
+            1
+        }
+        Err(Fault::Refused(why)) => {
+            println!("kept: not known, {why}");
+            1
+        }
+    }
+}
+
+fn lines(found: &Found) -> Vec<String> {
+    let kept = match found.kept {
+        Kept::Fresh => "fresh, nothing was ever written",
+        Kept::Whole => "whole",
+        Kept::Lost => "lost, nothing of its batches is left",
+    };
+    let bytes: usize = found.state.iter().map(|(name, value)| name.len() + value.len()).sum();
+    let config = found.state.get("config").and_then(|text| serde_json::from_str(text).ok());
+    let revision = config.map_or("none".into(), |c: tidings::Settings| c.revision.to_string());
+    let mut lines = vec![format!("kept: {kept}"), format!("batches: {}", found.number)];
+    lines.extend(found.own.iter().map(|(name, value)| format!("own {name}: {value}")));
+    lines.push(format!("state: {} entries, {bytes} bytes", found.state.len()));
+    lines.push(format!("configuration: revision {revision}"));
+    lines
+}
--- a/crates/council/src/lib.rs
+++ b/crates/council/src/lib.rs
@@ -15,7 +15,7 @@
 use std::collections::BTreeMap;
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
-use store::{Found, Scribe, Write};
+use store::{Batch, Found, Kept, Scribe};
 use terms::Boot;
 use tidings::{Copy, CopySay, SeatCall, SeatSay};
 
@@ -107,7 +107,7 @@
         let failed = No { why: "the disk does not take it".into(), ..No::default() };
         let done =
             Box::new(move |ok| done(if ok { say } else { SeatSay { record: None, no: Some(failed) } }));
-        self.scribe.write(Write { state: Vec::new(), whole: false, own: vec![("seat".into(), held)], done });
+        self.scribe.write(Batch { state: Vec::new(), whole: false, own: vec![("seat".into(), held)] }, done);
     }
 
     /// What another seat holds, for one that has lost its disk.
@@ -129,7 +129,7 @@
             self.note("The seat has heard all others and is whole again.");
             let held = serde_json::to_string(&held).unwrap_or_default();
             let own = vec![("seat".into(), held), ("seats".into(), seats)];
-            self.scribe.write(Write { state: Vec::new(), whole: false, own, done: Box::new(|_| ()) });
+            self.scribe.write(Batch { state: Vec::new(), whole: false, own }, Box::new(|_| ()));
         }
     }
 
@@ -169,7 +169,7 @@
             drop(state);
             done(CopySay { ok, why: String::new(), floor: floor_now })
         });
-        self.scribe.write(Write { state: puts, whole: copy.whole, own: vec![("floor".into(), floor)], done });
+        self.scribe.write(Batch { state: puts, whole: copy.whole, own: vec![("floor".into(), floor)] }, done);
     }
 
     pub fn start(boot: &Boot, log: slog::Logger) -> Result<Arc<Centre>> {
@@ -229,7 +229,7 @@
         record = held.as_ref().map(|h| h.record.clone()).unwrap_or_default();
         seat = held.map(|h| Seat::again(h, spans.promise + 1));
         lost = seat.is_none() && seats.contains(me);
-    } else if boot.initial_boot {
+    } else if boot.initial_boot && found.kept == Kept::Fresh {
         // The same three are told to all: they are the seats, and the first two of them hold what there is: nothing.
         seats = boot.known_peers.clone();
         seats.sort();
@@ -248,7 +248,7 @@
         }
         let (tell, told) = std::sync::mpsc::channel();
         let done = Box::new(move |ok| tell.send(ok).unwrap_or(()));
-        scribe.write(Write { state: Vec::new(), whole: false, own, done });
+        scribe.write(Batch { state: Vec::new(), whole: false, own }, done);
         if !told.recv().unwrap_or(false) {
             return Err(eyre!("the disk does not take the first write"));
         }
--- a/crates/council/src/main.rs
+++ b/crates/council/src/main.rs
@@ -2,6 +2,8 @@
 use slog::{Drain, Level, Never, OwnedKVList, Record};
 use std::process::exit;
 
+mod inspect;
+
 /// One line a fact, on standard error, with the prefix of this part.
 struct Lines;
 
@@ -21,11 +23,23 @@
     match words.next() {
         Ok(None) => {}
         Ok(Some(lexopt::Arg::Long("help"))) => {
-            println!("council: a centre of the gateway. It takes no words; COPPERSAIL_SETTINGS names its settings file.");
+            println!("council: a centre of the gateway. COPPERSAIL_SETTINGS names its settings file.");
+            println!("council --inspect FOLDER: what the data folder of a stopped centre holds; 0 if it is whole, else 1.");
             return;
         }
+        Ok(Some(lexopt::Arg::Long("inspect"))) => match (words.value(), words.next()) {
+            (Ok(folder), Ok(None)) => exit(inspect::run(folder.as_ref())),
+            (Err(_), _) => {
+                eprintln!("council! --inspect: nothing, expected a folder");
+                exit(2);
+            }
+            (_, other) => {
+                eprintln!("council! word: {other:?}, expected none after the folder");
+                exit(2);
+            }
+        },
         other => {
-            eprintln!("council! word: {other:?}, expected none or --help");
+            eprintln!("council! word: {other:?}, expected none, --inspect FOLDER or --help");
             exit(2);
         }
     }
