--- a/crates/accord/src/core.rs
+++ b/crates/accord/src/core.rs
@@ -20,6 +20,10 @@
 /// A name of the control state and its value.
 pub type Put = (String, String);
 
+/// The number of the last change, as it stands beside the floor. Alone it comes with each change; whatever else a
+/// centre writes about itself is a promise.
+pub const SEQ: &str = "seq";
+
 /// Time spans; all follow from the settings.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
 pub struct Spans {
@@ -340,7 +344,8 @@
         core.members.insert(start.me.clone());
         core.members.extend(read::<Vec<Id>>(&start.own, "members").unwrap_or_default());
         core.record = read(&start.own, "record").unwrap_or_default();
-        (core.floor, core.seq) = read(&start.own, "floor").unwrap_or_default();
+        core.floor = read(&start.own, "floor").unwrap_or_default();
+        core.seq = read(&start.own, SEQ).unwrap_or_default();
         if let Some(held) = read::<Held>(&start.own, "witness") {
             if held.record.epoch > core.record.epoch {
                 core.record = held.record.clone();
@@ -367,7 +372,7 @@
             core.record = record;
         }
         let held = core.acceptor.held.clone();
-        let mut own = vec![("floor".into(), json(&(&core.floor, core.seq)))];
+        let mut own = core.floor_puts();
         own.push(("record".into(), json(&core.record)));
         own.push(("witness".into(), json(&held)));
         let job = Job::Vote { to: Err(Ask::Release), held: Box::new(held), say: Box::default() };
@@ -375,6 +380,11 @@
         core
     }
 
+    /// The epoch in which the disk takes part, and the number of its last change there.
+    fn floor_puts(&self) -> Vec<Put> {
+        vec![("floor".into(), json(&self.floor)), (SEQ.into(), json(&self.seq))]
+    }
+
     pub fn held(&self) -> &BTreeMap<String, String> {
         &self.held
     }
@@ -750,7 +760,7 @@
             self.write(now, Job::Own, (Vec::new(), false, vec![("probe".into(), now.to_string())]), out);
         }
         if self.broken && self.sound && self.jobs.is_empty() {
-            let own = vec![("floor".into(), json(&(&self.floor, self.seq)))];
+            let own = self.floor_puts();
             let job = Job::Whole { epoch: self.floor.clone(), seq: self.seq };
             self.write(now, job, (self.all(), true, own), out);
         }
--- a/crates/accord/src/core/bid.rs
+++ b/crates/accord/src/core/bid.rs
@@ -101,7 +101,7 @@
             (bid.stage, bid.until, bid.was, bid.able) = (Stage::Bring, until, was, able);
         }
         let state = if self.dirty { self.all() } else { Vec::new() };
-        let own = vec![("floor".into(), json(&(&self.floor, self.seq)))];
+        let own = self.floor_puts();
         self.write(now, Job::Floor { ballot: ballot.clone() }, (state, self.dirty, own), out);
         for _ in 0..self.spans.survive {
             self.bring_next(now, out);
--- a/crates/accord/src/core/group.rs
+++ b/crates/accord/src/core/group.rs
@@ -57,8 +57,8 @@
         if lost && able.len() >= self.spans.survive {
             return Some(None);
         }
-        let life =
-            |id: &Id| self.peers.get(id).map(|p| p.told.life).filter(|life| *life > 0 || record.sits(id));
+        // Of who was heard once it is known; the first witnesses have 0.
+        let life = |id: &Id| self.peers.get(id).map(|p| p.told.life);
         let spare =
             |id: &&Id| **id != self.me && !record.sits(id) && self.good(now, id) && life(id).is_some();
         let mut spares = self.members.iter().filter(spare);
--- a/crates/accord/src/core/writing.rs
+++ b/crates/accord/src/core/writing.rs
@@ -44,7 +44,8 @@
         // The same change again is written again: its first write may have failed.
         let puts = copy.puts;
         self.take(&puts);
-        let own = vec![("floor".into(), json(&(&self.floor, self.seq)))];
+        let alone = copy.kind == CopyKind::Change;
+        let own = if alone { vec![(SEQ.into(), json(&self.seq))] } else { self.floor_puts() };
         let job = Job::Copied { caller, epoch: copy.epoch, seq: copy.seq, snapshot };
         self.write(now, job, (puts, snapshot, own), out);
     }
@@ -85,7 +86,7 @@
         self.seq += 1;
         let (seq, away) = (self.seq, record.backups.iter().cloned().collect());
         self.flight = Some(Flight { seq, began: now, changes, puts: puts.clone(), here: false, away });
-        let own = vec![("floor".into(), json(&(&self.floor, seq)))];
+        let own = vec![(SEQ.into(), json(&seq))];
         self.write(now, Job::Change { epoch: record.epoch.clone(), seq }, (puts.clone(), false, own), out);
         for to in &record.backups {
             let (epoch, kind) = (record.epoch.clone(), CopyKind::Change);
--- a/crates/accord/src/lib.rs
+++ b/crates/accord/src/lib.rs
@@ -22,7 +22,7 @@
 mod core;
 
 pub use crate::core::{
-    Call, Caller, Change, Copy, CopyKind, CopySay, Core, Out, Put, Role, Say, Spans, Start, Token, Told,
+    Call, Caller, Change, Copy, CopyKind, CopySay, Core, Out, Put, Role, Say, Spans, Start, Token, Told, SEQ,
 };
 pub use acceptor::{Acceptor, Held, Leases, No, WitnessCall, WitnessSay};
 use serde::{Deserialize, Serialize};
