--- a/crates/council/src/state.rs
+++ b/crates/council/src/state.rs
@@ -125,6 +125,8 @@
     pub keys: Keys,
     /// Before this a primary may not know all hosts that are there.
     pub settled_at: Ms,
+    /// Since when it is in touch.
+    touch_since: Option<Ms>,
     /// Counts what was told to edges about keys in this epoch.
     pub shown: u64,
     pub laid: BTreeMap<String, Ms>,
@@ -164,6 +166,7 @@
             beats: BTreeMap::new(),
             keys: Keys::new(spans.keep),
             settled_at: 0,
+            touch_since: None,
             shown: 0,
             laid: BTreeMap::new(),
             asked: BTreeMap::new(),
@@ -665,8 +668,11 @@
     pub fn listen(&mut self, now: Ms) {
         self.meet(now);
         let quiet = self.spans.beat * 5 / 2;
+        // Out of touch it would take its own deafness for theirs, and others would believe it once it is back.
+        self.touch_since = if self.alone(now) { None } else { self.touch_since.or(Some(now)) };
+        let judges = self.touch_since.is_some_and(|since| now >= since + quiet);
         let mut lost = Vec::new();
-        for host in self.feed.hosts().filter(|h| !h.silent && h.stage < Stage::Gone) {
+        for host in self.feed.hosts().filter(|h| judges && !h.silent && h.stage < Stage::Gone) {
             let Some(beat) = self.beats.get(&host.ident) else { continue };
             let mine = host.via == self.core.me;
             let orphan = !mine
--- /dev/null
+++ b/crates/council/tests/node.rs
@@ -0,0 +1,128 @@
+//! The pure machine of a centre, without threads, sockets or a disk.
+use council::node::{Begin, Effect, Event, Node, Peer, PeerSay};
+use serde_json::json;
+use tidings::{Detail, Follow, HostNews, News, Standing};
+
+const PEERS: [&str; 3] = ["10.1.0.1:8544", "10.2.0.1:8544", "10.3.0.1:8544"];
+
+/// The first of three, at the first start of the system. Its disk takes all; the second of the three answers polls while
+/// it has `hosts` to tell of; nobody answers else.
+struct One {
+    node: Node,
+    now: u64,
+    due: Vec<Event>,
+    hosts: Option<Vec<HostNews>>,
+    news: Vec<News>,
+}
+
+impl One {
+    fn start(hosts: Vec<HostNews>) -> One {
+        let boot = json!({
+            "self": {"ipAddress": "10.1.0.1", "area": "a", "initialBoot": true, "dataFolder": "unused"},
+            "network": {"binds": {"admin": PEERS[0]}, "sparePorts": [7540, 7555], "knownPeers": PEERS},
+            "provider": {"heartbeat": "1s"},
+            "terms": {"survive": {"boxes": 1}, "timeLimits": {"inContact": "3s", "keepMax": "10s"}}
+        });
+        let boot = terms::Boot::from_json(&boot.to_string()).unwrap();
+        let (node, effects) = Node::start(1, Begin { boot, found: Default::default(), life: 7 });
+        let mut one = One { node, now: 1, due: Vec::new(), hosts: Some(hosts), news: Vec::new() };
+        one.carry(effects);
+        one
+    }
+
+    fn carry(&mut self, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Write { token, .. } => self.due.push(Event::Disk { token, ok: true }),
+                Effect::Call { token, to, call, .. } => {
+                    let say = self.answer(&to, &call);
+                    self.due.push(Event::Told { token, say });
+                }
+                Effect::Reply { say: PeerSay::News(news), .. } => self.news.push(*news),
+                _ => {}
+            }
+        }
+    }
+
+    fn answer(&self, to: &str, call: &Peer) -> Option<PeerSay> {
+        let Peer::Follow(_) = call else { return None };
+        let hosts = self.hosts.clone().filter(|_| to == PEERS[1])?;
+        let detail = Some(Detail::default());
+        let standing = Some(Standing { id: to.into(), fit: true, sum: 9, detail, ..Standing::default() });
+        Some(PeerSay::News(Box::new(News { feed: 3, seq: 1, hosts, standing, ..News::default() })))
+    }
+
+    fn step(&mut self, event: Event) {
+        let mut out = Vec::new();
+        self.node.step(self.now, event, &mut out);
+        self.carry(out);
+    }
+
+    /// Lets time pass; what it called is answered with the next tick.
+    fn run(&mut self, ms: u64) {
+        let end = self.now + ms;
+        while self.now < end {
+            self.now += 50;
+            for event in std::mem::take(&mut self.due) {
+                self.step(event);
+            }
+            self.step(Event::Tick);
+        }
+    }
+
+    /// What it tells who has nothing yet: an edge, or another centre.
+    fn ask(&mut self, from: Option<&str>) -> News {
+        let standing = from.map(|id| Standing { id: id.into(), sum: 5, ..Standing::default() });
+        let follow = Follow { edge: "e".into(), wait_ms: 1, standing, ..Follow::default() };
+        self.step(Event::Peer { caller: 1, call: Peer::Follow(Box::new(follow)) });
+        self.news.pop().expect("who has nothing is answered at once")
+    }
+}
+
+fn host() -> HostNews {
+    let (ident, backend, via) = ("i-1".into(), "s".into(), PEERS[1].into());
+    HostNews { ident, backend, via, address: "10.9.0.1:80".into(), calls: 4, ..HostNews::default() }
+}
+
+#[test]
+fn a_centre_out_of_touch_judges_no_host() {
+    let mut one = One::start(vec![host()]);
+    one.run(5_000);
+    assert!(!one.ask(None).alone, "itself and one other are two of three");
+    one.hosts = None;
+    one.run(20_000);
+    let told = one.ask(Some(PEERS[2])).hosts;
+    assert!(!told[0].silent, "its own deafness would be news to who hears it again");
+}
+
+#[test]
+fn an_edge_is_told_nothing_but_where_else_to_ask_once_touch_is_lost() {
+    let mut one = One::start(vec![host()]);
+    one.run(5_000);
+    let follow = |news: &News| Follow {
+        edge: "e".into(),
+        feed: news.feed,
+        seq: news.seq,
+        wait_ms: 60_000,
+        ..Follow::default()
+    };
+    let before = one.ask(None);
+    assert_eq!(before.hosts.len(), 1);
+    one.step(Event::Peer { caller: 2, call: Peer::Follow(Box::new(follow(&before))) });
+    one.run(1_000);
+    assert!(one.news.is_empty(), "nothing is new");
+    one.hosts = None;
+    one.run(2_000);
+    let after = one.news.pop().expect("a held poll is answered once touch is lost");
+    let nothing = News {
+        alone: true,
+        up_ms: after.up_ms,
+        centres: after.centres.clone(),
+        feed: before.feed,
+        seq: before.seq,
+        ..News::default()
+    };
+    assert_eq!(after, nothing);
+    assert_eq!(after.centres.len(), 3);
+    assert!(one.ask(None).alone);
+}
