--- /dev/null
+++ b/crates/accord/tests/model/world.rs
@@ -0,0 +1,729 @@
+//! The world around the cores: members with disks, a network, a clock, faults within a budget, and what must hold.
+use accord::{Ballot, Call, Change, Core, Held, Out, Put, Record, Role, Say, Spans, Start, Told, Witness};
+use std::collections::hash_map::DefaultHasher;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::hash::{Hash, Hasher};
+use std::sync::Arc;
+
+pub const NAMES: [&str; 5] = ["a", "b", "c", "d", "e"];
+const LATE: u64 = 1 << 63;
+
+/// How many of each may still happen.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
+pub struct Budget {
+    /// Steps of time that end in a heartbeat and a tick of everybody.
+    pub times: u8,
+    pub submits: u8,
+    pub crashes: u8,
+    pub wipes: u8,
+    pub gone: u8,
+    pub cuts: u8,
+    pub refusals: u8,
+    /// Messages that come late or twice.
+    pub late: u8,
+    /// One member sleeps over a step of time.
+    pub freezes: u8,
+    pub leaves: u8,
+}
+
+/// What the world is like, the same for all states of a search.
+#[derive(Debug, Clone, Copy)]
+pub struct Rules {
+    pub members: usize,
+    pub first: usize,
+    pub spans: Spans,
+    /// Writes are confirmed at once; else each is a step, may be refused, and is lost or kept at a crash.
+    pub instant: bool,
+    /// Who may be struck by faults, as a mask.
+    pub struck: u8,
+    /// Clocks run at different pace: parts in a thousand, by member.
+    pub pace: [i64; 5],
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Write {
+    token: u64,
+    state: Vec<Put>,
+    whole: bool,
+    own: Vec<Put>,
+}
+
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
+pub struct Node {
+    pub core: Option<Core>,
+    pub state: BTreeMap<String, String>,
+    own: BTreeMap<String, String>,
+    writes: VecDeque<Write>,
+    /// Calls that wait, and until when.
+    waits: BTreeMap<u64, u64>,
+    boot: u64,
+    /// How many disks it has lost.
+    disk: u64,
+    pub gone: bool,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+enum What {
+    Call(Call),
+    Reply(Say),
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Message {
+    /// Who called.
+    from: usize,
+    boot: u64,
+    token: u64,
+    to: usize,
+    late: bool,
+    what: What,
+}
+
+/// What an observer from outside knows.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
+pub struct Ghost {
+    /// By epoch: the record and the disks that ever held it.
+    accepted: BTreeMap<Ballot, (Record, BTreeSet<Witness>)>,
+    /// Changes that were acknowledged or could be read, in their order.
+    pub seen: Vec<u64>,
+    pub acked: BTreeSet<u64>,
+    pub top: Ballot,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub enum Step {
+    Deliver(usize, bool),
+    Confirm(usize),
+    Refuse(usize),
+    /// Less than a call's time; `keep`: this message of those whose time is over comes late. `asleep`: who misses it.
+    Short { keep: Option<usize>, asleep: Option<usize> },
+    /// To the end of the next lease that a witness has granted.
+    Expiry { asleep: Option<usize> },
+    Crash(usize, usize),
+    Restart(usize),
+    Wipe(usize),
+    Gone(usize),
+    Cut(usize),
+    Heal,
+    Submit(usize),
+    Leave(usize),
+}
+
+#[derive(Debug)]
+pub struct Path {
+    pub story: String,
+    pub before: Option<Arc<Path>>,
+}
+
+#[derive(Clone)]
+pub struct World {
+    pub now: u64,
+    pub rules: Arc<Rules>,
+    pub nodes: Vec<Arc<Node>>,
+    sums: Vec<u64>,
+    net: Vec<(u64, Arc<Message>)>,
+    /// Heartbeats to and from this member are lost; calls are as ever.
+    cut: Option<usize>,
+    /// Ends of leases to come, as witnesses count them.
+    ends: BTreeSet<u64>,
+    pub budget: Budget,
+    pub submitted: u64,
+    pub ghost: Arc<Ghost>,
+    pub path: Option<Arc<Path>>,
+}
+
+fn sum_of<T: Hash>(value: &T) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    value.hash(&mut hasher);
+    hasher.finish()
+}
+
+/// Of the model's own, so that the core's is not its own judge.
+fn most(group: &[Witness], yes: &BTreeSet<Witness>) -> bool {
+    2 * group.iter().filter(|w| yes.contains(w)).count() > group.len()
+}
+
+fn decides(record: &Record, yes: &BTreeSet<Witness>) -> bool {
+    most(&record.witnesses, yes) && (record.before.is_empty() || most(&record.before, yes))
+}
+
+/// The life that the world gave a member's disk.
+fn life(x: usize, disk: u64, first: usize) -> u64 {
+    if disk == 0 && x < first {
+        return 0;
+    }
+    100 * (x as u64 + 1) + disk
+}
+
+pub fn spans() -> Spans {
+    Spans { lease: 100, round: 30, call: 20, patience: 100_000, leave: 1_000, survive: 1 }
+}
+
+impl World {
+    pub fn new(rules: Rules) -> World {
+        let mut world = World {
+            now: 1_000,
+            rules: Arc::new(rules),
+            nodes: (0..rules.members).map(|_| Arc::new(Node::default())).collect(),
+            sums: vec![0; rules.members],
+            net: Vec::new(),
+            cut: None,
+            ends: BTreeSet::new(),
+            budget: Budget::default(),
+            submitted: 0,
+            ghost: Arc::default(),
+            path: None,
+        };
+        for x in 0..rules.members {
+            world.start(x, x < rules.first).unwrap();
+        }
+        world
+    }
+
+    /// The time on a member's clock.
+    pub fn clock(&self, x: usize) -> u64 {
+        (self.now as i64 * (1_000 + self.rules.pace[x]) / 1_000) as u64
+    }
+
+    fn node(&mut self, x: usize) -> &mut Node {
+        self.sums[x] = 0;
+        Arc::make_mut(&mut self.nodes[x])
+    }
+
+    pub fn core(&self, x: usize) -> Option<&Core> {
+        self.nodes[x].core.as_ref()
+    }
+
+    pub fn ups(&self) -> Vec<usize> {
+        (0..self.nodes.len()).filter(|x| self.nodes[*x].core.is_some()).collect()
+    }
+
+    pub fn acting(&self) -> Vec<usize> {
+        self.ups().into_iter().filter(|x| self.core(*x).unwrap().acting(self.clock(*x))).collect()
+    }
+
+    /// Equal for equal states, but for how they were reached.
+    pub fn sum(&mut self) -> u64 {
+        for x in 0..self.nodes.len() {
+            if self.sums[x] == 0 {
+                self.sums[x] = sum_of(&*self.nodes[x]) | 1;
+            }
+        }
+        let net = self.net.iter().fold(0u64, |all, (sum, _)| all.wrapping_add(sum.wrapping_mul(sum | 1)));
+        sum_of(&(self.now, &self.sums, net, self.cut, &self.ends, self.budget, self.submitted, &*self.ghost))
+    }
+
+    fn start(&mut self, x: usize, first: bool) -> Result<(), String> {
+        let (now, rules) = (self.clock(x), self.rules.clone());
+        let node = self.node(x);
+        let begin = Start {
+            me: NAMES[x].into(),
+            area: "z".into(),
+            spans: rules.spans,
+            peers: NAMES[..rules.first].iter().map(|n| n.to_string()).collect(),
+            first: first && node.own.is_empty(),
+            state: node.state.clone(),
+            own: node.own.clone(),
+            life: life(x, node.disk, rules.first),
+        };
+        node.boot += 1;
+        let mut out = Vec::new();
+        node.core = Some(Core::start(now, begin, &mut out));
+        self.follow(x, out)
+    }
+
+    /// Lets a member's core work, and does what follows.
+    pub fn with(&mut self, x: usize, f: impl FnOnce(&mut Core, u64, &mut Vec<Out>)) -> Result<(), String> {
+        let now = self.clock(x);
+        let mut out = Vec::new();
+        if let Some(core) = self.node(x).core.as_mut() {
+            f(core, now, &mut out);
+        }
+        self.follow(x, out)
+    }
+
+    fn follow(&mut self, x: usize, out: Vec<Out>) -> Result<(), String> {
+        for out in out {
+            match out {
+                Out::Call { token, to, call, wait } => {
+                    let until = self.now + wait;
+                    let node = self.node(x);
+                    node.waits.insert(token, until);
+                    let (boot, to) = (node.boot, NAMES.iter().position(|n| *n == to).unwrap());
+                    self.send(Message { from: x, boot, token, to, late: false, what: What::Call(call) });
+                }
+                Out::Reply { caller, say } if caller & LATE == 0 => {
+                    let (from, boot, token) = ((caller >> 48) as usize, caller >> 32 & 0xffff, caller & 0xffff_ffff);
+                    if self.nodes[from].boot == boot && self.nodes[from].waits.contains_key(&token) {
+                        self.send(Message { from, boot, token, to: x, late: false, what: What::Reply(say) });
+                    }
+                }
+                Out::Write { token, state, whole, own } => {
+                    self.node(x).writes.push_back(Write { token, state, whole, own });
+                    self.quick(x)?;
+                }
+                Out::Wrote(changes) => self.wrote(x, &changes)?,
+                _ => {}
+            }
+        }
+        Ok(())
+    }
+
+    fn send(&mut self, message: Message) {
+        let message = (sum_of(&message), Arc::new(message));
+        let at = self.net.partition_point(|(sum, _)| *sum < message.0);
+        self.net.insert(at, message);
+    }
+
+    /// Writes that need no step of their own: all, or those that are hints only.
+    fn quick(&mut self, x: usize) -> Result<(), String> {
+        while let Some(write) = self.nodes[x].writes.front() {
+            let hint = |(name, _): &Put| ["record", "members", "probe"].contains(&name.as_str());
+            if !self.rules.instant && !(write.state.is_empty() && !write.whole && write.own.iter().all(hint)) {
+                break;
+            }
+            self.confirm(x, true)?;
+        }
+        Ok(())
+    }
+
+    fn confirm(&mut self, x: usize, ok: bool) -> Result<(), String> {
+        let Some(write) = self.node(x).writes.pop_front() else { return Ok(()) };
+        let token = write.token;
+        if ok {
+            self.store(x, write)?;
+        }
+        self.with(x, |core, now, out| core.disk(now, token, ok, out))
+    }
+
+    fn store(&mut self, x: usize, write: Write) -> Result<(), String> {
+        let (first, node) = (self.rules.first, self.node(x));
+        let me = Witness::new(NAMES[x], life(x, node.disk, first));
+        if write.whole {
+            node.state.clear();
+        }
+        node.state.extend(write.state);
+        node.state.retain(|_, value| !value.is_empty());
+        let held = write.own.iter().find(|(name, _)| name == "witness").map(|(_, held)| held.clone());
+        node.own.extend(write.own);
+        let Some(held) = held else { return Ok(()) };
+        let record = serde_json::from_str::<Held>(&held).unwrap().record;
+        if record.witnesses.is_empty() {
+            return Ok(());
+        }
+        let known = self.ghost.accepted.get(&record.epoch);
+        if known.is_some_and(|(_, by)| by.contains(&me)) {
+            return Ok(());
+        }
+        if known.is_some_and(|(one, _)| *one != record) {
+            return Err(format!("two records of epoch {:?}", record.epoch));
+        }
+        let ghost = Arc::make_mut(&mut self.ghost);
+        let (record, by) =
+            ghost.accepted.entry(record.epoch.clone()).or_insert_with(|| (record, BTreeSet::new()));
+        by.insert(me);
+        if decides(record, by) {
+            return self.groups();
+        }
+        Ok(())
+    }
+
+    /// Each group that was chosen follows from the one before.
+    fn groups(&self) -> Result<(), String> {
+        let chosen: Vec<&Record> =
+            self.ghost.accepted.values().filter(|(r, by)| decides(r, by)).map(|(r, _)| r).collect();
+        for pair in chosen.windows(2) {
+            let (old, new) = (pair[0], pair[1]);
+            let same = old.witnesses == new.witnesses && old.before == new.before;
+            let ends = !old.before.is_empty() && new.before.is_empty() && old.witnesses == new.witnesses;
+            let fewer = old.witnesses.iter().filter(|w| !new.witnesses.contains(w)).count();
+            let more = new.witnesses.iter().filter(|w| !old.witnesses.contains(w)).count();
+            let begins = old.before.is_empty() && new.before == old.witnesses;
+            if !(same || ends || begins && fewer <= more && more <= 1) {
+                return Err(format!("a group that does not follow: {old:?} then {new:?}"));
+            }
+        }
+        Ok(())
+    }
+
+    fn wrote(&mut self, x: usize, changes: &[Change]) -> Result<(), String> {
+        if !self.acting().contains(&x) {
+            return Err(format!("{} acknowledges without the lease", NAMES[x]));
+        }
+        for change in changes {
+            Arc::make_mut(&mut self.ghost).acked.insert(change.ticket);
+        }
+        self.check()
+    }
+
+    /// What must hold in every state.
+    pub fn check(&mut self) -> Result<(), String> {
+        let acting = self.acting();
+        if acting.len() > 1 {
+            return Err(format!("{} and {} both act", NAMES[acting[0]], NAMES[acting[1]]));
+        }
+        let Some(x) = acting.first().copied() else { return Ok(()) };
+        let core = self.core(x).unwrap();
+        let Role::Acting(record) = &core.role else { return Err("acts without a record".into()) };
+        if record.epoch < self.ghost.top {
+            return Err(format!("{} acts in an older epoch", NAMES[x]));
+        }
+        let by = self.ghost.accepted.get(&record.epoch).filter(|(one, _)| one == record).map(|(_, by)| by);
+        if !by.is_some_and(|by| decides(record, by)) {
+            return Err(format!("{} acts by a record that no quorum of its group's disks took", NAMES[x]));
+        }
+        let held = core.held();
+        let holds = |state: &BTreeMap<String, String>, n: u64| state.contains_key(&format!("k{n}"));
+        let new: Vec<u64> =
+            (1..=self.submitted).filter(|n| holds(held, *n) && !self.ghost.seen.contains(n)).collect();
+        let seen: Vec<u64> = self.ghost.seen.iter().chain(&new).copied().collect();
+        for n in seen.iter().chain(&self.ghost.acked) {
+            if !holds(held, *n) {
+                return Err(format!("{} acts without change {n}", NAMES[x]));
+            }
+        }
+        let last = seen.last().map(|n| n.to_string());
+        if held.get("last") != last.as_ref() {
+            return Err(format!("{} has the changes in another order: {held:?}, {seen:?}", NAMES[x]));
+        }
+        for id in std::iter::once(&record.primary).chain(&record.backups) {
+            let node = &self.nodes[NAMES.iter().position(|n| n == id).unwrap()];
+            let lost = node.gone || !node.own.get("floor").is_some_and(|floor| {
+                serde_json::from_str::<(Ballot, u64)>(floor).is_ok_and(|(floor, _)| floor >= record.epoch)
+            });
+            // A disk that was lost since is replaced in time, and one that goes on by a newer bid holds all the same.
+            if !lost && seen.iter().any(|n| !holds(&node.state, *n)) {
+                return Err(format!("a change of {seen:?} is not on the disk of {id}, which the record names"));
+            }
+            if lost && node.disk == 0 && !node.gone {
+                return Err(format!("the disk of {id} is not at the epoch of the record that names it"));
+            }
+        }
+        let top = record.epoch.clone();
+        if top != self.ghost.top || !new.is_empty() {
+            let ghost = Arc::make_mut(&mut self.ghost);
+            (ghost.top, ghost.seen) = (top, seen);
+        }
+        Ok(())
+    }
+
+    /// Time passes; calls whose time is over have no answer; all hear each other and tick.
+    fn pass(&mut self, span: u64, keep: Option<usize>, asleep: Option<usize>) -> Result<(), String> {
+        self.now += span;
+        let now = self.now;
+        self.ends.retain(|end| *end > now);
+        let kept = keep.and_then(|at| self.net.get(at)).map(|(_, m)| Message { late: true, ..(**m).clone() });
+        let mut over: Vec<(usize, u64)> = Vec::new();
+        for x in 0..self.nodes.len() {
+            if self.nodes[x].waits.values().any(|until| *until <= now) {
+                let node = self.node(x);
+                over.extend(node.waits.iter().filter(|(_, until)| **until <= now).map(|(t, _)| (x, *t)));
+                node.waits.retain(|_, until| *until > now);
+            }
+        }
+        let nodes = &self.nodes;
+        self.net.retain(|(_, m)| {
+            m.late || nodes[m.from].boot == m.boot && nodes[m.from].waits.contains_key(&m.token)
+        });
+        if let Some(kept) = kept {
+            self.send(kept);
+        }
+        for (x, token) in over {
+            self.with(x, |core, now, out| core.said(now, token, None, out))?;
+        }
+        let told: Vec<Option<Told>> =
+            (0..self.nodes.len()).map(|x| self.core(x).map(|core| core.told(self.clock(x)))).collect();
+        let awake = |x: &usize| Some(*x) != asleep;
+        for x in self.ups().into_iter().filter(awake) {
+            for (y, told) in told.iter().enumerate().filter(|(y, _)| *y != x && awake(y)) {
+                let (Some(told), true) = (told, self.cut != Some(x) && self.cut != Some(y)) else { continue };
+                self.with(x, |core, now, out| core.hear(now, told, Some(now), out))?;
+            }
+        }
+        for x in self.ups().into_iter().filter(awake) {
+            self.with(x, |core, now, out| core.tick(now, out))?;
+        }
+        Ok(())
+    }
+
+    fn deliver(&mut self, at: usize, again: bool) -> Result<(), String> {
+        let (_, message) = self.net.remove(at);
+        if again {
+            self.send(Message { late: true, ..(*message).clone() });
+        }
+        let Message { from, boot, token, to, late, what } = (*message).clone();
+        match what {
+            What::Call(call) => {
+                let grant = matches!(&call, Call::Witness(accord::WitnessCall::Accept(..) | accord::WitnessCall::Renew(..)));
+                if grant {
+                    self.ends.insert(self.now + self.rules.spans.lease);
+                }
+                let caller = (from as u64) << 48 | boot << 32 | token | if late { LATE } else { 0 };
+                self.with(to, |core, now, out| core.called(now, caller, call, out))
+            }
+            What::Reply(say) => {
+                if self.nodes[from].boot != boot || self.node(from).waits.remove(&token).is_none() {
+                    return Ok(());
+                }
+                self.with(from, |core, now, out| core.said(now, token, Some(say), out))
+            }
+        }
+    }
+
+    fn crash(&mut self, x: usize, keep: usize) -> Result<(), String> {
+        for _ in 0..keep {
+            if let Some(write) = self.node(x).writes.pop_front() {
+                self.store(x, write)?;
+            }
+        }
+        let node = self.node(x);
+        node.core = None;
+        node.writes.clear();
+        node.waits.clear();
+        self.net.retain(|(_, m)| {
+            m.late || if matches!(m.what, What::Call(_)) { m.from != x || m.to != x } else { m.from != x }
+        });
+        Ok(())
+    }
+
+    pub fn steps(&self) -> Vec<Step> {
+        let (budget, mut all) = (&self.budget, Vec::new());
+        let struck = |x: &usize| self.rules.struck >> x & 1 == 1;
+        for (at, (sum, message)) in self.net.iter().enumerate() {
+            if at > 0 && self.net[at - 1].0 == *sum {
+                continue;
+            }
+            let to = if matches!(message.what, What::Call(_)) { message.to } else { message.from };
+            if self.nodes[to].core.is_none() {
+                continue;
+            }
+            all.push(Step::Deliver(at, false));
+            if budget.late > 0 && !message.late && matches!(message.what, What::Call(_)) {
+                all.push(Step::Deliver(at, true));
+            }
+        }
+        for x in self.ups() {
+            if !self.nodes[x].writes.is_empty() {
+                all.push(Step::Confirm(x));
+                if budget.refusals > 0 && struck(&x) {
+                    all.push(Step::Refuse(x));
+                }
+            }
+        }
+        if budget.times > 0 {
+            let asleep = self.ups().into_iter().filter(struck).filter(|_| budget.freezes > 0).map(Some);
+            for asleep in std::iter::once(None).chain(asleep) {
+                all.push(Step::Short { keep: None, asleep });
+                if !self.ends.is_empty() {
+                    all.push(Step::Expiry { asleep });
+                }
+            }
+            if budget.late > 0 {
+                let ending = |m: &Message| {
+                    !m.late && self.nodes[m.from].waits.get(&m.token).is_none_or(|t| *t <= self.now + SHORT)
+                };
+                for (at, (_, m)) in self.net.iter().enumerate() {
+                    if ending(m) && matches!(m.what, What::Call(_)) {
+                        all.push(Step::Short { keep: Some(at), asleep: None });
+                    }
+                }
+            }
+        }
+        for x in self.ups().into_iter().filter(struck) {
+            if budget.crashes > 0 {
+                all.extend((0..=self.nodes[x].writes.len()).map(|keep| Step::Crash(x, keep)));
+            }
+            if budget.gone > 0 {
+                all.push(Step::Gone(x));
+            }
+            if budget.cuts > 0 && self.cut.is_none() {
+                all.push(Step::Cut(x));
+            }
+            if budget.leaves > 0 && !self.core(x).unwrap().leaving() {
+                all.push(Step::Leave(x));
+            }
+        }
+        for x in (0..self.nodes.len()).filter(|x| self.nodes[*x].core.is_none() && !self.nodes[*x].gone) {
+            all.push(Step::Restart(x));
+            if budget.wipes > 0 {
+                all.push(Step::Wipe(x));
+            }
+        }
+        if budget.cuts > 0 && self.cut.is_some() {
+            all.push(Step::Heal);
+        }
+        if budget.submits > 0 {
+            all.extend(self.acting().into_iter().map(Step::Submit));
+        }
+        all
+    }
+
+    pub fn step(&mut self, step: &Step, tell: bool) -> Result<(), String> {
+        if tell {
+            let story = self.story(step);
+            self.path = Some(Arc::new(Path { story, before: self.path.take() }));
+        }
+        let budget = &mut self.budget;
+        match step {
+            Step::Deliver(at, again) => {
+                budget.late -= *again as u8;
+                self.deliver(*at, *again)
+            }
+            Step::Confirm(x) => self.confirm(*x, true).and_then(|()| self.quick(*x)),
+            Step::Refuse(x) => {
+                budget.refusals -= 1;
+                self.confirm(*x, false).and_then(|()| self.quick(*x))
+            }
+            Step::Short { keep, asleep } => {
+                budget.times -= 1;
+                budget.late -= keep.is_some() as u8;
+                budget.freezes -= asleep.is_some() as u8;
+                self.pass(SHORT, *keep, *asleep)
+            }
+            Step::Expiry { asleep } => {
+                budget.times -= 1;
+                budget.freezes -= asleep.is_some() as u8;
+                let end = self.ends.first().copied().unwrap_or(self.now + 1);
+                self.pass(end - self.now, None, *asleep)
+            }
+            Step::Crash(x, keep) => {
+                budget.crashes -= 1;
+                self.crash(*x, *keep)
+            }
+            Step::Gone(x) => {
+                budget.gone -= 1;
+                self.node(*x).gone = true;
+                self.crash(*x, 0)
+            }
+            Step::Restart(x) => self.start(*x, *x < self.rules.first && self.nodes[*x].disk == 0),
+            Step::Wipe(x) => {
+                budget.wipes -= 1;
+                let node = self.node(*x);
+                node.disk += 1;
+                node.own.clear();
+                node.state.clear();
+                self.start(*x, false)
+            }
+            Step::Cut(x) => {
+                budget.cuts -= 1;
+                self.cut = Some(*x);
+                Ok(())
+            }
+            Step::Heal => {
+                self.cut = None;
+                Ok(())
+            }
+            Step::Submit(x) => {
+                budget.submits -= 1;
+                self.submit(*x)
+            }
+            Step::Leave(x) => {
+                budget.leaves -= 1;
+                self.with(*x, |core, now, _| core.leave(now))
+            }
+        }?;
+        self.check()
+    }
+
+    pub fn submit(&mut self, x: usize) -> Result<(), String> {
+        self.submitted += 1;
+        let n = self.submitted;
+        let puts = vec![(format!("k{n}"), n.to_string()), ("last".into(), n.to_string())];
+        self.with(x, |core, now, out| core.submit(now, Change { ticket: n, puts }, out))
+    }
+
+    /// Nothing fails: all that is under way comes, in order.
+    pub fn calm(&mut self) -> Result<(), String> {
+        loop {
+            if let Some(x) = self.ups().into_iter().find(|x| !self.nodes[*x].writes.is_empty()) {
+                self.confirm(x, true)?;
+            } else if let Some(at) = self.net.iter().position(|(_, m)| {
+                let to = if matches!(m.what, What::Call(_)) { m.to } else { m.from };
+                self.nodes[to].core.is_some()
+            }) {
+                self.deliver(at, false)?;
+            } else {
+                return self.check();
+            }
+        }
+    }
+
+    pub fn rest(&mut self, ticks: usize) -> Result<(), String> {
+        for _ in 0..ticks {
+            self.pass(5, None, None)?;
+            self.calm()?;
+        }
+        Ok(())
+    }
+
+    /// The good end: who is not gone is there, and nothing fails any more. Says after how many ticks both changes
+    /// could be written.
+    pub fn good_end(&self, most: usize) -> Result<usize, String> {
+        let mut world = self.clone();
+        (world.cut, world.budget) = (None, Budget::default());
+        for x in 0..world.nodes.len() {
+            if world.nodes[x].core.is_none() && !world.nodes[x].gone {
+                let first = x < world.rules.first && world.nodes[x].disk == 0;
+                world.start(x, first)?;
+            }
+        }
+        let mut to_do = 2;
+        for tick in 0..most {
+            world.rest(1)?;
+            if let Some(x) = world.acting().first().copied().filter(|_| to_do > 0) {
+                to_do -= 1;
+                world.submit(x)?;
+                world.calm()?;
+                if !world.ghost.acked.contains(&world.submitted) {
+                    to_do += 1;
+                }
+            }
+            if to_do == 0 {
+                return Ok(tick);
+            }
+        }
+        Err(format!("nobody acts after {most} ticks without a fault"))
+    }
+
+    fn story(&self, step: &Step) -> String {
+        let at = |x: &usize| NAMES[*x];
+        let say = |m: &Message| match &m.what {
+            What::Call(call) => format!("{} <- {} {}", at(&m.to), at(&m.from), brief(&format!("{call:?}"))),
+            What::Reply(say) => format!("{} <- {} answers {}", at(&m.from), at(&m.to), brief(&format!("{say:?}"))),
+        };
+        let text = match step {
+            Step::Deliver(i, again) => {
+                let (_, m) = &self.net[*i];
+                let also = if *again { ", and will come again" } else if m.late { ", late" } else { "" };
+                format!("{}{also}", say(m))
+            }
+            Step::Confirm(x) => format!("{}'s disk takes the write", at(x)),
+            Step::Refuse(x) => format!("{}'s disk refuses the write", at(x)),
+            Step::Short { keep, asleep } => {
+                let keep = keep.map(|i| format!(", kept for later: {}", say(&self.net[i].1)));
+                let asleep = asleep.map(|x| format!(", {} sleeps", NAMES[x]));
+                format!("{SHORT} ms pass{}{}", keep.unwrap_or_default(), asleep.unwrap_or_default())
+            }
+            Step::Expiry { asleep } => {
+                let asleep = asleep.map(|x| format!(", {} sleeps", NAMES[x]));
+                format!("time passes to the end of a lease{}", asleep.unwrap_or_default())
+            }
+            Step::Crash(x, keep) => format!("{} crashes; {keep} unconfirmed writes are on its disk", at(x)),
+            Step::Restart(x) => format!("{} starts again", at(x)),
+            Step::Wipe(x) => format!("{} starts with an empty disk", at(x)),
+            Step::Gone(x) => format!("{} is gone for good", at(x)),
+            Step::Cut(x) => format!("heartbeats of {} are lost from here on", at(x)),
+            Step::Heal => "heartbeats are heard again".into(),
+            Step::Submit(x) => format!("change {} is submitted at {}", self.submitted + 1, at(x)),
+            Step::Leave(x) => format!("{} is told to end", at(x)),
+        };
+        format!("{:>6} {text}", self.now)
+    }
+}
+
+/// Less than a call's time: a message lives through one such step.
+pub const SHORT: u64 = 15;
+
+fn brief(text: &str) -> String {
+    text.chars().take(180).collect()
+}
