--- a/crates/accord/src/core.rs
+++ b/crates/accord/src/core.rs
@@ -9,6 +9,7 @@
 mod group;
 mod writing;
 
+use crate::flaw::{flaw, Flaw};
 use crate::{Acceptor, Ballot, Held, Id, Leases, Ms, No, Record, Witness, WitnessCall, WitnessSay};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -349,7 +350,7 @@
             core.acceptor = Acceptor::again(held, now + core.spans.lease);
             return core;
         }
-        core.acceptor = Acceptor::fresh(start.life.max(1));
+        core.acceptor = Acceptor::fresh(if flaw(Flaw::LostDiskVotes) { 0 } else { start.life.max(1) });
         if start.first {
             let mut seats = start.peers.clone();
             seats.sort();
@@ -388,7 +389,8 @@
     }
 
     pub fn acting(&self, now: Ms) -> bool {
-        matches!(&self.role, Role::Acting(record) if self.leases.hold(record, now))
+        let holds = |record| self.leases.hold(record, now) || flaw(Flaw::NoLease);
+        matches!(&self.role, Role::Acting(record) if holds(record))
     }
 
     /// The epoch in which it acts or acted until now.
@@ -678,6 +680,7 @@
             Ask::Renew { to, epoch, asked } => {
                 let mine = matches!(&self.role, Role::Acting(r) if r.epoch == epoch);
                 if let Some(say) = witness.filter(yes).filter(|_| mine) {
+                    let asked = if flaw(Flaw::FromAnswer) { now } else { asked };
                     self.leases.add(Witness { id: to, life: say.life }, asked, self.spans.lease);
                 }
             }
--- a/crates/accord/src/core/group.rs
+++ b/crates/accord/src/core/group.rs
@@ -63,8 +63,12 @@
             |id: &&Id| **id != self.me && !record.sits(id) && self.good(now, id) && life(id).is_some();
         let mut spares = self.members.iter().filter(spare);
         let change = |old: &Witness, new: Witness| {
-            let witnesses =
+            let mut witnesses: Vec<Witness> =
                 record.witnesses.iter().map(|w| if w == old { new.clone() } else { w.clone() }).collect();
+            if flaw(Flaw::TwoAtOnce) {
+                let other = witnesses.iter().position(|w| *w != new && w.id != self.me);
+                other.map(|at| witnesses.remove(at));
+            }
             Some(Some(Group { witnesses, before: record.witnesses.clone() }))
         };
         for w in &record.witnesses {
--- a/crates/accord/src/core/writing.rs
+++ b/crates/accord/src/core/writing.rs
@@ -17,11 +17,13 @@
             CopyKind::Snapshot { sum: told } if sum(&copy.puts) != *told => (false, "the sum is wrong"),
             // One that comes late or twice must not undo the changes since.
             CopyKind::Snapshot { .. } => {
-                (newer || same && self.broken && copy.seq >= self.seq, "a snapshot of before")
+                let again = same && self.broken && copy.seq >= self.seq;
+                (newer || again || same && flaw(Flaw::OldSnapshot), "a snapshot of before")
             }
             CopyKind::Join { epoch, seq } => {
                 let just = !self.broken && !self.dirty && self.flight.is_none();
-                (newer && just && self.floor == *epoch && self.seq == *seq, "holds something else")
+                let alike = self.floor == *epoch && self.seq == *seq || flaw(Flaw::JoinUnproven);
+                (newer && just && alike, "holds something else")
             }
             CopyKind::Change => {
                 let next = copy.seq == self.seq + 1 || copy.seq == self.seq;
@@ -96,7 +98,7 @@
 
     /// The write has taken its time: only who still holds the lease may say that it is done.
     pub(super) fn landed(&mut self, now: Ms, out: &mut Vec<Out>) {
-        if !self.flight.as_ref().is_some_and(|f| f.here && f.away.is_empty()) {
+        if !self.flight.as_ref().is_some_and(|f| f.here && (f.away.is_empty() || flaw(Flaw::BeforeBackup))) {
             return;
         }
         if !self.acting(now) {
--- a/crates/accord/src/lib.rs
+++ b/crates/accord/src/lib.rs
@@ -20,11 +20,15 @@
 //! ```
 mod acceptor;
 mod core;
+mod flaw;
 
 pub use crate::core::{
     Call, Caller, Change, Copy, CopyKind, CopySay, Core, Out, Put, Role, Say, Spans, Start, Token, Told,
 };
 pub use acceptor::{Acceptor, Held, Leases, No, WitnessCall, WitnessSay};
+#[cfg(feature = "flaws")]
+pub use flaw::choose;
+pub use flaw::Flaw;
 use serde::{Deserialize, Serialize};
 
 #[cfg(test)]
@@ -88,7 +92,8 @@
     /// Whether these witnesses decide.
     pub fn quorum(&self, yes: impl Fn(&Witness) -> bool) -> bool {
         let most = |group: &[Witness]| group.iter().filter(|w| yes(w)).count() > group.len() / 2;
-        most(&self.witnesses) && (self.before.is_empty() || most(&self.before))
+        let new = most(&self.witnesses) || flaw::flaw(Flaw::OldMajority) && !self.before.is_empty();
+        new && (self.before.is_empty() || most(&self.before))
     }
 
     /// Everybody who is asked, each once.
--- a/crates/accord/tests/model/world.rs
+++ b/crates/accord/tests/model/world.rs
@@ -1,5 +1,7 @@
 //! The world around the cores: members with disks, a network, a clock, faults within a budget, and what must hold.
-use accord::{Ballot, Call, Change, Core, Held, Out, Put, Record, Role, Say, Spans, Start, Told, Witness, WitnessCall};
+use accord::{
+    Ballot, Call, Change, Core, Held, Out, Put, Record, Role, Say, Spans, Start, Told, Witness, WitnessCall,
+};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::hash::{Hash, Hasher};
 use std::sync::Arc;
@@ -122,7 +124,10 @@
     Confirm(usize),
     Refuse(usize),
     /// `keep`: this message of those whose time is over comes late. `asleep`: who misses it.
-    Short { keep: Option<usize>, without: Without },
+    Short {
+        keep: Option<usize>,
+        without: Without,
+    },
     /// To the end of the next lease that a witness has granted.
     Expiry(Without),
     Crash(usize, usize),
@@ -276,7 +281,16 @@
             }
         }
         let net = self.net.iter().fold(0u64, |all, (sum, _)| all.wrapping_add(sum.wrapping_mul(sum | 1)));
-        sum_of(&(self.now, &self.sums, net, self.fresh, &self.ends, self.budget, self.submitted, &*self.ghost))
+        sum_of(&(
+            self.now,
+            &self.sums,
+            net,
+            self.fresh,
+            &self.ends,
+            self.budget,
+            self.submitted,
+            &*self.ghost,
+        ))
     }
 
     fn start(&mut self, x: usize, first: bool) -> Result<(), String> {
@@ -323,7 +337,8 @@
                     self.send(Message { from: x, boot, token, to, late: false, what: What::Call(call) });
                 }
                 Out::Reply { caller, say } if caller & LATE == 0 => {
-                    let (from, boot, token) = ((caller >> 48) as usize, caller >> 32 & 0xffff, caller & 0xffff_ffff);
+                    let (from, boot, token) =
+                        ((caller >> 48) as usize, caller >> 32 & 0xffff, caller & 0xffff_ffff);
                     if self.nodes[from].boot != boot || !self.nodes[from].waits.contains_key(&token) {
                         continue;
                     }
@@ -356,7 +371,9 @@
     fn quick(&mut self, x: usize) -> Result<(), String> {
         while let Some(write) = self.nodes[x].writes.front() {
             let hint = |(name, _): &Put| ["record", "members", "probe"].contains(&name.as_str());
-            if self.rules.slow >> x & 1 == 1 && !(write.state.is_empty() && !write.whole && write.own.iter().all(hint)) {
+            if self.rules.slow >> x & 1 == 1
+                && !(write.state.is_empty() && !write.whole && write.own.iter().all(hint))
+            {
                 break;
             }
             self.confirm(x, true)?;
@@ -465,12 +482,15 @@
         }
         for id in std::iter::once(&record.primary).chain(&record.backups) {
             let node = &self.nodes[NAMES.iter().position(|n| n == id).unwrap()];
-            let lost = node.gone || !node.own.get("floor").is_some_and(|floor| {
-                serde_json::from_str::<(Ballot, u64)>(floor).is_ok_and(|(floor, _)| floor >= record.epoch)
-            });
+            let lost = node.gone
+                || !node.own.get("floor").is_some_and(|floor| {
+                    serde_json::from_str::<(Ballot, u64)>(floor).is_ok_and(|(floor, _)| floor >= record.epoch)
+                });
             // A disk that was lost since is replaced in time, and one that goes on by a newer bid holds all the same.
             if !lost && seen.iter().any(|n| !holds(&node.state, *n)) {
-                return Err(format!("a change of {seen:?} is not on the disk of {id}, which the record names"));
+                return Err(format!(
+                    "a change of {seen:?} is not on the disk of {id}, which the record names"
+                ));
             }
             if lost && node.disk == 0 && !node.gone {
                 return Err(format!("the disk of {id} is not at the epoch of the record that names it"));
@@ -606,7 +626,11 @@
             }
             if budget.late > 0 {
                 let ending = |m: &Message| {
-                    !m.late && self.nodes[m.from].waits.get(&m.token).is_none_or(|t| *t <= self.now + self.rules.short)
+                    !m.late
+                        && self.nodes[m.from]
+                            .waits
+                            .get(&m.token)
+                            .is_none_or(|t| *t <= self.now + self.rules.short)
                 };
                 for (at, (_, m)) in self.net.iter().enumerate() {
                     if ending(m) && matches!(m.what, What::Call(_)) {
