--- a/crates/accord/src/core.rs
+++ b/crates/accord/src/core.rs
@@ -597,7 +597,7 @@
             }
             Job::Floor { ballot } => {
                 let Some(bid) = self.bid.as_mut().filter(|b| b.ballot == ballot) else { return };
-                if !ok {
+                if !ok || self.broken {
                     return self.give_up(now, "the disk does not take it", out);
                 }
                 bid.own = true;
@@ -606,7 +606,8 @@
             }
             Job::Copied { caller, epoch, seq, snapshot } => {
                 let current = self.floor == epoch;
-                if !ok && current {
+                // Also of an epoch before: what came after it, without a snapshot, builds upon it.
+                if !ok {
                     self.broken = true;
                 } else if ok && snapshot && current && self.seq == seq {
                     self.broken = false;
--- a/crates/accord/tests/model.rs
+++ b/crates/accord/tests/model.rs
@@ -8,14 +8,23 @@
 mod world;
 
 use search::search;
-use world::{spans, Budget, Rules, Step, Without, World};
+use world::{everything, spans, Budget, Rules, Step, Without, World};
 
 const A: u8 = 1;
 const B: u8 = 2;
 const C: u8 = 4;
 
 fn rules() -> Rules {
-    Rules { members: 4, first: 3, spans: spans(), slow: 0, swift: true, short: 25, struck: A | B | C, pace: [0; 5] }
+    Rules {
+        members: 4,
+        first: 3,
+        spans: spans(),
+        slow: 0,
+        swift: true,
+        short: 25,
+        struck: A | B | C,
+        pace: [0; 5],
+    }
 }
 
 /// a acts, b is its backup, all have heard each other.
@@ -30,7 +39,7 @@
 /// What comes before a search, one step after the other, with all messages delivered after each.
 fn after(mut world: World, budget: Budget, steps: &[Step]) -> World {
     for step in steps {
-        world.budget = Budget { times: 9, expiries: 9, crashes: 9, wipes: 9, gone: 9, cuts: 9, freezes: 9, ..budget };
+        world.budget = everything();
         world.step(step, true).unwrap();
         if !matches!(step, Step::Short { .. } | Step::Expiry(_)) || step != &steps[steps.len() - 1] {
             world.calm().unwrap();
@@ -56,7 +65,11 @@
         "new backup" => {
             let budget = Budget { times: 2, expiries: 1, cuts: 1, submits: 2, late: 2, ..one };
             let out = Step::Expiry(Without::Nobody);
-            after(begun(rules()), budget, &[Step::Gone(1), short(Without::Nobody), out, short(Without::Nobody), short(Without::Nobody)])
+            after(
+                begun(rules()),
+                budget,
+                &[Step::Gone(1), short(Without::Nobody), out, short(Without::Nobody), short(Without::Nobody)],
+            )
         }
         "replaced" => {
             let budget = Budget { times: 4, expiries: 1, crashes: 1, submits: 1, ..one };
@@ -69,7 +82,7 @@
         }
         "disk of the backup" => {
             let budget = Budget { times: 3, crashes: 1, submits: 1, refusals: 1, ..one };
-            after(begun(Rules { slow: B, struck: A, ..rules() }), budget, &[])
+            after(begun(Rules { slow: B, struck: A, short: 8, ..rules() }), budget, &[])
         }
         "late copies" => {
             let budget = Budget { times: 2, expiries: 1, cuts: 1, submits: 2, late: 2, ..one };
@@ -88,7 +101,15 @@
 }
 
 const CASES: [&str; 9] = [
-    "takeovers", "lost disk", "new backup", "replaced", "disk of the primary", "disk of the backup", "late copies", "late answers", "frozen",
+    "takeovers",
+    "lost disk",
+    "new backup",
+    "replaced",
+    "disk of the primary",
+    "disk of the backup",
+    "late copies",
+    "late answers",
+    "frozen",
 ];
 
 #[test]
@@ -113,17 +134,27 @@
     use accord::Flaw::*;
     let limit = std::env::var("LIMIT").map_or(200_000, |l| l.parse().unwrap());
     let only = std::env::var("CASE").ok();
-    for flaw in [BeforeBackup, FromAnswer, LostDiskVotes, OldSnapshot, TwoAtOnce, OldMajority, NoLease, JoinUnproven] {
+    for flaw in
+        [BeforeBackup, FromAnswer, LostDiskVotes, OldSnapshot, TwoAtOnce, OldMajority, NoLease, JoinUnproven]
+    {
         let mut done = false;
         for name in CASES.iter().filter(|c| only.as_ref().is_none_or(|o| o == *c)) {
             let start = case(name);
             let found = search(start, limit, 0, &|| accord::choose(Some(flaw)));
             if let Some((why, steps, story)) = &found.broken {
-                if std::env::var("FLAW").is_ok_and(|f| f != format!("{flaw:?}")) { continue; } println!("FOUND {flaw:?} by {name}: {why}, {steps} steps, {} states, {:.1} s\n{story}", found.states, found.seconds);
+                if std::env::var("FLAW").is_ok_and(|f| f != format!("{flaw:?}")) {
+                    continue;
+                }
+                println!(
+                    "FOUND {flaw:?} by {name}: {why}, {steps} steps, {} states, {:.1} s\n{story}",
+                    found.states, found.seconds
+                );
                 done = true;
                 break;
             }
         }
-        if !done { println!("NOT FOUND {flaw:?}"); }
+        if !done {
+            println!("NOT FOUND {flaw:?}");
+        }
     }
 }
--- a/crates/accord/tests/model/world.rs
+++ b/crates/accord/tests/model/world.rs
@@ -228,6 +228,25 @@
     Spans { lease: 100, round: 30, call: 20, patience: 100_000, leave: 1_000, survive: 1 }
 }
 
+/// More of each than any script needs.
+pub fn everything() -> Budget {
+    let n = 99;
+    Budget {
+        times: n,
+        expiries: n,
+        submits: n,
+        crashes: n,
+        wipes: n,
+        gone: n,
+        cuts: n,
+        refusals: n,
+        late: n,
+        silences: n,
+        freezes: n,
+        leaves: n,
+    }
+}
+
 impl World {
     pub fn new(rules: Rules) -> World {
         let mut world = World {
@@ -607,7 +626,7 @@
         for x in self.ups() {
             if !self.nodes[x].writes.is_empty() {
                 all.push(Step::Confirm(x));
-                if budget.refusals > 0 && struck(&x) {
+                if budget.refusals > 0 {
                     all.push(Step::Refuse(x));
                 }
             }
