--- a/crates/accord/tests/model/world.rs
+++ b/crates/accord/tests/model/world.rs
@@ -523,6 +523,28 @@
         Ok(())
     }
 
+    /// Whether what was lost is replaced: somebody acts, and all disks that its record names are those it means.
+    pub fn mended(&self) -> bool {
+        let Some(core) = self.acting().first().and_then(|x| self.core(*x)) else { return false };
+        let Role::Acting(record) = &core.role else { return false };
+        let node = |id: &String| &self.nodes[NAMES.iter().position(|n| n == id).unwrap()];
+        let sits = |w: &Witness| node(&w.id).core.as_ref().is_some_and(|core| core.life() == w.life);
+        let holds = |id: &String| node(id).core.as_ref().is_some_and(|core| *core.floor() >= record.epoch);
+        record.before.is_empty() && record.witnesses.iter().all(sits) && record.backups.iter().all(holds)
+    }
+
+    /// To whom a step belongs, where it does.
+    pub fn owner(&self, step: &Step) -> Option<usize> {
+        match step {
+            Step::Deliver(at, _) => {
+                let message = &self.net[*at].1;
+                Some(if matches!(message.what, What::Call(_)) { message.to } else { message.from })
+            }
+            Step::Confirm(x) | Step::Refuse(x) | Step::Submit(x) => Some(*x),
+            _ => None,
+        }
+    }
+
     /// Time passes; calls whose time is over have no answer; all hear each other and tick.
     fn pass(&mut self, span: u64, keep: Option<usize>, without: Without) -> Result<(), String> {
         self.now += span;
