--- a/crates/accord/src/core.rs
+++ b/crates/accord/src/core.rs
@@ -9,6 +9,7 @@
 mod group;
 mod writing;
 
+use crate::flaw::{flaw, Flaw};
 use crate::{Acceptor, Ballot, Held, Id, Leases, Ms, No, Record, Witness, WitnessCall, WitnessSay};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -354,7 +355,7 @@
             core.acceptor = Acceptor::again(held, now + core.spans.lease);
             return core;
         }
-        core.acceptor = Acceptor::fresh(start.life.max(1));
+        core.acceptor = Acceptor::fresh(if flaw(Flaw::LostDiskVotes) { 0 } else { start.life.max(1) });
         if start.first {
             let mut seats = start.peers.clone();
             seats.sort();
@@ -398,7 +399,8 @@
     }
 
     pub fn acting(&self, now: Ms) -> bool {
-        matches!(&self.role, Role::Acting(record) if self.leases.hold(record, now))
+        let holds = |record| self.leases.hold(record, now) || flaw(Flaw::NoLease);
+        matches!(&self.role, Role::Acting(record) if holds(record))
     }
 
     /// The epoch in which it acts or acted until now.
@@ -606,7 +608,7 @@
             }
             Job::Floor { ballot } => {
                 let Some(bid) = self.bid.as_mut().filter(|b| b.ballot == ballot) else { return };
-                if !ok {
+                if !ok || self.broken {
                     return self.give_up(now, "the disk does not take it", out);
                 }
                 bid.own = true;
@@ -615,7 +617,8 @@
             }
             Job::Copied { caller, epoch, seq, snapshot } => {
                 let current = self.floor == epoch;
-                if !ok && current {
+                // Also of an epoch before: what came after it, without a snapshot, builds upon it.
+                if !ok {
                     self.broken = true;
                 } else if ok && snapshot && current && self.seq == seq {
                     self.broken = false;
@@ -689,6 +692,7 @@
             Ask::Renew { to, epoch, asked } => {
                 let mine = matches!(&self.role, Role::Acting(r) if r.epoch == epoch);
                 if let Some(say) = witness.filter(yes).filter(|_| mine) {
+                    let asked = if flaw(Flaw::FromAnswer) { now } else { asked };
                     self.leases.add(Witness { id: to, life: say.life }, asked, self.spans.lease);
                 }
             }
