--- a/crates/accord/tests/model.rs
+++ b/crates/accord/tests/model.rs
@@ -158,7 +158,8 @@
             all.iter().filter(|s| matches!(s, Step::Deliver(_, Then::Answer) | Step::Confirm(_))).collect();
         let rest: Vec<&Step> =
             all.iter().filter(|s| !matches!(s, Step::Deliver(..) | Step::Confirm(_))).collect();
-        let from = if !quick.is_empty() && (rest.is_empty() || lot.usize(0..12) > 0) { &quick } else { &rest };
+        let from =
+            if !quick.is_empty() && (rest.is_empty() || lot.usize(0..12) > 0) { &quick } else { &rest };
         let Some(step) = (!from.is_empty()).then(|| from[lot.usize(0..from.len())].clone()) else { continue };
         losses += matches!(step, Step::Wipe(_) | Step::Gone(_)) as usize;
         faults += matches!(step, Step::Wipe(_) | Step::Gone(_) | Step::Crash(..) | Step::Refuse(_)) as usize;
@@ -184,7 +185,9 @@
     println!("{name}: {} walks, {faults} faults, {epochs} epochs, {acked} changes", seeds.count());
 }
 
-fn n() -> u64 { std::env::var("N").map_or(40, |n| n.parse().unwrap()) }
+fn n() -> u64 {
+    std::env::var("N").map_or(40, |n| n.parse().unwrap())
+}
 const PACES: [i64; 5] = [0, 10, -10, 7, -4];
 
 #[test]
