--- a/crates/council/tests/centre.rs
+++ b/crates/council/tests/centre.rs
@@ -107,6 +107,14 @@
         self.caller.post(&address, "/follow", &follow).ok().or(Some(news))
     }
 
+    /// Until the first that runs has opened its disk and answers.
+    fn up(&self) {
+        let end = Instant::now() + Duration::from_secs(20);
+        while self.held(200).is_none() {
+            assert!(Instant::now() < end, "it does not start");
+        }
+    }
+
     fn replace(&self, revision: u64, prefix: &str) -> u16 {
         self.order("POST", "/settings/replace", &settings(revision, prefix).to_string()).0
     }
@@ -144,6 +152,20 @@
     }
 }
 
+#[test]
+fn a_torn_folder_is_no_first_start_whatever_the_settings_say() {
+    let mut core = Core::start(14);
+    core.up();
+    (0..3).for_each(|n| core.kill(n));
+    let journal = std::fs::File::options().write(true).open(core.data(0).join("0.jnl")).unwrap();
+    journal.set_len(0).unwrap();
+    core.run(0, true);
+    core.up();
+    core.kill(0);
+    let found = council::store::read(&core.data(0)).unwrap();
+    assert_eq!((found.kept, found.own.len()), (council::store::Kept::Lost, 0), "it made itself a seat again");
+}
+
 #[test]
 fn versions_in_any_order_leave_the_highest_also_after_a_takeover() {
     let mut core = Core::start(10);
--- a/crates/council/tests/store.rs
+++ b/crates/council/tests/store.rs
@@ -1,4 +1,5 @@
 //! The disk of a centre: real folders, cut, put back and taken apart; and stand-ins that are full, hang or fail.
+use assert_matches::assert_matches;
 use council::store::{mark, Batch, Disk, Fault, Folder, Found, Kept, Put, Scribe};
 use std::cell::RefCell;
 use std::fs;
@@ -431,6 +432,19 @@
     assert!(write(&scribe, state(vec![put("a", 1)])));
 }
 
+#[test]
+fn an_error_of_the_disk_is_not_taken_for_a_torn_folder() {
+    use std::io::ErrorKind::*;
+    for kind in [StorageFull, TimedOut, PermissionDenied, QuotaExceeded, Other] {
+        assert_matches!(Fault::from(fjall::Error::Io(kind.into())), Fault::Refused(_));
+    }
+    for kind in [NotFound, UnexpectedEof, InvalidData] {
+        assert_matches!(Fault::from(fjall::Error::Io(kind.into())), Fault::Torn(_));
+    }
+    assert_matches!(Fault::from(fjall::Error::Locked), Fault::Refused(_));
+    assert_matches!(Fault::from(fjall::Error::InvalidTrailer), Fault::Torn(_));
+}
+
 #[test]
 fn a_torn_folder_that_cannot_be_emptied_is_not_opened() {
     let stand = Stands::default();
