--- a/crates/council/src/store.rs
+++ b/crates/council/src/store.rs
@@ -268,6 +268,9 @@
     folders: Vec<Names>,
 }
 
+/// The least journal that fjall takes: it lays out 64 MB at a time, and a second beside it while the first is emptied
+/// into tables. At the target's size, a configuration of 1.8 MB written 10,000 times, the folder had 160 MB at most and
+/// 71 MB at the end; of 0.2 MB and 1,000 times 136 and 69 MB. Disks have 256 MB.
 fn database(folder: &Path) -> fjall::Result<(Database, Keyspace, Keyspace)> {
     let db = Database::builder(folder)
         .cache_size(256 * 1024)
