--- a/crates/council/src/store.rs
+++ b/crates/council/src/store.rs
@@ -99,6 +99,7 @@
 
 /// An open disk.
 pub trait Disk: Send {
+    fn kept(&self) -> Kept;
     fn read(&mut self) -> Result<Found, Fault>;
     /// All of it is on the disk when this returns, or there was an error and the disk is not used again.
     fn put(&mut self, batch: &Batch) -> Result<(), Fault>;
@@ -171,7 +172,8 @@
         let (began, ok) = (Arc::new(AtomicU64::new(0)), Arc::new(AtomicBool::new(true)));
         let start = Instant::now();
         let (b, o) = (began.clone(), ok.clone());
-        let run = move || run(folder, disk, todo, start, b, o);
+        let whole = found.kept == Kept::Whole;
+        let run = move || run(folder, (disk, whole), todo, start, b, o);
         let thread = std::thread::Builder::new().name("scribe".into()).spawn(run)?;
         Ok((Scribe { jobs: Some(jobs), thread: Some(thread), began, ok, start }, found))
     }
@@ -208,7 +210,7 @@
 
 fn run(
     mut folder: impl Folder,
-    disk: Box<dyn Disk>,
+    (disk, mut whole): (Box<dyn Disk>, bool),
     todo: Receiver<(Batch, Done)>,
     start: Instant,
     began: Arc<AtomicU64>,
@@ -217,15 +219,16 @@
     let mut disk = Some(disk);
     while let Ok((batch, done)) = todo.recv() {
         began.store(start.elapsed().as_millis() as u64 + 1, Ordering::Relaxed);
-        // After an error fjall refuses all further writes of this life: it is opened anew. What is torn then is
-        // emptied by the next life only, as this one still holds what was there.
+        // After an error fjall refuses all further writes of this life: it is opened anew. What is torn or lost then
+        // is emptied by the next life only, as this one still holds what was there.
         if disk.is_none() {
-            disk = folder.open().ok();
+            disk = folder.open().ok().filter(|d| !whole || d.kept() == Kept::Whole);
         }
         let written = disk.as_mut().is_some_and(|d| d.put(&batch).is_ok());
         if !written {
             disk = None;
         }
+        whole |= written;
         ok.store(written, Ordering::Relaxed);
         began.store(0, Ordering::Relaxed);
         done(written);
@@ -264,6 +267,7 @@
     mark: Mark,
     said: u64,
     number: u64,
+    kept: Kept,
     /// fjall makes no folder after it is open.
     folders: Vec<Names>,
 }
@@ -356,10 +360,15 @@
         }
         let said = if let Said::Number(n) = said { n } else { 0 };
         let mark = Mark::open(folder)?;
+        let kept = match (number, said) {
+            (0, 0) if !adopt => Kept::Fresh,
+            (0, _) if !adopt => Kept::Lost,
+            _ => Kept::Whole,
+        };
         let number = number.max(said);
         let mut all = Vec::new();
         folders(folder, &mut all)?;
-        let mut open = Open { db, state, own, mark, said, number, folders: all };
+        let mut open = Open { db, state, own, mark, said, number, kept, folders: all };
         open.sync_names()?;
         Ok(Box::new(open))
     }
@@ -402,16 +411,16 @@
 }
 
 impl Disk for Open {
+    /// As it was opened.
+    fn kept(&self) -> Kept {
+        self.kept
+    }
+
     fn read(&mut self) -> Result<Found, Fault> {
         let (mut state, mut own) = (all(&self.state)?, all(&self.own)?);
         state.remove(NUMBER);
-        let written = own.remove(NUMBER).is_some();
-        let kept = match (written, self.said) {
-            (true, _) => Kept::Whole,
-            (false, 0) => Kept::Fresh,
-            (false, _) => Kept::Lost,
-        };
-        Ok(Found { state, own, kept, number: self.number })
+        own.remove(NUMBER);
+        Ok(Found { state, own, kept: self.kept, number: self.number })
     }
 
     fn put(&mut self, batch: &Batch) -> Result<(), Fault> {
--- a/crates/council/tests/store.rs
+++ b/crates/council/tests/store.rs
@@ -357,6 +357,7 @@
     empties: Vec<Result<(), Fault>>,
     puts: Vec<Result<(), Fault>>,
     seen: Vec<String>,
+    kept: Vec<Kept>,
     hang: Option<(Sender<()>, Receiver<()>)>,
 }
 
@@ -393,6 +394,10 @@
 }
 
 impl Disk for Stands {
+    fn kept(&self) -> Kept {
+        self.0.lock().unwrap().kept.pop().unwrap_or(Kept::Whole)
+    }
+
     fn read(&mut self) -> Result<Found, Fault> {
         Ok(Found { number: 9, ..Found::default() })
     }
@@ -470,6 +475,11 @@
     let said = ["e", "f", "g", "h"].map(|n| write(&scribe, state(vec![put(n, 1)])));
     assert_eq!(said, [false, false, false, true]);
     assert_eq!(stand.seen(), ["e", "open", "open", "open", "h"], "what this life holds is not thrown away");
+    stand.0.lock().unwrap().puts = vec![full()];
+    stand.0.lock().unwrap().kept = vec![Kept::Lost];
+    let said = ["i", "j", "k"].map(|n| write(&scribe, state(vec![put(n, 1)])));
+    assert_eq!(said, [false, false, true]);
+    assert_eq!(stand.seen(), ["i", "open", "open", "k"], "nor written on where the rest of it is gone");
 }
 
 #[test]
