--- a/crates/accord/src/core.rs
+++ b/crates/accord/src/core.rs
@@ -599,6 +599,9 @@
             Job::Vote { to, held, say } => {
                 if ok {
                     self.durable = Some(*held);
+                } else if matches!(to, Err(Ask::Release)) {
+                    // The first write of all, with the floor: it is made again.
+                    self.broken = true;
                 }
                 let no = No { why: "the disk does not take it".into(), ..No::default() };
                 let say = if ok { *say } else { WitnessSay { no: Some(no), record: None, ..*say } };
--- a/crates/accord/tests/model/world.rs
+++ b/crates/accord/tests/model/world.rs
@@ -503,7 +503,7 @@
             let node = &self.nodes[NAMES.iter().position(|n| n == id).unwrap()];
             let lost = node.gone
                 || !node.own.get("floor").is_some_and(|floor| {
-                    serde_json::from_str::<(Ballot, u64)>(floor).is_ok_and(|(floor, _)| floor >= record.epoch)
+                    serde_json::from_str::<Ballot>(floor).is_ok_and(|floor| floor >= record.epoch)
                 });
             // A disk that was lost since is replaced in time, and one that goes on by a newer bid holds all the same.
             if !lost && seen.iter().any(|n| !holds(&node.state, *n)) {
--- a/crates/council/tests/common/mod.rs
+++ b/crates/council/tests/common/mod.rs
@@ -121,6 +121,14 @@
         self.caller.post(&address, "/follow", &follow).ok().or(Some(news))
     }
 
+    /// Until the first that runs has opened its disk and answers.
+    pub fn up(&self) {
+        let end = Instant::now() + Duration::from_secs(20);
+        while self.held(200).is_none() {
+            assert!(Instant::now() < end, "it does not start");
+        }
+    }
+
     pub fn replace(&self, revision: u64, prefix: &str) -> u16 {
         self.order("POST", "/settings/replace", &settings(revision, prefix).to_string()).0
     }
--- a/crates/council/tests/store.rs
+++ b/crates/council/tests/store.rs
@@ -1,4 +1,5 @@
 //! The disk of a centre: real folders, cut, put back and taken apart; and stand-ins that are full, hang or fail.
+use assert_matches::assert_matches;
 use council::store::{mark, Batch, Disk, Fault, Folder, Found, Kept, Put, Scribe};
 use std::cell::RefCell;
 use std::fs;
@@ -356,6 +357,7 @@
     empties: Vec<Result<(), Fault>>,
     puts: Vec<Result<(), Fault>>,
     seen: Vec<String>,
+    kept: Vec<Kept>,
     hang: Option<(Sender<()>, Receiver<()>)>,
 }
 
@@ -392,6 +394,10 @@
 }
 
 impl Disk for Stands {
+    fn kept(&self) -> Kept {
+        self.0.lock().unwrap().kept.pop().unwrap_or(Kept::Whole)
+    }
+
     fn read(&mut self) -> Result<Found, Fault> {
         Ok(Found { number: 9, ..Found::default() })
     }
@@ -431,6 +437,19 @@
     assert!(write(&scribe, state(vec![put("a", 1)])));
 }
 
+#[test]
+fn an_error_of_the_disk_is_not_taken_for_a_torn_folder() {
+    use std::io::ErrorKind::*;
+    for kind in [StorageFull, TimedOut, PermissionDenied, QuotaExceeded, Other] {
+        assert_matches!(Fault::from(fjall::Error::Io(kind.into())), Fault::Refused(_));
+    }
+    for kind in [NotFound, UnexpectedEof, InvalidData] {
+        assert_matches!(Fault::from(fjall::Error::Io(kind.into())), Fault::Torn(_));
+    }
+    assert_matches!(Fault::from(fjall::Error::Locked), Fault::Refused(_));
+    assert_matches!(Fault::from(fjall::Error::InvalidTrailer), Fault::Torn(_));
+}
+
 #[test]
 fn a_torn_folder_that_cannot_be_emptied_is_not_opened() {
     let stand = Stands::default();
@@ -456,6 +475,11 @@
     let said = ["e", "f", "g", "h"].map(|n| write(&scribe, state(vec![put(n, 1)])));
     assert_eq!(said, [false, false, false, true]);
     assert_eq!(stand.seen(), ["e", "open", "open", "open", "h"], "what this life holds is not thrown away");
+    stand.0.lock().unwrap().puts = vec![full()];
+    stand.0.lock().unwrap().kept = vec![Kept::Lost];
+    let said = ["i", "j", "k"].map(|n| write(&scribe, state(vec![put(n, 1)])));
+    assert_eq!(said, [false, false, true]);
+    assert_eq!(stand.seen(), ["i", "open", "open", "k"], "nor written on where the rest of it is gone");
 }
 
 #[test]
