--- a/crates/accord/src/acceptor.rs
+++ b/crates/accord/src/acceptor.rs
@@ -17,6 +17,9 @@
     pub life: u64,
     pub promised: Ballot,
     pub record: Record,
+    /// The longest lease that was granted: settings may be others after a restart.
+    #[serde(default)]
+    pub span: Ms,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -50,7 +53,7 @@
 impl Acceptor {
     /// At the first start of the whole system: nothing was promised to anybody.
     pub fn first(record: Record) -> Acceptor {
-        let held = Held { life: 0, promised: record.epoch.clone(), record };
+        let held = Held { promised: record.epoch.clone(), record, ..Held::default() };
         Acceptor { held, ..Acceptor::default() }
     }
 
@@ -59,8 +62,9 @@
         Acceptor { held: Held { life, ..Held::default() }, ..Acceptor::default() }
     }
 
-    /// After a restart: whatever lease was granted before is over by `barred`.
-    pub fn again(held: Held, barred: Ms) -> Acceptor {
+    /// After a restart: whatever lease was granted before may run on from now.
+    pub fn again(now: Ms, held: Held, span: Ms) -> Acceptor {
+        let barred = now + span.max(held.span);
         Acceptor { held, barred, ..Acceptor::default() }
     }
 
@@ -94,6 +98,7 @@
         }
         self.held.promised = record.epoch.clone();
         self.held.record = record.clone();
+        self.held.span = self.held.span.max(span);
         self.lease = Some((record.primary.clone(), now + span));
         Ok(())
     }
--- a/crates/accord/src/core.rs
+++ b/crates/accord/src/core.rs
@@ -333,7 +333,7 @@
             me: start.me.clone(),
             area: start.area,
             spans: start.spans,
-            held: start.state,
+            held: start.state.into_iter().filter(|(_, value)| !value.is_empty()).collect(),
             sound: true,
             fit: true,
             led_at: now,
@@ -352,7 +352,7 @@
                 core.record = held.record.clone();
             }
             core.durable = Some(held.clone());
-            core.acceptor = Acceptor::again(held, now + core.spans.lease);
+            core.acceptor = Acceptor::again(now, held, core.spans.lease);
             return core;
         }
         core.acceptor = Acceptor::fresh(if flaw(Flaw::LostDiskVotes) { 0 } else { start.life.max(1) });
--- a/crates/accord/src/core/bid.rs
+++ b/crates/accord/src/core/bid.rs
@@ -49,11 +49,14 @@
     pub(super) fn refused(&mut self, now: Ms, who: Id, ballot: &Ballot, no: Option<No>, out: &mut Vec<Out>) {
         let Some(bid) = self.bid.as_mut().filter(|b| b.ballot == *ballot) else { return };
         bid.refused.insert(who.clone());
+        let Some(bid) = &self.bid else { return };
         let record = match &bid.stage {
             Stage::Accept(record) => record,
             _ => &bid.base,
         };
-        if !record.quorum(|w| !bid.refused.contains(&w.id)) {
+        // Of those that have not answered yet, only who was heard lately is worth waiting for.
+        let may = |w: &Witness| !bid.refused.contains(&w.id) && (w.id == self.me || self.near(now, &w.id));
+        if !record.quorum(may) {
             let why = no.map_or("no answer".into(), |no| no.why);
             self.give_up(now, &format!("{who}: {why}"), out);
         }
@@ -174,7 +177,7 @@
         let (record, leases, fresh) = (record.clone(), bid.leases.clone(), bid.from.is_none());
         self.bid = None;
         self.renewed.clear();
-        (self.leases, self.since, self.bid_at) = (leases, now, now);
+        (self.leases, self.bid_at) = (leases, now);
         let joint = if record.before.is_empty() { "" } else { ", the group changes" };
         let names = record.backups.join(", ");
         out.push(Out::Note(format!("Acts in epoch {} with backup {names}{joint}.", record.epoch.n)));
@@ -188,6 +191,6 @@
         self.bid = None;
         out.push(Out::Note(format!("Could not take the next epoch: {why}.")));
         self.step_down(now, out);
-        self.bid_at = now + self.chance(self.spans.round);
+        self.bid_at = now + self.chance(self.spans.round / 2);
     }
 }
--- a/crates/accord/src/tests.rs
+++ b/crates/accord/src/tests.rs
@@ -28,8 +28,10 @@
 
 #[test]
 fn a_witness_that_restarts_keeps_an_earlier_lease() {
-    let held = Held { life: 0, promised: Ballot::new(2, "a"), record: record(2, "a", "b") };
-    let mut one = Acceptor::again(held, 100);
+    let held =
+        Held { promised: Ballot::new(2, "a"), record: record(2, "a", "b"), span: 100, ..Held::default() };
+    // The settings were others when the lease was granted.
+    let mut one = Acceptor::again(0, held, 50);
     assert_matches!(one.prepare(99, &Ballot::new(3, "b")), Err(_));
     let mut other = one.clone();
     assert_matches!(other.prepare(1, &Ballot::new(3, "a")), Ok(_), "who acted knows that it has ended");
--- a/crates/council/src/state.rs
+++ b/crates/council/src/state.rs
@@ -175,10 +175,13 @@
         }
     }
 
-    /// What a key's holder was promised stays as it was until the next epoch.
+    /// Leases that run were granted by the spans of the start, and so were keys: those stay for this life.
     pub fn respan(&mut self, spans: Spans) {
-        self.spans = Spans { keep: self.spans.keep, ..spans };
-        self.core.spans = spans.core;
+        let old = self.spans;
+        let core =
+            accord::Spans { lease: old.core.lease, round: old.core.round, call: old.core.call, ..spans.core };
+        self.spans = Spans { core, keep: old.keep, ..spans };
+        self.core.spans = core;
     }
 
     pub fn acting(&self, now: Ms) -> bool {
