--- a/crates/council/tests/common/mod.rs
+++ b/crates/council/tests/common/mod.rs
@@ -114,7 +114,7 @@
             }
             self.held(200);
         }
-        panic!("nobody took {method} {path}");
+        panic!("nobody took {method} {path}: {:#?}", [0, 1, 2].map(|n| self.log(n)));
     }
 
     pub fn held(&self, wait_ms: u64) -> Option<News> {
