--- a/crates/accord/tests/model.rs
+++ b/crates/accord/tests/model.rs
@@ -4,6 +4,7 @@
 
 #[path = "model/search.rs"]
 mod search;
+#[allow(dead_code)]
 #[path = "model/world.rs"]
 mod world;
 
--- a/crates/accord/tests/model/search.rs
+++ b/crates/accord/tests/model/search.rs
@@ -72,7 +72,7 @@
                 self.epochs.fetch_max(then.ghost.epochs, Ordering::Relaxed);
                 self.groups.fetch_max(then.ghost.groups, Ordering::Relaxed);
                 self.acked.fetch_max(then.ghost.acked.len(), Ordering::Relaxed);
-                if self.every > 0 && (sum / SHARDS as u64) % self.every == 0 {
+                if self.every > 0 && (sum / SHARDS as u64).is_multiple_of(self.every) {
                     self.ends.fetch_add(1, Ordering::Relaxed);
                     match then.good_end(400) {
                         Ok(ticks) => drop(self.slowest.fetch_max(ticks, Ordering::Relaxed)),
