--- a/crates/accord/tests/model.rs
+++ b/crates/accord/tests/model.rs
@@ -127,11 +127,11 @@
 }
 
 /// One long way by lot: crashes, lost disks one after the other, freezes, clocks that differ by a fiftieth.
-fn walk(seed: u64, rules: Rules, steps: usize) -> (usize, u64, usize) {
+fn walk(seed: u64, rules: Rules, steps: usize) -> [usize; 4] {
     let mut lot = fastrand::Rng::with_seed(seed);
     let mut world = World::new(rules);
     world.calm().unwrap();
-    let (mut frozen, mut losses, mut faults) = (None, 0, 0);
+    let (mut frozen, mut losses, mut faults, mut left, mut gone) = (None, 0, 0, false, 0);
     for _ in 0..steps {
         world.budget = everything();
         world.budget.late = lot.u8(0..2);
@@ -143,6 +143,17 @@
             });
             outcome.unwrap_or_else(|why| panic!("seed {seed}: {why}"));
         }
+        // Who may go does. It is a loss only where somebody's record still has it: it heard of nobody to take its place.
+        let may = |x: &usize| world.core(*x).is_some_and(|core| core.may_leave(world.clock(*x)));
+        if let Some(x) = world.ups().into_iter().find(may) {
+            let free = world.mended() && !world.rests_on(x);
+            if free || losses < rules.spans.survive {
+                world.budget = everything();
+                world.step(&Step::Gone(x), true).unwrap_or_else(|why| panic!("seed {seed}: {why}"));
+                losses += !free as usize;
+                gone += free as usize;
+            }
+        }
         let mended = world.mended();
         if mended {
             losses = 0;
@@ -165,7 +176,7 @@
                 Step::Wipe(_) | Step::Gone(_) if losses >= rules.spans.survive => false,
                 Step::Wipe(_) | Step::Refuse(_) | Step::Crash(..) => wild,
                 Step::Gone(_) => wild && lot.usize(0..20) == 0 && world.ups().len() > 3,
-                Step::Leave(_) => false,
+                Step::Leave(_) => wild && !left && world.ups().len() == rules.members,
             })
             .collect();
         let quick: Vec<&Step> =
@@ -176,6 +187,7 @@
             if !quick.is_empty() && (rest.is_empty() || lot.usize(0..12) > 0) { &quick } else { &rest };
         let Some(step) = (!from.is_empty()).then(|| from[lot.usize(0..from.len())].clone()) else { continue };
         losses += matches!(step, Step::Wipe(_) | Step::Gone(_)) as usize;
+        left |= matches!(step, Step::Leave(_));
         faults += matches!(step, Step::Wipe(_) | Step::Gone(_) | Step::Crash(..) | Step::Refuse(_)) as usize;
         world.step(&step, true).unwrap_or_else(|why| {
             let (_, story) = search::tell(&world.path);
@@ -184,38 +196,55 @@
         });
     }
     let outcome = world.good_end(600);
-    outcome.unwrap_or_else(|why| panic!("seed {seed}: {why}"));
-    (faults, world.ghost.top.n, world.ghost.acked.len())
+    outcome.unwrap_or_else(|why| {
+        let (_, story) = search::tell(&world.path);
+        let lines: Vec<&str> = story.lines().collect();
+        let tail = lines[lines.len().saturating_sub(40)..].join("\n");
+        let all: Vec<String> = (0..rules.members).map(|x| world.view(x)).collect();
+        panic!("seed {seed}: {why}\n{tail}\n{}", all.join("\n"));
+    });
+    [faults, world.ghost.top.n as usize, world.ghost.acked.len(), gone]
 }
 
 fn walks(name: &str, seeds: std::ops::Range<u64>, rules: Rules) {
-    let (mut faults, mut epochs, mut acked) = (0, 0, 0);
+    let mut all = [0; 4];
     for seed in seeds.clone() {
-        // Every other one with disks that take time, and with answers that do.
+        // Every other one with disks that take time, and most with answers that do.
         let slow = if seed % 2 == 0 { 0xff } else { 0 };
-        let (f, e, a) = walk(seed, Rules { slow, swift: seed % 3 == 0, ..rules }, 2_000);
-        (faults, epochs, acked) = (faults + f, epochs + e, acked + a);
+        let one = walk(seed, Rules { slow, swift: seed % 3 == 0, ..rules }, 2_000);
+        all = std::array::from_fn(|n| all[n] + one[n]);
     }
-    println!("{name}: {} walks, {faults} faults, {epochs} epochs, {acked} changes", seeds.count());
+    let [faults, epochs, changes, left] = all;
+    println!(
+        "{name}: {} walks, {faults} faults, {epochs} epochs, {changes} changes, {left} that left",
+        seeds.count()
+    );
+}
+
+fn seeds() -> u64 {
+    std::env::var("WALKS").ok().and_then(|n| n.parse().ok()).unwrap_or(300)
 }
 
-const SEEDS: u64 = 300;
 const PACES: [i64; 5] = [0, 10, -10, 7, -4];
 
 #[test]
 fn walks_of_five_of_whom_two_disks_may_be_lost() {
-    let spans = accord::Spans { survive: 2, patience: 300, ..spans() };
+    let spans = accord::Spans { survive: 2, patience: 300, leave: 1_000_000, ..spans() };
     walks(
         "five, two",
-        0..SEEDS,
+        0..seeds(),
         Rules { members: 5, first: 5, spans, short: 12, struck: 31, pace: PACES, ..rules() },
     );
 }
 
 #[test]
 fn walks_of_five_of_whom_one_disk_may_be_lost() {
-    let spans = accord::Spans { patience: 300, ..spans() };
-    walks("five, one", 0..SEEDS, Rules { members: 5, spans, short: 12, struck: 31, pace: PACES, ..rules() });
+    let spans = accord::Spans { patience: 300, leave: 1_000_000, ..spans() };
+    walks(
+        "five, one",
+        0..seeds(),
+        Rules { members: 5, spans, short: 12, struck: 31, pace: PACES, ..rules() },
+    );
 }
 
 /// So many states at most; a search that is cut off there is no proof.
--- a/crates/accord/tests/model/world.rs
+++ b/crates/accord/tests/model/world.rs
@@ -552,6 +552,27 @@
         }
     }
 
+    /// Whether the record of who acts has this member.
+    pub fn rests_on(&self, x: usize) -> bool {
+        let core = self.acting().first().and_then(|x| self.core(*x));
+        core.is_some_and(|core| core.record.names(NAMES[x]) || core.record.sits(NAMES[x]))
+    }
+
+    /// What a member has, for a story.
+    pub fn view(&self, x: usize) -> String {
+        let (node, at) = (&self.nodes[x], NAMES[x]);
+        let Some(core) = &node.core else { return format!("{at}: down, gone {}, {:?}", node.gone, node.own) };
+        let record = &core.record;
+        let ids = |group: &[Witness]| group.iter().map(|w| format!("{}{}", w.id, w.life)).collect::<Vec<_>>();
+        let (group, before) = (ids(&record.witnesses), ids(&record.before));
+        let (epoch, names) = (record.epoch.n, &record.backups);
+        let (floor, life, leaving) = (core.floor(), core.life(), core.leaving());
+        format!(
+            "{at}: life {life}, floor {}{}, fit {}, leaving {leaving}, knows {epoch} of {} with {names:?}, group {group:?} before {before:?}",
+            floor.n, floor.by, core.fit, record.primary
+        )
+    }
+
     /// How many calls that say this are under way.
     pub fn under_way(&self, text: &str) -> usize {
         self.net.iter().filter(|(_, m)| format!("{:?}", m.what).contains(text)).count()
