--- a/crates/council/src/lib.rs
+++ b/crates/council/src/lib.rs
@@ -2,6 +2,9 @@
 pub mod feed;
 pub mod helm;
 pub mod links;
+pub mod muster;
+#[cfg(test)]
+mod muster_tests;
 pub mod resources;
 pub mod rollouts;
 pub mod state;
--- a/crates/council/src/state.rs
+++ b/crates/council/src/state.rs
@@ -1,6 +1,7 @@
 //! All that a centre knows, behind one lock, and what it makes of it. No I/O here: answers that are due are handed to
 //! the voice, writes to the scribe.
 use crate::feed::Feed;
+use crate::muster::Muster;
 use crate::rollouts::{self, Hosts, Rollouts};
 use crate::store::Put;
 use accord::{majority, Ballot, Id, Ms, Promises, Record, Seat};
@@ -141,7 +142,8 @@
     pub settled_at: Ms,
     /// Counts what was told to edges about keys in this epoch.
     pub shown: u64,
-    pub laid: BTreeMap<String, Ms>,
+    /// Services that wait for their first layout.
+    pub laid: BTreeMap<String, Muster>,
     pub asked: BTreeMap<String, BTreeMap<u32, u32>>,
     pub edges: BTreeMap<String, Ms>,
     pub rollouts: Rollouts,
@@ -428,6 +430,7 @@
         }
         // By then every host that is there has beaten here.
         self.settled_at = now + self.spans.beat * 5 / 2;
+        self.laid.clear();
         self.record = record.clone();
         self.role = Role::Acting(record);
     }
@@ -512,11 +515,9 @@
         for service in split.collect::<Vec<_>>() {
             let hosts = self.hosts_of(now, &service);
             if self.keys.slices(&service) == 0 {
-                // All hosts beat within one heartbeat of their start; another half for those that are late.
-                let first = *self.laid.entry(service.clone()).or_insert(now);
-                if hosts.is_empty() {
-                    self.laid.remove(&service);
-                } else if now >= first + self.spans.beat * 3 / 2 {
+                let (beat, most) = (self.spans.beat, self.spans.keep);
+                let muster = self.laid.entry(service.clone()).or_default();
+                if muster.complete(now, hosts.len(), beat, most) {
                     let (slices, pieces) = (tenure::slices_for(hosts.len()), tenure::pieces_for(hosts.len()));
                     let puts = self.keys.lay(now, &service, slices, pieces, &hosts);
                     self.queue(puts, None);
