--- a/crates/council/src/feed.rs
+++ b/crates/council/src/feed.rs
@@ -49,7 +49,11 @@
         let mut new = new.clone();
         if let Some(old) = old {
             let stage = old.stage.max(new.stage);
-            if new.calls < old.calls || (new.calls == old.calls && new.via != old.via && !new.silent) {
+            // One call that two centres heard, as the first of them sent it on to the other: all agree on one of them, or
+            // each would take the host for its own, and the first would soon miss its beats.
+            let lower = old.silent || new.via < old.via;
+            let same_call = new.calls == old.calls && new.via != old.via && !new.silent;
+            if new.calls < old.calls || (same_call && lower) {
                 new = old.clone();
             }
             new.stage = stage;
--- /dev/null
+++ b/crates/council/src/feed_tests.rs
@@ -0,0 +1,34 @@
+use crate::feed::Feed;
+use tidings::{HostNews, Stage};
+
+fn host(ident: &str, calls: u64, stage: Stage) -> HostNews {
+    HostNews { ident: ident.into(), calls, stage, via: "a".into(), ..HostNews::default() }
+}
+
+#[test]
+fn a_host_that_was_sent_on_is_missed_by_neither_centre() {
+    for (first, other) in [("a", "b"), ("b", "a")] {
+        let heard = |via: &str, calls| HostNews { via: via.into(), ..host("i", calls, Stage::Ready) };
+        let (mut here, mut there) = (Feed::new(7), Feed::new(8));
+        here.put_host(&heard(first, 1));
+        there.put_host(&heard(other, 1));
+        // Each tells the other before its own is told: the news have crossed.
+        let (ours, theirs) = (here.since(0, 0), there.since(0, 0));
+        here.merge(&theirs);
+        there.merge(&ours);
+        assert_eq!(here.host("i"), there.host("i"));
+        // It goes on to beat there.
+        there.put_host(&heard(other, 2));
+        here.merge(&there.since(0, 0));
+        assert_eq!(here.host("i").unwrap().via, other);
+    }
+}
+
+#[test]
+fn a_call_that_was_sent_on_does_not_end_a_silence() {
+    let mut feed = Feed::new(7);
+    feed.put_host(&HostNews { silent: true, ..host("i", 4, Stage::Ready) });
+    assert!(!feed.put_host(&HostNews { via: "b".into(), ..host("i", 4, Stage::Ready) }));
+    assert!(feed.put_host(&HostNews { via: "b".into(), ..host("i", 5, Stage::Ready) }));
+    assert!(!feed.host("i").unwrap().silent);
+}
--- a/crates/council/src/lib.rs
+++ b/crates/council/src/lib.rs
@@ -1,5 +1,7 @@
 //! The centre: configuration, hosts and keys, on two disks before it answers. `docs/system.md` is the design.
 pub mod feed;
+#[cfg(test)]
+mod feed_tests;
 pub mod helm;
 pub mod links;
 pub mod muster;
