--- a/crates/accord/src/core/group.rs
+++ b/crates/accord/src/core/group.rs
@@ -117,17 +117,20 @@
         self.leaving.is_some()
     }
 
-    /// Whether the process may end: nothing rests on it, nobody can take what does, or its time is over.
+    /// Whether the process may end: nothing rests on it, all others end as well, or its time is over. Who hears nobody
+    /// waits for them: what it takes along then would be a loss.
     pub fn may_leave(&self, now: Ms) -> bool {
         let Some(since) = self.leaving else { return false };
         if now > since + self.spans.leave {
             return true;
         }
         let led = self.primary(now).is_some();
-        let others = self.members.iter().filter(|id| **id != self.me && self.good(now, id));
-        let spare = others.clone().any(|id| !self.record.sits(id));
+        let mut others = self.members.iter().filter(|id| **id != self.me && self.good(now, id));
+        let spare = others.any(|id| !self.record.sits(id));
         let stays = self.record.names(&self.me) || self.record.sits(&self.me) && spare;
-        let enough = others.count() > self.spans.survive;
-        self.role == Role::Idle && (!stays && led || !enough && self.bid.is_none())
+        // All stop at once: nobody stays to whom anything could be handed.
+        let gone = |id: &Id| self.near(now, id) && self.peers.get(id).is_some_and(|p| p.told.leaving);
+        let all = self.members.iter().filter(|id| **id != self.me).all(gone);
+        self.role == Role::Idle && (!stays && led || all && self.bid.is_none())
     }
 }
--- a/crates/accord/src/tests.rs
+++ b/crates/accord/src/tests.rs
@@ -69,3 +69,17 @@
     leases.add(Witness::new("c", 9), 5000, 500);
     assert!(!leases.hold(&record, 1390), "another disk at the same place");
 }
+
+#[test]
+fn who_is_told_to_end_and_hears_nobody_waits_for_them() {
+    let spans = Spans { lease: 1200, round: 400, call: 600, patience: 2000, leave: 3000, survive: 1 };
+    let peers: Vec<Id> = ["a", "b", "c"].map(String::from).into();
+    let start = Start { me: "b".into(), spans, peers, first: true, life: 5, ..Start::default() };
+    let (mut core, mut out) = (Core::start(0, start, &mut Vec::new()), Vec::new());
+    core.leave(100);
+    assert!(!core.may_leave(2000) && core.may_leave(3101), "a place in the group would go with it");
+    for id in ["a", "c"] {
+        core.hear(3000, &Told { id: id.into(), fit: true, leaving: true, ..Told::default() }, None, &mut out);
+    }
+    assert!(core.may_leave(3050), "all of them end");
+}
--- a/crates/council/src/lib.rs
+++ b/crates/council/src/lib.rs
@@ -2,8 +2,13 @@
 //! the design. [`node::Node`] decides; what stands here carries out.
 pub mod admin;
 pub mod feed;
+#[cfg(test)]
+mod feed_tests;
 pub mod lanes;
 pub mod links;
+pub mod muster;
+#[cfg(test)]
+mod muster_tests;
 pub mod node;
 pub mod orders;
 pub mod resources;
--- a/crates/council/src/state.rs
+++ b/crates/council/src/state.rs
@@ -1,6 +1,7 @@
 //! All that a centre knows, and what it makes of it. No I/O: answers that are due are handed back, changes go to the
 //! core.
 use crate::feed::Feed;
+use crate::muster::Muster;
 use crate::orders::Orders;
 use crate::rollouts::{self, Hosts, Rollouts};
 use crate::store::Put;
@@ -129,7 +130,8 @@
     touch_since: Option<Ms>,
     /// Counts what was told to edges about keys in this epoch.
     pub shown: u64,
-    pub laid: BTreeMap<String, Ms>,
+    /// Services that wait for their first layout.
+    pub laid: BTreeMap<String, Muster>,
     pub asked: BTreeMap<String, BTreeMap<u32, u32>>,
     pub edges: BTreeMap<String, Ms>,
     pub rollouts: Rollouts,
@@ -554,6 +556,7 @@
         }
         // By then every host that is there has beaten here.
         self.settled_at = now + self.spans.beat * 5 / 2;
+        self.laid.clear();
         self.stirred = true;
     }
 
@@ -645,11 +648,9 @@
         for service in split.collect::<Vec<_>>() {
             let hosts = self.hosts_of(now, &service);
             if self.keys.slices(&service) == 0 {
-                // All hosts beat within one heartbeat of their start; another half for those that are late.
-                let first = *self.laid.entry(service.clone()).or_insert(now);
-                if hosts.is_empty() {
-                    self.laid.remove(&service);
-                } else if now >= first + self.spans.beat * 3 / 2 {
+                let (beat, most) = (self.spans.beat, self.spans.keep);
+                let muster = self.laid.entry(service.clone()).or_default();
+                if muster.complete(now, hosts.len(), beat, most) {
                     let (slices, pieces) = (tenure::slices_for(hosts.len()), tenure::pieces_for(hosts.len()));
                     let puts = self.keys.lay(now, &service, slices, pieces, &hosts);
                     self.queue(puts);
