--- a/crates/accord/tests/model.rs
+++ b/crates/accord/tests/model.rs
@@ -248,7 +248,7 @@
 }
 
 /// So many states at most; a search that is cut off there is no proof.
-const LIMIT: usize = 2_000_000;
+const LIMIT: usize = 6_000_000;
 
 fn exhaust(names: &[&str]) {
     for name in names {
