--- /dev/null
+++ b/crates/ordeal/src/lib.rs
@@ -0,0 +1,43 @@
+//! Days of trouble for the control plane: the very nodes of centres under simulated time, links, disks and processes,
+//! with hosts, edges and operators around them, judged from outside. A day is decided by its seed: no threads, no real
+//! time, no I/O.
+//!
+//! ```
+//! let day = ordeal::Day { length: 8_000, ..ordeal::Day::default() };
+//! let (one, other) = (ordeal::play(&day, false), ordeal::play(&day, false));
+//! assert_eq!(one.tally.steps, other.tally.steps);
+//! ```
+mod callers;
+pub mod checks;
+mod edge;
+mod host;
+mod machine;
+mod operator;
+pub mod script;
+mod shrink;
+mod stub;
+mod tally;
+mod world;
+
+pub use checks::Broken;
+pub use script::{Day, Fault, Seeds, Way, What, Who};
+pub use shrink::shrink;
+pub use tally::Tally;
+use world::World;
+pub use world::{play, Outcome};
+
+/// True time in microseconds from the day's start.
+pub type Us = u64;
+pub type Ms = u64;
+
+pub(crate) const BEAT: Ms = 1300;
+pub(crate) const EMPTY: Ms = 2500;
+pub(crate) const SYNC: Ms = 4000;
+pub(crate) const LEEWAY: Ms = 6000;
+pub(crate) const CONFIRM: Ms = 5000;
+pub(crate) const APPLY: Ms = 2500;
+pub(crate) const KEEP_MAX: Ms = 10_000;
+/// `peerDelay`: by how much the list of machines lags.
+pub(crate) const LISTED: Ms = 3000;
+/// Beyond `inContact`: how long calm times must have lasted before somebody must act.
+pub const SETTLE: Ms = 2000;
