--- a/crates/ordeal/src/callers.rs
+++ b/crates/ordeal/src/callers.rs
@@ -1,8 +1,7 @@
 //! What callers of `admin` have in common: whom they ask, and what they do when it fails.
 use crate::machine::Body;
-use crate::stub as node;
 use crate::{Us, World};
-use node::Admin;
+use council::node::Admin;
 
 /// What is sent; it goes out again on 307.
 #[derive(Debug, Clone)]
--- a/crates/ordeal/src/edge.rs
+++ b/crates/ordeal/src/edge.rs
@@ -1,10 +1,9 @@
 //! Edges: they follow one centre at a time and remember what they were told.
 use crate::checks::{rule, Held};
 use crate::host::SPLIT;
-use crate::stub as node;
 use crate::world::{Ask, End, Ev, Origin, Say};
 use crate::{Us, World, APPLY, EMPTY};
-use node::{Peer, PeerSay};
+use council::node::{Peer, PeerSay};
 use std::collections::BTreeMap;
 use tidings::{Asked, Follow, News, Stage};
 
--- a/crates/ordeal/src/lib.rs
+++ b/crates/ordeal/src/lib.rs
@@ -15,7 +15,6 @@
 mod operator;
 pub mod script;
 mod shrink;
-mod stub;
 mod tally;
 mod world;
 
--- a/crates/ordeal/src/machine.rs
+++ b/crates/ordeal/src/machine.rs
@@ -2,20 +2,20 @@
 use crate::script::{Moment, What};
 use crate::world::{Ev, Origin};
 use crate::{Ms, Us};
-use council::store::Found;
+use accord::{Caller, Token};
+use council::node::{Effect, Node};
+use council::store::{Batch, Found, Kept};
 use fastrand::Rng;
-use node::{Batch, Caller, Effect, Node, Token};
 use serde_json::json;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
-use crate::stub as node;
-
 /// What is on a disk outlives processes and losses of power; what waits is there or not, by lot.
 #[derive(Default)]
 pub struct Disk {
     pub state: BTreeMap<String, String>,
     pub own: BTreeMap<String, String>,
+    pub kept: Kept,
     /// Writes under way, in order, with the time at which each is done.
     pub under_way: VecDeque<(Token, Batch, bool)>,
     pub busy: Us,
@@ -37,6 +37,7 @@
         if batch.whole {
             self.state.clear();
         }
+        self.kept = Kept::Whole;
         self.state.extend(batch.state);
         self.own.extend(batch.own);
     }
@@ -54,7 +55,7 @@
     }
 
     pub fn found(&self) -> Found {
-        Found { state: self.state.clone(), own: self.own.clone() }
+        Found { state: self.state.clone(), own: self.own.clone(), kept: self.kept }
     }
 
     pub fn troubled(&self, now: Us) -> bool {
--- a/crates/ordeal/src/world.rs
+++ b/crates/ordeal/src/world.rs
@@ -6,10 +6,11 @@
 use crate::machine::{Machine, Power, Process};
 use crate::operator::Operator;
 use crate::script::{Day, Moment, Seeds, Way, What, Who};
-use crate::stub as node;
 use crate::{Ms, Tally, Us, CONFIRM, LEEWAY, LISTED, SETTLE, SYNC};
+use accord::Token;
+use council::node::{Begin, Effect, Event, Node, Peer, PeerSay};
+use council::store::Kept;
 use fastrand::Rng;
-use node::{Begin, Effect, Event, Node, Peer, PeerSay, Token};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 use std::time::Duration;
@@ -484,8 +485,7 @@
         let ask = match ask {
             Ask::Admin(act) => Ask::Admin(act.clone()),
             Ask::Peer(Peer::Follow(f)) => Ask::Peer(Peer::Follow(f.clone())),
-            Ask::Peer(Peer::Seat(s)) => Ask::Peer(Peer::Seat(s.clone())),
-            Ask::Peer(Peer::Copy(c)) => Ask::Peer(Peer::Copy(c.clone())),
+            Ask::Peer(Peer::Core(c)) => Ask::Peer(Peer::Core(c.clone())),
         };
         let late = self.net.u64(0..late);
         self.after(late, Ev::Arrive { m, origin, ask });
@@ -700,7 +700,7 @@
         let springs = p.trap.as_ref().is_some_and(|(when, ..)| {
             out.iter().any(|e| match (when, e) {
                 (Moment::Answer | Moment::Answered, Effect::Answer { status: 200, .. }) => true,
-                (Moment::Call, Effect::Call { call: Peer::Seat(_) | Peer::Copy(_), .. }) => true,
+                (Moment::Call, Effect::Call { call: Peer::Core(_), .. }) => true,
                 (Moment::Write, Effect::Write { .. }) => true,
                 _ => false,
             })
@@ -735,7 +735,9 @@
                 },
                 Effect::Reply { caller, say } => match p.callers.remove(&caller) {
                     Some(origin) => {
-                        if let (PeerSay::Copy(say), End::Machine(from)) = (&say, origin.end) {
+                        if let (PeerSay::Core(accord::Say::Copy(say)), End::Machine(from)) =
+                            (&say, origin.end)
+                        {
                             if say.ok && Some(from) == self.primary {
                                 self.backup = Some(m);
                             }
@@ -829,7 +831,7 @@
         machine.power = Power::On;
         machine.lives += 1;
         let boot = machine.boot(contact, survive);
-        machine.first = false;
+        machine.first &= self.day.seed % 4 == 0;
         let life = machine.lives;
         let begin = Begin { boot, found: machine.disk.found(), life: self.luck.u64(1..1 << 53) };
         let pace = 0.98 + 0.02 * self.luck.f64();
@@ -1046,6 +1048,14 @@
         true
     }
 
+    /// What is found later is nothing, or something that the store knows to be torn or too old.
+    fn lose_disk(&mut self, m: usize, lot: u64) {
+        let machine = &mut self.machines[m];
+        machine.first = false;
+        machine.disk = Default::default();
+        machine.disk.kept = if lot & 1 << 50 == 0 { Kept::Fresh } else { Kept::Lost };
+    }
+
     fn power_off(&mut self, m: usize, down: Us) {
         self.end(m, false);
         if self.machines[m].power == Power::Gone {
@@ -1140,7 +1150,7 @@
             What::Power { down } => self.power_off(m, down * MS),
             What::LoseDisk { down } => {
                 self.power_off(m, down * MS);
-                self.machines[m].disk = Default::default();
+                self.lose_disk(m, lot);
             }
             What::Freeze { ms } => {
                 let Some(p) = &mut self.machines[m].process else { return };
@@ -1240,7 +1250,7 @@
                         _ => self.power_off(one, down),
                     }
                     if one == m && matches!(what, What::DiskAndPowerAll { .. }) {
-                        self.machines[m].disk = Default::default();
+                        self.lose_disk(m, lot);
                     }
                 }
                 self.all_touched = self.now + down * MS + 300 * MS;
