--- a/crates/ordeal/src/edge.rs
+++ b/crates/ordeal/src/edge.rs
@@ -4,7 +4,8 @@
 use crate::world::{Ask, End, Ev, Origin, Say};
 use crate::{Us, World, APPLY, EMPTY};
 use council::node::{Peer, PeerSay};
-use std::collections::BTreeMap;
+use course::Book;
+use std::collections::{BTreeMap, BTreeSet};
 use tidings::{Asked, Follow, News, Stage};
 
 const HELD: u64 = 700;
@@ -67,18 +68,16 @@
     round: Round,
     revision: u64,
     order: Option<usize>,
-    stages: BTreeMap<String, Stage>,
+    book: Book,
+    /// Hosts that it has known to leave.
+    left: BTreeSet<String>,
     rows: BTreeMap<String, Vec<(u64, String)>>,
 }
 
 impl Edge {
     /// Takes what a centre in touch told. All that is kept only goes forward, as in an edge; what is told under a
     /// number that it has must be the same.
-    fn take(&mut self, news: &News) -> Held<()> {
-        for host in &news.hosts {
-            let stage = self.stages.entry(host.ident.clone()).or_insert(host.stage);
-            *stage = (*stage).max(host.stage);
-        }
+    fn take(&mut self, now: Us, news: &mut News) -> Held<()> {
         for table in &news.slices {
             let rows = self.rows.entry(table.backend.clone()).or_default();
             if rows.len() < table.slices as usize {
@@ -100,6 +99,18 @@
                 }
             }
         }
+        news.slices.clear();
+        self.book.merge(news, now / 1000);
+        for host in &news.hosts {
+            let stage = self.book.host(&host.ident).map(|h| h.stage);
+            match stage {
+                Some(Stage::Ready) if self.left.contains(&host.ident) => {
+                    return Err((rule::EDGE, format!("{} has left, and is ready again", host.ident)));
+                }
+                Some(Stage::Ready) => {}
+                _ => drop(self.left.insert(host.ident.clone())),
+            }
+        }
         Ok(())
     }
 }
@@ -140,7 +151,8 @@
         edge.round = Round { named, at, ..Round::default() };
         (edge.follow.feed, edge.follow.seq, edge.follow.asked) = (0, 0, Vec::new());
         (edge.revision, edge.order, edge.waits, edge.touched) = (0, None, false, self.now);
-        edge.stages.clear();
+        edge.book = Book::new("");
+        edge.left.clear();
         edge.rows.clear();
         self.edge_wake(n, 200_000);
     }
@@ -173,12 +185,13 @@
     }
 
     pub(crate) fn edge_hears(&mut self, n: usize, call: u64, say: Option<Say>) {
+        let now = self.now;
         let edge = &mut self.edges[n];
         if edge.call != call || !edge.waits {
             return;
         }
         edge.waits = false;
-        let Some(Say::Peer(PeerSay::News(news))) = say else {
+        let Some(Say::Peer(PeerSay::News(mut news))) = say else {
             let pause = edge.round.bad();
             return self.edge_wake(n, pause);
         };
@@ -190,7 +203,7 @@
         }
         (edge.follow.feed, edge.follow.seq) = (news.feed, news.seq);
         (edge.round.failed, edge.round.pause) = (0, 0);
-        let held = edge.take(&news);
+        let held = edge.take(now, &mut news);
         self.check(held);
         if let Some(settings) = &news.settings {
             if settings.revision > self.edges[n].revision || self.edges[n].order.is_none() {
@@ -220,9 +233,12 @@
         let contact = self.day.contact * 1000;
         let acked = self.ledger.acked_by(now.saturating_sub(APPLY * 1000));
         let mut held = Ok(());
+        for edge in &mut self.edges {
+            edge.book.sweep(now / 1000, &mut Default::default());
+        }
         for edge in self.edges.iter().filter(|e| now >= e.touched + contact) {
             let ready = |(ident, at): &&(String, Us)| {
-                now > at + EMPTY * 1000 && edge.stages.get(ident) == Some(&Stage::Ready)
+                now > at + EMPTY * 1000 && edge.book.host(ident).is_some_and(|h| h.stage == Stage::Ready)
             };
             if let Some((ident, at)) = self.emptied.iter().find(ready) {
                 let what = format!("{} has {ident} as ready, acknowledged at {} ms", edge.ip, at / 1000);
--- a/crates/ordeal/src/script.rs
+++ b/crates/ordeal/src/script.rs
@@ -206,6 +206,12 @@
         )
     }
 
+    /// A disk goes, or stays behind.
+    pub fn loses_disk(&self) -> bool {
+        use What::*;
+        matches!(self, LoseDisk { .. } | Replace { .. } | DiskAndPowerAll { .. })
+    }
+
     /// Trouble of one machine that may begin at a moment of its own.
     pub fn single(&self) -> bool {
         use What::*;
@@ -260,6 +266,8 @@
     pub closing: Option<What>,
     /// Faults come even where more than `survive` are lost; liveness is then not asked for.
     pub forced: bool,
+    /// More may be lost at once than `survive` says, but no disk ever: nothing may be forgotten in any case.
+    pub wild: bool,
 }
 
 impl Default for Day {
@@ -277,6 +285,7 @@
             faults: Vec::new(),
             closing: None,
             forced: false,
+            wild: false,
         }
     }
 }
@@ -392,6 +401,7 @@
             hosts: luck.usize(6..=20),
             edges: luck.usize(2..=4),
             order_every: [400, 1500, 4000][luck.usize(0..3)],
+            wild: luck.u8(0..6) == 0,
             ..Day::default()
         };
         // Calm days have room for all to be well again; on others the next loss comes as soon as it may.
--- a/crates/ordeal/src/world.rs
+++ b/crates/ordeal/src/world.rs
@@ -930,7 +930,7 @@
 
     fn may(&self, more: &[usize]) -> bool {
         let lost = |m: &&usize| self.lost(**m) || more.contains(m);
-        self.day.forced || self.places.iter().filter(lost).count() <= self.day.survive
+        self.day.forced || self.day.wild || self.places.iter().filter(lost).count() <= self.day.survive
     }
 
     fn whom(&self, who: Who, lot: u64) -> usize {
@@ -1001,6 +1001,9 @@
                 return false;
             }
         }
+        if self.day.wild && what.loses_disk() {
+            return false;
+        }
         let gone = self.machines[m].power == Power::Gone;
         // One that leaves may meet with anything but another order to leave.
         let hard = matches!(
@@ -1015,7 +1018,7 @@
         if what.core() && !all && !matches!(what, What::Hup { .. } | What::Return) && !self.may(&side) {
             return false;
         }
-        if all && !self.day.forced && self.places.iter().any(|m| self.lost(*m)) {
+        if all && !self.day.forced && !self.day.wild && self.places.iter().any(|m| self.lost(*m)) {
             return false;
         }
         let needs = !all && what.core() && !matches!(what, What::Return);
@@ -1312,11 +1315,14 @@
 
     // ---- calm, and what must hold in it ----
 
-    /// More than half run and are connected, and nothing is slowed.
+    /// More than half run and are connected, nothing is slowed, and no more are lost than may be.
     fn connected(&self) -> bool {
         let good = |m: &&usize| self.machines[**m].runs() && self.machines[**m].cuts == 0;
         let slow = |m: &Machine| self.now < m.slow.0 || self.now < m.noisy_until;
-        2 * self.places.iter().filter(good).count() > self.places.len() && !self.machines.iter().any(slow)
+        let troubled = self.places.iter().filter(|m| self.machines[**m].troubled(self.now)).count();
+        2 * self.places.iter().filter(good).count() > self.places.len()
+            && !self.machines.iter().any(slow)
+            && (troubled <= self.day.survive || self.day.forced)
     }
 
     /// As the rules have it.
@@ -1327,8 +1333,7 @@
     }
 
     fn calm(&self) -> Option<Us> {
-        let troubled = self.places.iter().filter(|m| self.machines[**m].troubled(self.now)).count();
-        if troubled > self.day.survive || !self.connected() || self.day.forced {
+        if !self.connected() || self.day.forced {
             return None;
         }
         let from = self.touched + (self.day.contact + SETTLE) * MS;
--- a/crates/ordeal/tests/scenarios.rs
+++ b/crates/ordeal/tests/scenarios.rs
@@ -247,8 +247,8 @@
 fn sighup_in_the_middle_of_a_takeover() {
     for seed in 1..=2 {
         let mut faults = life(9000, 16_000);
-        faults.push(at(10_000, Who::Primary, What::Kill { down: 4000 }));
-        for (n, who) in [Who::Backup, Who::Witness].into_iter().cycle().take(12).enumerate() {
+        faults.push(at(10_000, Who::Place(0), What::Kill { down: 4000 }));
+        for (n, who) in [Who::Place(1), Who::Place(2)].into_iter().cycle().take(12).enumerate() {
             faults.push(at(10_400 + 120 * n as Ms, who, What::Hup { seeds: Seeds::Newest }));
         }
         keeps(&day(seed, 3, faults));
