--- a/crates/transit/src/steer.rs
+++ b/crates/transit/src/steer.rs
@@ -131,12 +131,14 @@
             steer.outbox.on.store(on, Ordering::Relaxed);
             steer.ledger.borrow_mut().clear();
         }
-        if let (Some(seen), Some(asked)) = (news.plans_seen, news.asked_at) {
+        // What a primary before the one heard of had says nothing of now.
+        let seen = news.plans_seen.filter(|seen| seen.epoch >= steer.epoch.get());
+        if let (Some(seen), Some(asked)) = (seen, news.asked_at) {
             let ago = asked.elapsed().as_millis() as Ms + seen.age_ms;
             if let Some(at) = self.now().checked_sub(ago) {
                 sides.fresh(at);
             }
-            if seen.epoch > steer.epoch.replace(seen.epoch.max(steer.epoch.get())) {
+            if seen.epoch > steer.epoch.replace(seen.epoch) {
                 steer.ledger.borrow_mut().again();
             }
         }
@@ -178,13 +180,15 @@
         let kind = match verdict {
             Verdict::NotSent(_) | Verdict::TurnedAway(_) => None,
             Verdict::Ran(_) if aside => Some(Kind::Aside),
+            Verdict::Failed(_) if aside => Some(Kind::Aside),
+            Verdict::Failed(_) => Some(Kind::Failed),
             Verdict::Ran(_) if failed => Some(Kind::Failed),
             Verdict::Ran(_) if took > aim => Some(Kind::Late),
             Verdict::Ran(_) => Some(Kind::Good),
             Verdict::MayHaveRun(Broke::Foreign | Broke::Unsealed) => Some(Kind::Foreign),
             Verdict::MayHaveRun(_) => Some(Kind::Lost),
         };
-        let answered = matches!(verdict, Verdict::Ran(_)).then_some(took);
+        let answered = matches!(verdict, Verdict::Ran(_) | Verdict::Failed(_)).then_some(took);
         let (now, mut ledger) = (self.now(), self.steer.ledger.borrow_mut());
         ledger.note(now, &way.plan, way.number, route, way.side, Kind::Offered, None, None);
         if let Some(kind) = kind {
