--- a/crates/ordeal/src/edge.rs
+++ b/crates/ordeal/src/edge.rs
@@ -139,13 +139,9 @@
     /// A new life: it knows nothing, and is told of three machines that run.
     pub(crate) fn edge_starts(&mut self, n: usize) {
         let n = n % self.edges.len();
-        let named: Vec<String> = self
-            .listed()
-            .into_iter()
-            .filter(|m| self.machines[*m].runs())
-            .take(3)
-            .map(|m| format!("{}:7540", self.machines[m].ip))
-            .collect();
+        let mut up = self.listed();
+        up.sort_by_key(|m| !self.machines[*m].runs());
+        let named = up.into_iter().take(3).map(|m| format!("{}:7540", self.machines[m].ip)).collect();
         let at = self.luck.usize(0..9);
         let edge = &mut self.edges[n];
         edge.round = Round { named, at, ..Round::default() };
--- a/crates/ordeal/tests/scenarios.rs
+++ b/crates/ordeal/tests/scenarios.rs
@@ -174,6 +174,18 @@
     }
 }
 
+#[test]
+fn a_first_witness_that_left_takes_a_place_again() {
+    for seed in 1..=2 {
+        let mut faults = life(9000, 44_000);
+        faults.push(at(10_000, Who::Place(3), replace(false, 1100)));
+        faults.push(at(10_600, Who::Place(2), What::Term { down: 4800 }));
+        faults.push(at(35_000, Who::Place(0), What::LoseDisk { down: 15_000 }));
+        faults.push(at(35_600, Who::Place(4), What::Kill { down: 15_000 }));
+        keeps(&Day { survive: 2, length: 52_000, ..day(seed, 5, faults) });
+    }
+}
+
 #[test]
 fn all_members_replaced_one_after_the_other_then_the_power_of_all() {
     for (seed, term) in [(1, false), (2, true)] {
