--- a/crates/ordeal/src/checks.rs
+++ b/crates/ordeal/src/checks.rs
@@ -14,6 +14,7 @@
 
 pub mod rule {
     pub const READ: &str = "a read is never older than what was acknowledged or read before it";
+    pub const TWO: &str = "no two centres answer reads as primary at one moment";
     pub const SENT: &str = "what is read is what was sent under its number";
     pub const ONE: &str = "one content a number";
     pub const AGAIN: &str = "an acknowledged order sent again is never refused";
--- a/crates/ordeal/src/world.rs
+++ b/crates/ordeal/src/world.rs
@@ -17,7 +17,7 @@
 
 const MS: Us = 1000;
 /// How often every node is asked for the configuration by a reader at its side.
-const PROBE: Us = 100 * MS;
+const PROBE: Us = 50 * MS;
 /// How often what only time breaks is looked for.
 const SCAN: Us = 100 * MS;
 const TICK: Us = 50 * MS;
@@ -222,6 +222,9 @@
     primary: Option<usize>,
     backup: Option<usize>,
     answered: Us,
+    /// Who has answered in this round of probes.
+    acted: Vec<usize>,
+    probing: bool,
     troubles: VecDeque<(Us, &'static str)>,
     closing: Option<What>,
     /// From when on the next acknowledgement brings the closing fault; an order is sent for it.
@@ -292,6 +295,8 @@
             primary: None,
             backup: None,
             answered: 0,
+            acted: Vec::new(),
+            probing: false,
             troubles: VecDeque::new(),
             closing: day.closing.clone(),
             closing_from: Us::MAX,
@@ -594,6 +599,8 @@
             Ev::RunLimit { id, call } => self.run_silent(id, call),
             Ev::Last(m) => self.last_reads(m),
             Ev::Probe => {
+                self.acted.clear();
+                self.probing = true;
                 for m in 0..self.machines.len() {
                     if self.machines[m].runs() {
                         let floor = self.ledger.floor();
@@ -601,7 +608,14 @@
                         self.arrive(m, origin, Ask::Admin(Act::Read));
                     }
                 }
-                self.after(PROBE, Ev::Probe);
+                self.probing = false;
+                if let [one, other, ..] = self.acted[..] {
+                    let ip = |m: usize| &self.machines[m].ip;
+                    let held: Held = Err((rule::TWO, format!("{} and {}", ip(one), ip(other))));
+                    self.check(held);
+                }
+                let next = PROBE / 2 + self.net.u64(0..PROBE);
+                self.after(next, Ev::Probe);
             }
             Ev::Scan => {
                 self.scan();
@@ -806,8 +820,11 @@
         if status != 200 {
             return;
         }
+        if self.probing {
+            self.acted.push(m);
+        }
         let gap = (self.now - self.answered) / MS;
-        if gap > 2 * PROBE / MS && self.answered > 0 {
+        if gap > 3 * PROBE / MS && self.answered > 0 {
             let since = self.answered.saturating_sub(1500 * MS);
             let cause = self.troubles.iter().find(|(at, _)| *at >= since).map_or("none", |(_, name)| *name);
             self.tally.gaps.entry(cause).or_default().push(gap);
