--- a/crates/ordeal/src/edge.rs
+++ b/crates/ordeal/src/edge.rs
@@ -46,7 +46,7 @@
     fn bad(&mut self) -> Us {
         self.at = self.at.wrapping_add(1);
         self.failed += 1;
-        if self.failed % self.all().len().max(1) != 0 {
+        if !self.failed.is_multiple_of(self.all().len().max(1)) {
             return 0;
         }
         self.pause = (self.pause * 2).clamp(50_000, 1_000_000);
--- a/crates/ordeal/tests/scenarios.rs
+++ b/crates/ordeal/tests/scenarios.rs
@@ -174,6 +174,17 @@
     }
 }
 
+#[test]
+fn a_second_loss_just_after_sync_time_where_the_first_took_the_primary() {
+    // Takeovers that are quick, and slow: both must leave time to mend the group.
+    for n in [6, 12, 17, 18, 19] {
+        let mut faults = life(9000, 26_000);
+        faults.push(at(10_000 + 40 * n, Who::Place(0), replace(false, 236)));
+        faults.push(at(14_300 + 40 * n, Who::Primary, What::Kill { down: 15_000 }));
+        keeps(&Day { length: 29_000, ..day(n, 4, faults) });
+    }
+}
+
 #[test]
 fn a_first_witness_that_left_takes_a_place_again() {
     for seed in 1..=2 {
