--- a/crates/ordeal/src/main.rs
+++ b/crates/ordeal/src/main.rs
@@ -61,8 +61,9 @@
         day = shrink(&day, broken.rule);
         outcome = play(&day, true);
     }
-    let Day { machines, zones, survive, contact, hosts, edges, .. } = day;
-    println!("seed {seed}: {machines} machines in {zones} zones, survive {survive}, inContact {contact} ms, {hosts} hosts, {edges} edges");
+    let Day { machines, zones, survive, contact, hosts, edges, wild, .. } = day;
+    println!("seed {seed}: {machines} machines in {zones} zones, survive {survive}, inContact {contact} ms");
+    println!("{hosts} hosts, {edges} edges{}", if wild { ", any number lost" } else { "" });
     outcome.story.iter().for_each(|line| println!("{line}"));
     match &outcome.broken {
         Some(broken) => println!("{} faults break a rule: {}", day.faults.len(), broken.rule),
--- a/crates/ordeal/src/script.rs
+++ b/crates/ordeal/src/script.rs
@@ -33,6 +33,8 @@
     Answered,
     /// Right after a call to another has left.
     Call,
+    /// Right after it has answered another.
+    Reply,
     /// Right after a write was asked of its disk.
     Write,
 }
@@ -401,7 +403,7 @@
             hosts: luck.usize(6..=20),
             edges: luck.usize(2..=4),
             order_every: [400, 1500, 4000][luck.usize(0..3)],
-            wild: luck.u8(0..6) == 0,
+            wild: luck.u8(0..4) == 0,
             ..Day::default()
         };
         // Calm days have room for all to be well again; on others the next loss comes as soon as it may.
@@ -413,6 +415,7 @@
                 0 => Moment::Answer,
                 1 => Moment::Answered,
                 2 => Moment::Call,
+                3 if luck.bool() => Moment::Reply,
                 3 => Moment::Write,
                 _ => Moment::Now,
             };
--- a/crates/ordeal/src/world.rs
+++ b/crates/ordeal/src/world.rs
@@ -1,4 +1,4 @@
-//! The engine: true time, machines, links, faults. What callers do is in `host`, `edge` and `operator`.
+//! The engine: true time, machines, links. What callers do is in `host`, `edge` and `operator`.
 mod faults;
 mod judge;
 
@@ -715,16 +715,18 @@
         self.check(held);
         let Some(p) = &mut self.machines[m].process else { return };
         let springs = p.trap.as_ref().is_some_and(|(when, ..)| {
-            let (mut answer, mut call, mut write) = (false, false, false);
+            let (mut answer, mut call, mut reply, mut write) = (false, false, false, false);
             for effect in &out {
                 answer |= matches!(effect, Effect::Answer { status: 200, .. });
                 call |= matches!(effect, Effect::Call { call: Peer::Core(_), .. });
+                reply |= matches!(effect, Effect::Reply { say: PeerSay::Core(_), .. });
                 write |= matches!(effect, Effect::Write { .. });
             }
             match when {
                 Moment::Now => false,
                 Moment::Answer | Moment::Answered => answer,
                 Moment::Call => call,
+                Moment::Reply => reply,
                 Moment::Write => write,
             }
         });
