--- a/crates/ordeal/src/checks.rs
+++ b/crates/ordeal/src/checks.rs
@@ -27,6 +27,7 @@
     pub const EMPTYING: &str = "an acknowledged emptying is known to edges in touch within `empty`";
     pub const APPLY: &str = "an acknowledged configuration is at edges in touch within `apply`";
     pub const LIVE: &str = "in calm times an order is acknowledged within `confirm`";
+    pub const LEAVES: &str = "in calm times a host that leaves is acknowledged before it ends";
     pub const LAST: &str = "at the end the newest acknowledged configuration is read back through any centre";
     pub const CUT: &str = "a centre cut off for longer than `inContact` answers nothing with 2xx";
     pub const NODE: &str = "a node answers each caller once and uses no token twice";
--- a/crates/ordeal/src/host.rs
+++ b/crates/ordeal/src/host.rs
@@ -1,5 +1,6 @@
 //! Hosts: beats, keys, leaving in order; as the protocol has it.
 use crate::callers::{Act, Seek, HOPS, PATIENCE};
+use crate::checks::rule;
 use crate::machine::Body;
 use crate::world::{local, one_holder, Ask, End, Ev, Origin, Say};
 use crate::{Us, World, BEAT, EMPTY};
@@ -99,6 +100,13 @@
             (None, Some(since)) => now >= since + UNHEARD,
             _ => false,
         };
+        if let (true, None, Some(since)) = (over, host.heard, host.leaving) {
+            let what = format!("{} ends unheard, leaving since {} ms", host.ident, since / 1000);
+            if self.calm_from.is_some_and(|from| from <= since) {
+                self.check::<()>(Err((rule::LEAVES, what)));
+            }
+        }
+        let host = &mut self.hosts[n];
         let ident: Body = host.ident.as_str().into();
         let act = if over {
             Act::SignOff { ident }
--- a/crates/ordeal/src/lib.rs
+++ b/crates/ordeal/src/lib.rs
@@ -2,6 +2,15 @@
 //! with hosts, edges and operators around them, judged from outside. A day is decided by its seed: no threads, no real
 //! time, no I/O.
 //!
+//! What is played: links by pair (delay, jitter, cuts of one way or both, calls doubled, late, reset, answers lost, bytes
+//! held up by a cut that come after it), disks (slow, hanging, full, lost whole, writes under way at a loss of power there
+//! up to some point), processes (kill, power, freeze, SIGTERM, SIGHUP, each at a chosen moment such as between a sync and
+//! its answer), machines replaced, moved, returning, all at once; steady clocks up to 2% apart. On most days no more is
+//! lost at once than `survive` says, and calm times must be served; on wild days any number is, but no disk.
+//!
+//! What isn't: bytes of HTTP and JSON, time that the code itself takes, a store that is torn or gone back (it is found as
+//! a lost disk), rollouts, sessions, clients' requests, zones or regions lost whole, clocks that jump.
+//!
 //! ```
 //! let day = ordeal::Day { length: 8_000, ..ordeal::Day::default() };
 //! let (one, other) = (ordeal::play(&day, false), ordeal::play(&day, false));
--- a/crates/ordeal/src/world.rs
+++ b/crates/ordeal/src/world.rs
@@ -221,7 +221,7 @@
     /// When trouble of the core last began or ended; and trouble of all of it.
     touched: Us,
     all_touched: Us,
-    calm_from: Option<Us>,
+    pub(crate) calm_from: Option<Us>,
     primary: Option<usize>,
     backup: Option<usize>,
     answered: Us,
