--- a/crates/ordeal/src/edge.rs
+++ b/crates/ordeal/src/edge.rs
@@ -146,7 +146,8 @@
         let edge = &mut self.edges[n];
         edge.round = Round { named, at, ..Round::default() };
         (edge.follow.feed, edge.follow.seq, edge.follow.asked) = (0, 0, Vec::new());
-        (edge.revision, edge.order, edge.waits, edge.touched) = (0, None, false, self.now);
+        (edge.revision, edge.order, edge.waits) = (0, None, false);
+        edge.touched = edge.touched.max(self.now);
         edge.book = Book::new("");
         edge.left.clear();
         edge.rows.clear();
