--- a/crates/ordeal/src/host.rs
+++ b/crates/ordeal/src/host.rs
@@ -238,6 +238,8 @@
     fn host_ends(&mut self, n: usize) {
         let host = &mut self.hosts[n];
         (host.up, host.sent) = (false, None);
+        // What has ended is reached by nothing.
+        self.emptied.retain(|(ident, _)| *ident != host.ident);
         let again = self.luck.u64(500_000..5_000_000);
         self.host_wake(n, again);
     }
