--- a/crates/ordeal/src/machine.rs
+++ b/crates/ordeal/src/machine.rs
@@ -55,7 +55,7 @@
     }
 
     pub fn found(&self) -> Found {
-        Found { state: self.state.clone(), own: self.own.clone(), kept: self.kept }
+        Found { state: self.state.clone(), own: self.own.clone(), kept: self.kept, number: 0 }
     }
 
     pub fn troubled(&self, now: Us) -> bool {
