--- a/crates/ordeal/tests/scenarios.rs
+++ b/crates/ordeal/tests/scenarios.rs
@@ -100,6 +100,17 @@
     }
 }
 
+#[test]
+fn a_freeze_between_asking_for_the_lease_and_the_answer() {
+    for seed in 1..=8 {
+        let mut faults = life(9000, 15_000);
+        // The witnesses' answers are there when it goes on, and nothing of its successor.
+        faults.push(at(10_000, Who::Primary, What::Freeze { ms: 2500 }).when(Moment::Call));
+        faults.push(at(10_450, Who::Primary, cut(Way::Both, 5000)));
+        keeps(&day(seed, 3, faults));
+    }
+}
+
 #[test]
 fn both_of_the_two_cut_from_the_witnesses_but_not_from_each_other() {
     for seed in 1..=2 {
