--- a/crates/ordeal/src/world.rs
+++ b/crates/ordeal/src/world.rs
@@ -461,6 +461,10 @@
     /// Sends a call; `origin` hears what comes of it, or nothing.
     pub(crate) fn post(&mut self, m: usize, origin: Origin, ask: Ask) {
         let (from, to) = (origin.end, End::Machine(m));
+        let ((a, _), (b, _)) = (self.spot(from), self.spot(to));
+        if self.blocked(a, b) || self.edge_cut(from) {
+            return self.carry(from, to, Ev::Arrive { m, origin, ask });
+        }
         if self.noisy(from) || self.noisy(to) {
             match self.net.u8(0..20) {
                 0 | 1 => {
