--- a/crates/errand/src/lib.rs
+++ b/crates/errand/src/lib.rs
@@ -52,9 +52,31 @@
         address: &str,
         path: &str,
         body: &T,
+    ) -> Result<R, String> {
+        self.call(address, path, body, None)
+    }
+
+    /// The same for a call that is answered at once: the answer has to begin within this.
+    pub fn post_within<T: Serialize, R: DeserializeOwned>(
+        &self,
+        address: &str,
+        path: &str,
+        body: &T,
+        begin: Duration,
+    ) -> Result<R, String> {
+        self.call(address, path, body, Some(begin))
+    }
+
+    fn call<T: Serialize, R: DeserializeOwned>(
+        &self,
+        address: &str,
+        path: &str,
+        body: &T,
+        begin: Option<Duration>,
     ) -> Result<R, String> {
         let text = serde_json::to_vec(body).map_err(|e| e.to_string())?;
         let call = self.agent.post(format!("http://{address}{path}")).content_type("application/json");
+        let call = call.config().timeout_recv_response(begin).build();
         let mut answer = call.send(&text[..]).map_err(|e| e.to_string())?;
         if answer.status() != 200 {
             return Err(format!("status {}", answer.status()));
--- a/crates/errand/tests/once.rs
+++ b/crates/errand/tests/once.rs
@@ -114,3 +114,13 @@
         assert_eq!(seen, [(0, 1), (0, 2), (1, 3), (1, 4)], "{act:?}");
     }
 }
+
+#[test]
+fn a_peer_that_takes_the_connection_and_says_nothing_is_given_up_early_where_that_is_asked() {
+    let silent = TcpListener::bind("127.0.0.1:0").unwrap();
+    let caller = Caller::new(Duration::from_secs(5), Duration::from_secs(60));
+    let begun = std::time::Instant::now();
+    let address = silent.local_addr().unwrap().to_string();
+    let said = caller.post_within::<_, u32>(&address, "/", &1, Duration::from_millis(50));
+    assert!(said.is_err() && begun.elapsed() < Duration::from_secs(30));
+}
--- a/crates/transit/src/follow.rs
+++ b/crates/transit/src/follow.rs
@@ -16,6 +16,9 @@
 /// The whole call; a frozen centre costs no more than this.
 const WHOLE: Duration = Duration::from_millis(1_600);
 const CONNECT: Duration = Duration::from_millis(300);
+/// A centre that is not followed yet is asked for an answer at once. It may have taken the connection and have no thread
+/// for it, as after a restart, when all come together; the next one is asked as soon as one that does not take it.
+const FIRST: Duration = CONNECT;
 /// The thread only reads and parses.
 const STACK: usize = 256 * 1024;
 
@@ -79,6 +82,12 @@
         self.at = place.unwrap_or(self.at);
     }
 
+    /// For how long the next centre may be silent. Where all were too slow it is longer in the next round.
+    pub fn patience(&self) -> Duration {
+        let rounds = self.failed / self.all().count().max(1);
+        (FIRST * (1 + rounds as u32)).min(WHOLE)
+    }
+
     pub fn good(&mut self) {
         (self.failed, self.pause) = (0, Duration::ZERO);
     }
@@ -132,10 +141,16 @@
         };
         follow.asked = tallies.take();
         let planned = outbox.on.load(Ordering::Relaxed);
-        follow.wait_ms = if planned { steer::HELD } else { HELD }.as_millis() as u64;
+        let held = if planned { steer::HELD } else { HELD };
+        follow.wait_ms = if touch { held.as_millis() as u64 } else { 0 };
         follow.evidence = if planned { outbox.take() } else { Vec::new() };
         let asked_at = Instant::now();
-        let pause = match caller.post::<_, News>(&centre, "/follow", &follow) {
+        let told = if touch {
+            caller.post::<_, News>(&centre, "/follow", &follow)
+        } else {
+            caller.post_within(&centre, "/follow", &follow, round.patience())
+        };
+        let pause = match told {
             Ok(mut told) => {
                 told.asked_at = Some(asked_at);
                 match round.heed(&mut follow, told) {
--- a/crates/transit/src/follow_tests.rs
+++ b/crates/transit/src/follow_tests.rs
@@ -36,3 +36,19 @@
     assert_eq!(round.centre(), other.as_ref());
     assert!(round.all().count() == 3 && round.all().any(|one| one == "10.0.0.7:75"));
 }
+
+#[test]
+fn a_silent_centre_is_left_early_and_waited_for_longer_where_all_are_slow() {
+    let known_peers = vec!["10.0.0.1:99".into(), "10.0.0.2:99".into()];
+    let boot = Boot { ip: "10.0.9.9".into(), spare_ports: (75, 80), known_peers, ..Boot::default() };
+    let mut round = Round::new(&boot);
+    let mut waits = Vec::new();
+    for _ in 0..40 {
+        waits.push(round.patience());
+        round.bad();
+    }
+    assert_eq!((waits[0], waits[1]), (FIRST, FIRST));
+    assert!(waits.is_sorted() && waits[2] > FIRST && *waits.last().unwrap() == WHOLE);
+    round.good();
+    assert_eq!(round.patience(), FIRST);
+}
