--- a/crates/accord/src/core/group.rs
+++ b/crates/accord/src/core/group.rs
@@ -35,7 +35,7 @@
         let place = place.unwrap_or(0);
         let earlier = std::iter::once(&record.primary).chain(&record.backups).take(place).any(there);
         // Who comes first in the record does so where it is there: its leases are its own, it need not wait.
-        place == 0 || !earlier || now > self.led_at + 2 * self.spans.lease
+        place == 0 || !earlier || now > self.led_at + (1 + place as Ms) * self.spans.lease
     }
 
     /// What the acting primary would have otherwise: another backup, another group.
--- a/crates/accord/src/core/writing.rs
+++ b/crates/accord/src/core/writing.rs
@@ -35,6 +35,8 @@
         }
         if newer {
             self.bid = None;
+            // Two that may stand would drop each other's bids for ever: whose copy was taken is given its time.
+            self.bid_at = self.bid_at.max(now + self.spans.call + self.chance(self.spans.call));
             self.step_down(now, out);
         }
         let snapshot = matches!(copy.kind, CopyKind::Snapshot { .. });
--- a/crates/ordeal/tests/days.rs
+++ b/crates/ordeal/tests/days.rs
@@ -16,6 +16,15 @@
     }
 }
 
+/// A primary that is heard and hears nobody, with two backups: both stood, each took the other's copy, and dropped its own
+/// bid by that, for as long as the cut lasted.
+#[test]
+fn two_backups_that_may_both_stand_do_not_hinder_each_other_for_ever() {
+    for seed in [300_136, 300_185, 300_795] {
+        days(seed..seed + 1);
+    }
+}
+
 // Four tests, so that they run side by side.
 #[test]
 fn days_from_101() {
