--- a/crates/control-plane/config/src/boot.rs
+++ b/crates/control-plane/config/src/boot.rs
@@ -85,8 +85,8 @@
         retry_ratio: f64 = "retryRatio", non_negative, default_to(0.1), accept_any, apply;
         /// The window over which further attempts are counted.
         retry_window: Duration = "retryWindow", time, default_ms(10000), accept_any, apply;
-        /// Further attempts in each window beyond the share.
-        extra_attempts: u32 = "extraTries", unsigned, default_to(0), accept_any, apply;
+        /// Further attempts in each window beyond the share; of all edges, so that it may be a fraction.
+        extra_attempts: f64 = "extraTries", non_negative, default_to(0.0), accept_any, apply;
         /// How long after the loss and return of machines most requests may still fail.
         heal: Duration = "heal", time, default_ms(10000), accept_any, apply;
         /// The longest lease duration of a slice, by the endpoint's clock.
--- a/crates/control-plane/config/tests/parsing.rs
+++ b/crates/control-plane/config/tests/parsing.rs
@@ -184,6 +184,13 @@
 "terms": {"promises": ["base", "own"], "survive": {"boxes": 1, "zones": 0},
     "timeLimits": {"peerDelay": "3s", "retryRatio": 0.2, "extraTries": 56, "keepMax": "10000ms", "news": true}}}"#;
 
+#[test]
+fn extra_tries_may_be_a_fraction() {
+    let text = r#"{"self": {"ipAddress": "10.1.0.34", "area": "north"}, "network": {"sparePorts": [7540, 7555]},
+        "provider": {"heartbeat": "1s"}, "terms": {"timeLimits": {"extraTries": 33.5}}}"#;
+    assert_eq!(ProcessSettings::from_json(text).unwrap().limits.extra_attempts, 33.5);
+}
+
 #[test]
 fn settings_are_read_and_errors_name_the_field() {
     let settings = ProcessSettings::from_json(SETTINGS).unwrap();
--- a/crates/data-plane/load-balancing/src/budget.rs
+++ b/crates/data-plane/load-balancing/src/budget.rs
@@ -20,7 +20,7 @@
     /// Length of the window in ms.
     pub window_ms: Ms,
     /// Retries in a window beyond the ratio, of all edges together.
-    pub extra_retries: u32,
+    pub extra_retries: f64,
 }
 
 /// Counts of one part of the window.
@@ -35,7 +35,7 @@
 /// use coppersail_load_balancing::budget::{BudgetSettings, RetryBudget};
 ///
 /// let mut budget = RetryBudget::default();
-/// let settings = BudgetSettings { ratio: 0.2, window_ms: 10_000, extra_retries: 0 };
+/// let settings = BudgetSettings { ratio: 0.2, window_ms: 10_000, extra_retries: 0.0 };
 /// assert!(!budget.withdraw(&settings, 8, 0), "there was no request yet");
 /// (0..10).for_each(|_| budget.deposit(&settings, 0));
 /// assert!(budget.withdraw(&settings, 8, 1) && !budget.withdraw(&settings, 8, 2));
@@ -84,8 +84,7 @@
 
     /// Half of this edge's share at once and half spread over the window: never more than the share in any window.
     fn withdraw_from_extra(&mut self, settings: &BudgetSettings, edge_count: u32, now: Ms) -> bool {
-        let share =
-            if edge_count == 0 { 0.0 } else { f64::from(settings.extra_retries) / f64::from(edge_count) };
+        let share = if edge_count == 0 { 0.0 } else { settings.extra_retries / f64::from(edge_count) };
         let elapsed = now - self.extra_refilled_at.replace(now).unwrap_or(now);
         let refill = share / 2.0 * elapsed as f64 / settings.window_ms.max(1) as f64;
         self.extra_tokens = (self.extra_tokens + refill).min(share / 2.0);
--- a/crates/data-plane/load-balancing/src/budget/tests.rs
+++ b/crates/data-plane/load-balancing/src/budget/tests.rs
@@ -4,7 +4,7 @@
 /// Against a plain count of every retry and request, in every window that ends with a retry.
 #[test]
 fn no_window_holds_more_retries_than_the_share_of_an_edge() {
-    let settings = BudgetSettings { ratio: 0.2, window_ms: 10_000, extra_retries: 56 };
+    let settings = BudgetSettings { ratio: 0.2, window_ms: 10_000, extra_retries: 56.0 };
     for seed in 0..40 {
         let mut random = fastrand::Rng::with_seed(seed);
         let (mut budget, mut now) = (RetryBudget::default(), 0);
@@ -30,7 +30,7 @@
 
 #[test]
 fn a_restarted_edge_gets_no_extra_retry_at_once_and_none_while_the_edge_count_is_unknown() {
-    let settings = BudgetSettings { ratio: 0.0, window_ms: 10_000, extra_retries: 56 };
+    let settings = BudgetSettings { ratio: 0.0, window_ms: 10_000, extra_retries: 56.0 };
     let mut budget = RetryBudget::default();
     assert!(!budget.withdraw(&settings, 8, 0));
     assert!(budget.withdraw(&settings, 8, 3_000));
