Sight: when a configuration is in force where, and why polls failed

Cause: the logs could not tell a node that is down from one that accepts a connection and does not answer, nor where a configuration is late. Change: a control-plane node logs each configuration that comes into force; an edge's line of being in touch again says how long it was not, and how many polls were silent, unreachable, isolated or broken.

--- a/crates/control-plane/server/src/node.rs
+++ b/crates/control-plane/server/src/node.rs
@@ -23,6 +23,8 @@
     settings: ProcessSettings,
     ticks: u64,
     had_quorum_contact: bool,
+    /// The revision of the configuration that was last seen in force, for the log.
+    logged_revision: Option<u64>,
     has_exited: bool,
 }
 
@@ -49,6 +51,7 @@
             settings,
             ticks: 0,
             had_quorum_contact: false,
+            logged_revision: None,
             has_exited: false,
         };
         let mut effects = Vec::new();
@@ -90,9 +93,22 @@
             Event::SettingsChanged(settings) => self.change_settings(now, *settings, &mut outputs, effects),
         }
         self.apply_outputs(now, outputs, effects);
+        self.log_new_revision(effects);
         effects.extend(replies.into_iter().map(Effect::from));
     }
 
+    /// With the same line of the edges, it tells where a configuration is late.
+    fn log_new_revision(&mut self, effects: &mut Vec<Effect>) {
+        let revision = self.state.feed.revision();
+        if revision == self.logged_revision {
+            return;
+        }
+        self.logged_revision = revision;
+        if let Some(revision) = revision {
+            effects.push(Effect::Log(format!("Configuration r{revision} is in force.")));
+        }
+    }
+
     fn tick(
         &mut self,
         now: Ms,
--- a/crates/data-plane/edge-proxy/src/watch/watch_loop.rs
+++ b/crates/data-plane/edge-proxy/src/watch/watch_loop.rs
@@ -1,9 +1,10 @@
 //! The thread that polls the control plane and hands updates to the edge.
 use super::candidates::{Candidates, CONNECT_TIMEOUT, POLL_TIMEOUT};
+use super::outage::Outage;
 use crate::edge::RequestCounter;
 use crate::rollout::outbox::{EvidenceOutbox, ROLLOUT_POLL_WAIT};
 use coppersail_config::ProcessSettings;
-use coppersail_peer_client::PeerClient;
+use coppersail_peer_client::{PeerClient, PeerError};
 use coppersail_peer_protocol::{Update, WatchRequest};
 use slog::{info, Logger};
 use std::sync::Arc;
@@ -39,6 +40,7 @@
         candidates: Candidates::new(settings),
         request,
         connected: false,
+        outage: Outage::default(),
         log,
         request_counts,
         evidence,
@@ -59,6 +61,8 @@
     request: WatchRequest,
     /// Whether the last poll brought an answer that is used.
     connected: bool,
+    /// The polls since then that failed.
+    outage: Outage,
     log: Logger,
     request_counts: Arc<RequestCounter>,
     evidence: Arc<EvidenceOutbox>,
@@ -77,6 +81,7 @@
             let delay = match self.poll(&address) {
                 Ok(update) => self.apply(&address, Update { requested_at: Some(requested_at), ..update }),
                 Err(error) => {
+                    self.outage.record_failure(requested_at, &error);
                     self.disconnect(|log| info!(log, "follow: lost {address}: {error}"));
                     Ok(self.candidates.poll_failed())
                 }
@@ -102,7 +107,7 @@
         self.request.rollout_reports = if rollout_active { self.evidence.take() } else { Vec::new() };
     }
 
-    fn poll(&self, address: &str) -> Result<Update, impl std::fmt::Display> {
+    fn poll(&self, address: &str) -> Result<Update, PeerError> {
         if self.connected {
             self.client.post(address, WATCH_PATH, &self.request)
         } else {
@@ -116,13 +121,15 @@
         match self.candidates.accept(&mut self.request, update) {
             Ok(update) => {
                 if !self.connected {
-                    info!(self.log, "follow: in touch with {address}");
+                    let outage = self.outage.end(Instant::now());
+                    info!(self.log, "follow: in touch with {address}{outage}");
                     self.connected = true;
                 }
                 self.updates.send(update).map_err(|_| Stopped)?;
                 Ok(Duration::ZERO)
             }
             Err(delay) => {
+                self.outage.record_isolated(Instant::now());
                 self.disconnect(|log| info!(log, "follow: left {address}: it has no majority"));
                 Ok(delay)
             }
