--- a/crates/control-plane/server/tests/node.rs
+++ b/crates/control-plane/server/tests/node.rs
@@ -1,6 +1,8 @@
 //! The pure state machine of a member, without threads, sockets or a disk.
 use coppersail_control_plane::node::{Effect, Event, Node, PeerRequest, PeerResponse, Startup};
-use coppersail_peer_protocol::{EndpointUpdate, MemberDetail, MemberStatus, Update, WatchRequest};
+use coppersail_peer_protocol::{
+    ConfigDocument, EndpointUpdate, MemberDetail, MemberStatus, Update, WatchRequest,
+};
 use serde_json::json;
 
 const PEERS: [&str; 3] = ["10.1.0.1:8544", "10.2.0.1:8544", "10.3.0.1:8544"];
@@ -12,6 +14,8 @@
     now: u64,
     due: Vec<Event>,
     endpoints: Option<Vec<EndpointUpdate>>,
+    /// The configuration that it reports with them.
+    config: Option<ConfigDocument>,
     updates: Vec<Update>,
 }
 
@@ -28,8 +32,14 @@
             1,
             Startup { settings: boot, recovered: Default::default(), feed_and_disk_incarnation: 7 },
         );
-        let mut harness =
-            Harness { node, now: 1, due: Vec::new(), endpoints: Some(endpoints), updates: Vec::new() };
+        let mut harness = Harness {
+            node,
+            now: 1,
+            due: Vec::new(),
+            endpoints: Some(endpoints),
+            config: None,
+            updates: Vec::new(),
+        };
         harness.carry(effects);
         harness
     }
@@ -67,6 +77,7 @@
             feed_id: 3,
             sequence: 1,
             endpoints,
+            config: self.config.clone(),
             status,
             ..Update::default()
         })))
@@ -90,6 +101,13 @@
         }
     }
 
+    /// The update for an edge with this request, of which JSON has the fields.
+    fn poll_with(&mut self, request: serde_json::Value) -> Update {
+        let watch = serde_json::from_value(request).unwrap();
+        self.step(Event::Peer { request_id: 1, request: PeerRequest::Watch(Box::new(watch)) });
+        self.updates.pop().expect("a follower that lacks something is answered at once")
+    }
+
     /// The update for a follower that has nothing yet: an edge, or another member.
     fn poll(&mut self, from: Option<&str>) -> Update {
         let status = from.map(|id| MemberStatus { id: id.into(), detail_sum: 5, ..MemberStatus::default() });
@@ -99,6 +117,35 @@
     }
 }
 
+/// What a full link of an edge carries within the timeout of a poll.
+const LIMIT: usize = 16 * 1024;
+
+/// An edge whose link is full never got a whole snapshot within the timeout of a poll, and began anew at the next node: it
+/// had neither the endpoints nor the configuration of minutes ago.
+#[test]
+fn a_follower_behind_a_full_link_gets_the_configuration_first_and_everything_in_parts() {
+    let endpoints: Vec<EndpointUpdate> =
+        (0..300).map(|n| EndpointUpdate { id: format!("i-{n:08}"), ..endpoint() }).collect();
+    let mut harness = Harness::start(endpoints);
+    harness.config = Some(ConfigDocument { revision: 7, body: "{}".into() });
+    harness.run(5_000);
+    let mut request = json!({"edge": "e", "feed": 0, "seq": 0, "wait_ms": 1, "max_bytes": LIMIT});
+    let mut listed = std::collections::BTreeSet::new();
+    for part in 0.. {
+        let update = harness.poll_with(request.clone());
+        let length = serde_json::to_string(&update).unwrap().len();
+        assert!(length <= LIMIT, "part {part} has {length} bytes");
+        assert_eq!(update.config.is_some(), part == 0, "the first part has the configuration, and only that");
+        listed.extend(update.endpoints.into_iter().map(|endpoint| endpoint.id));
+        if listed.len() == 300 {
+            break;
+        }
+        request["feed"] = update.feed_id.into();
+        request["seq"] = update.sequence.into();
+        request["revision"] = 7.into();
+    }
+}
+
 fn endpoint() -> EndpointUpdate {
     let (ident, backend, via) = ("i-1".into(), "s".into(), PEERS[1].into());
     EndpointUpdate {
