Change feed: updates in parts of a length that the follower names, configuration first

Cause: what a follower lacks came as one answer. Change: a poll may name the revision that it has and the longest answer that it takes; the answer has the configuration if that is older, then the oldest changes that fit, and says whether there is more. Without these fields answers are as before. Members ask each other for 256 KiB at most.

--- a/crates/control-plane/peer-protocol/src/watch.rs
+++ b/crates/control-plane/peer-protocol/src/watch.rs
@@ -26,6 +26,15 @@
     pub sequence: u64,
     /// How long the answer may be delayed while there is nothing new, in milliseconds.
     pub wait_ms: u64,
+    /// The revision of the configuration that the sender has. The answer has the configuration only if it is newer; without
+    /// this field, if it changed after `sequence`.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    #[serde(rename = "revision")]
+    pub known_revision: Option<u64>,
+    /// The longest answer that the sender takes, in bytes: what does not fit comes with the next answers. Without it all comes
+    /// in one.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub max_bytes: Option<u64>,
     /// Requests by slice since the last poll that was answered.
     #[serde(skip_serializing_if = "is_default")]
     #[serde(rename = "asked")]
@@ -40,7 +49,8 @@
     pub status: Option<MemberStatus>,
 }
 
-/// The answer to a [`WatchRequest`]: what is new since its sequence number, or everything if its feed was another.
+/// The answer to a [`WatchRequest`]: what is new since its sequence number, or everything if its feed was another; as much
+/// of that as the request takes, the oldest changes first, but for the configuration, which always comes at once.
 ///
 /// The parts may be taken over twice and in any order: the higher revision, row version, endpoint state, heartbeat sequence
 /// and rollout number win.
@@ -53,10 +63,14 @@
     /// The number of the newest change in the feed; the next request acknowledges it.
     #[serde(rename = "seq")]
     pub sequence: u64,
-    /// The answer has everything, not only what is new.
+    /// The answer has everything, not only what is new; or begins to, if it is `incomplete`.
     #[serde(skip_serializing_if = "is_default")]
     #[serde(rename = "whole")]
     pub is_snapshot: bool,
+    /// There is more than fits into [`WatchRequest::max_bytes`]: the next request is answered at once.
+    #[serde(skip_serializing_if = "is_default")]
+    #[serde(rename = "more")]
+    pub incomplete: bool,
     /// The node has no contact with a quorum. The receiver takes over nothing of this answer, and watches another node if one
     /// answers.
     #[serde(skip_serializing_if = "is_default")]
--- a/crates/control-plane/peer-protocol/tests/wire_format.rs
+++ b/crates/control-plane/peer-protocol/tests/wire_format.rs
@@ -146,6 +146,8 @@
         feed_id: 3,
         sequence: 7,
         wait_ms: 500,
+        known_revision: Some(4),
+        max_bytes: Some(8192),
         request_counts: vec![RequestCounts { service: "s".into(), counts: vec![(0, 12), (4095, 1)] }],
         rollout_reports: vec![report()],
         status: Some(status()),
@@ -153,7 +155,7 @@
     assert_text(
         request,
         &with_parts(
-            r#"{"edge":"10.1.0.34","area":"east","feed":3,"seq":7,"wait_ms":500,"asked":[{"backend":"s","counts":[[0,12],[4095,1]]}],"evidence":[REPORT],"standing":STANDING}"#,
+            r#"{"edge":"10.1.0.34","area":"east","feed":3,"seq":7,"wait_ms":500,"revision":4,"max_bytes":8192,"asked":[{"backend":"s","counts":[[0,12],[4095,1]]}],"evidence":[REPORT],"standing":STANDING}"#,
         ),
     );
     assert_text(WatchRequest::default(), r#"{"edge":"","feed":0,"seq":0,"wait_ms":0}"#);
@@ -183,6 +185,7 @@
         feed_id: 3,
         sequence: 7,
         is_snapshot: true,
+        incomplete: true,
         isolated: true,
         uptime_ms: 60_000,
         control_plane_addresses: vec!["10.1.0.1:7540".into()],
@@ -198,7 +201,7 @@
     assert_text(
         update,
         &with_parts(
-            r#"{"feed":3,"seq":7,"whole":true,"alone":true,"up_ms":60000,"centres":["10.1.0.1:7540"],"edges":2,"standing":STANDING,"settings":{"revision":5,"body":"{}"},"hosts":[HOST],"slices":[SLICES],"plans":[STAND],"plans_seen":{"epoch":7,"age_ms":40}}"#,
+            r#"{"feed":3,"seq":7,"whole":true,"more":true,"alone":true,"up_ms":60000,"centres":["10.1.0.1:7540"],"edges":2,"standing":STANDING,"settings":{"revision":5,"body":"{}"},"hosts":[HOST],"slices":[SLICES],"plans":[STAND],"plans_seen":{"epoch":7,"age_ms":40}}"#,
         ),
     );
     assert_text(Update::default(), r#"{"feed":0,"seq":0,"up_ms":0}"#);
--- a/crates/control-plane/server/src/feed.rs
+++ b/crates/control-plane/server/src/feed.rs
@@ -2,13 +2,13 @@
 //!
 //! Everything in it only goes forward (revision, number, state, count of heartbeats), so updates may be merged twice, in
 //! any order and from any member: the feeds converge. Members follow each other as edge proxies follow them, and send on
-//! what was new to them.
-use coppersail_peer_protocol::{
-    AssignmentRow, AssignmentUpdate, ConfigDocument, EndpointState, EndpointUpdate, Update,
-};
+//! what was new to them. `feed/updates.rs` makes the updates that they are sent.
+use coppersail_peer_protocol::{AssignmentRow, ConfigDocument, EndpointUpdate, Update};
 use coppersail_rollout::{Phase, RolloutState};
 use std::collections::BTreeMap;
 
+mod updates;
+
 /// A value and the sequence number with which it entered the feed.
 #[derive(Debug)]
 struct Versioned<T> {
@@ -154,52 +154,6 @@
             }
         }
     }
-
-    /// What is new since `sequence` of the feed `id`; a snapshot for a follower that has another feed or none.
-    pub(crate) fn updates_since(&self, id: u64, sequence: u64) -> Update {
-        let is_snapshot = id != self.id || sequence > self.sequence;
-        let since = if is_snapshot { 0 } else { sequence };
-        let config = self.config.iter().find(|config| config.sequence > since);
-        let rollouts = self.rollouts.values().filter(|rollout| rollout.sequence > since);
-        // A follower that begins needs no endpoint that has ended.
-        let is_needed = |e: &EndpointUpdate| !is_snapshot || e.state != EndpointState::Removed;
-        let endpoints = self.endpoints.values().filter(|e| e.sequence > since && is_needed(&e.value));
-        Update {
-            feed_id: self.id,
-            sequence: self.sequence,
-            is_snapshot,
-            config: config.map(|config| config.value.clone()),
-            endpoints: endpoints.map(|endpoint| endpoint.value.clone()).collect(),
-            assignments: self.assignments_since(since),
-            rollouts: rollouts.map(|rollout| rollout.value.clone()).collect(),
-            ..Update::default()
-        }
-    }
-
-    fn assignments_since(&self, since: u64) -> Vec<AssignmentUpdate> {
-        let updates = self.assignments.iter().map(|(service, owners)| AssignmentUpdate {
-            service: service.clone(),
-            slice_count: owners.len() as u32,
-            rows: rows_since(owners, since),
-        });
-        updates.filter(|update| !update.rows.is_empty()).collect()
-    }
-}
-
-/// Runs of neighbouring shards with the same owner and number.
-fn rows_since(owners: &[ShardOwner], since: u64) -> Vec<AssignmentRow> {
-    let mut rows: Vec<AssignmentRow> = Vec::new();
-    for (shard, owner) in owners.iter().enumerate().filter(|(_, owner)| owner.sequence > since) {
-        let shard = shard as u32;
-        let continues = |row: &AssignmentRow| {
-            row.last + 1 == shard && row.owner == owner.endpoint && row.version == owner.number
-        };
-        match rows.last_mut().filter(|row| continues(row)) {
-            Some(row) => row.last = shard,
-            None => rows.push((shard, shard, owner.endpoint.clone(), owner.number).into()),
-        }
-    }
-    rows
 }
 
 fn merge_endpoint(old: &EndpointUpdate, new: &EndpointUpdate) -> EndpointUpdate {
--- a/crates/control-plane/server/src/followers.rs
+++ b/crates/control-plane/server/src/followers.rs
@@ -16,11 +16,21 @@
     pub(crate) sequence: u64,
 }
 
+/// What a follower asks of the answer to its poll.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct AnswerOptions {
+    /// The revision of the configuration that the follower has, if it says so.
+    pub(crate) known_revision: Option<u64>,
+    /// The longest answer that it takes, in bytes; without one all comes at once.
+    pub(crate) max_bytes: Option<u64>,
+}
+
 /// A watch request that is held until something is new, or until its deadline.
 pub(crate) struct LongPoll {
     pub(crate) request_id: RequestId,
     /// What the follower has; the same is sent back to it if there is nothing to send.
     pub(crate) position: FeedPosition,
+    pub(crate) options: AnswerOptions,
     pub(crate) deadline: Ms,
     /// The member that polls, if it is one.
     pub(crate) member: Option<Id>,
--- a/crates/control-plane/server/src/peer_links.rs
+++ b/crates/control-plane/server/src/peer_links.rs
@@ -13,6 +13,10 @@
 /// Ids of polls are above this one, those of the consensus core's operations below.
 const FIRST_POLL_ID: OperationId = 1 << 48;
 
+/// The longest update that is asked of another member, in bytes. A longer one might not come within the timeout of a poll,
+/// which is the heartbeat as well.
+const MAX_UPDATE_BYTES: u64 = 256 * 1024;
+
 struct PeerLink {
     /// What this member has of the peer's change feed.
     position: FeedPosition,
@@ -136,6 +140,8 @@
         feed_id: position.feed_id,
         sequence: position.sequence,
         wait_ms: state.timeouts.core.heartbeat_interval,
+        known_revision: None,
+        max_bytes: Some(MAX_UPDATE_BYTES),
         request_counts,
         rollout_reports,
         status: Some(state.status_for(now, peer)),
--- a/crates/control-plane/server/src/watch.rs
+++ b/crates/control-plane/server/src/watch.rs
@@ -1,5 +1,5 @@
 //! Followers of the change feed: edge proxies and other members poll, and are answered at once or later.
-use crate::followers::{FeedPosition, LongPoll};
+use crate::followers::{AnswerOptions, FeedPosition, LongPoll};
 use crate::members;
 use crate::responses::Reply;
 use crate::state::State;
@@ -26,6 +26,7 @@
         let poll = LongPoll {
             request_id,
             position: FeedPosition { feed_id: request.feed_id, sequence: request.sequence },
+            options: AnswerOptions { known_revision: request.known_revision, max_bytes: request.max_bytes },
             deadline: now + request.wait_ms,
             member: request.status.as_ref().map(|status| status.id.clone()),
         };
@@ -75,7 +76,7 @@
         let update = if self.must_send_elsewhere(now, poll) {
             self.isolated_update(now, poll.position)
         } else {
-            self.update_since(now, poll.position, poll.member.as_deref())
+            self.update_for(now, poll)
         };
         Reply::Update(poll.request_id, Box::new(update))
     }
@@ -92,18 +93,19 @@
         }
     }
 
-    fn update_since(&self, now: Ms, position: FeedPosition, member: Option<&str>) -> Update {
-        let mut update = self.feed.updates_since(position.feed_id, position.sequence);
-        if self.feed.has_active_rollout() {
+    fn update_for(&self, now: Ms, poll: &LongPoll) -> Update {
+        let mut update = self.feed.updates_since(poll.position, poll.options);
+        // It says that all rollouts have been sent.
+        if self.feed.has_active_rollout() && !update.incomplete {
             let term = self.leader_term().filter(|_| self.holds_leader_lease(now));
             update.rollouts_as_of = self.rollouts.as_of(now, term);
         }
         update.isolated = self.is_isolated(now);
         update.uptime_ms = now;
         update.edge_count = self.followers.edge_count(now) as u32;
-        if let Some(peer) = member {
+        if let Some(peer) = &poll.member {
             update.status = Some(self.status_for(now, peer));
-        } else if update.is_snapshot || self.members.any_announced_after(position.sequence) {
+        } else if update.is_snapshot || self.members.any_announced_after(poll.position.sequence) {
             update.control_plane_addresses = members::live_addresses(now, &self.core, self.peer_port);
         }
         update
