--- a/crates/control-plane/peer-client/src/lib.rs
+++ b/crates/control-plane/peer-client/src/lib.rs
@@ -66,8 +66,8 @@
         self.call(address, path, body, None)
     }
 
-    /// [`PeerClient::post`] for a call that the peer answers at once: the answer has to begin within `begin`, though all of it
-    /// may take longer.
+    /// [`PeerClient::post`] for a call that the peer answers at once: the connection has to be made within `begin`, and the
+    /// answer has to begin within it, though all of it may take longer.
     ///
     /// # Errors
     /// As [`PeerClient::post`].
@@ -90,7 +90,12 @@
     ) -> Result<R, PeerError> {
         let text = serde_json::to_vec(body).map_err(PeerError::Encode)?;
         let request = self.agent.post(format!("http://{address}{path}")).content_type("application/json");
-        let request = request.config().timeout_recv_response(response_timeout).build();
+        let request = match response_timeout {
+            Some(begin) => {
+                request.config().timeout_connect(Some(begin)).timeout_recv_response(Some(begin)).build()
+            }
+            None => request,
+        };
         let mut response = request.send(&text[..])?;
         if response.status() != StatusCode::OK {
             return Err(PeerError::Status(response.status()));
--- a/crates/data-plane/edge-proxy/src/edge.rs
+++ b/crates/data-plane/edge-proxy/src/edge.rs
@@ -57,6 +57,7 @@
     pub(crate) open_connections: Cell<usize>,
     /// Rollouts.
     pub rollouts: RolloutVariants,
+    /// When all that a control-plane node has came for the first time.
     first_update_at: Cell<Option<Ms>>,
     ready: Cell<bool>,
 }
@@ -125,7 +126,9 @@
             self.apply_config(document);
         }
         let changes = self.registry.borrow_mut().merge(&update, now);
-        self.first_update_at.set(self.first_update_at.get().or(Some(now)));
+        if !update.incomplete {
+            self.first_update_at.set(self.first_update_at.get().or(Some(now)));
+        }
         for endpoint in &changes.unusable {
             self.pool.close_idle(endpoint);
         }
--- a/crates/data-plane/edge-proxy/src/watch/candidates.rs
+++ b/crates/data-plane/edge-proxy/src/watch/candidates.rs
@@ -10,7 +10,7 @@
 pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// The first poll of a node asks for an answer at once. The node may have accepted the connection and have no thread
 /// for it, as after a restart, when all edges reconnect together; so the next node is polled as soon as one that
-/// does not accept the connection.
+/// does not accept the connection. On a full link both take longer: the timeout grows.
 const FIRST_RESPONSE_TIMEOUT: Duration = CONNECT_TIMEOUT;
 
 /// Control-plane nodes in the order in which they are polled, and the backoff between rounds.
@@ -79,6 +79,8 @@
             self.keep_current(|candidates| candidates.confirmed = update.control_plane_addresses.clone());
         }
         (request.feed_id, request.sequence) = (update.feed_id, update.sequence);
+        let revision = update.config.as_ref().map(|config| config.revision);
+        request.known_revision = request.known_revision.max(revision);
         self.poll_succeeded();
         Ok(update)
     }
@@ -91,7 +93,7 @@
         self.position = position.unwrap_or(self.position);
     }
 
-    /// Response timeout of the first poll of a node. It grows with each round in which all nodes were too slow.
+    /// Timeout of the connection, and then of the response, of the first poll of a node. It grows with each round in which all nodes were too slow.
     pub(crate) fn response_timeout(&self) -> Duration {
         let failed_rounds = self.failures / self.count().max(1);
         (FIRST_RESPONSE_TIMEOUT * (1 + failed_rounds as u32)).min(POLL_TIMEOUT)
--- a/crates/data-plane/edge-proxy/src/watch/watch_loop.rs
+++ b/crates/data-plane/edge-proxy/src/watch/watch_loop.rs
@@ -15,6 +15,10 @@
 const WATCH_PATH: &str = "/follow";
 /// For how long a node may hold back the answer to a poll while there is nothing new.
 const POLL_WAIT: Duration = Duration::from_millis(700);
+/// The longest first answer of a node, in bytes: on a full link, the configuration and the proof that the node answers.
+const FIRST_ANSWER_BYTES: u64 = 8 * 1024;
+/// The longest answer, in bytes: a link carries it within [`POLL_TIMEOUT`] if the traffic of clients leaves it 20 KB/s.
+const MAX_ANSWER_BYTES: u64 = 32 * 1024;
 /// Stack of the thread, in bytes: it only reads and parses.
 const STACK_SIZE: usize = 256 * 1024;
 
@@ -104,6 +108,7 @@
             (true, false) => POLL_WAIT,
         };
         self.request.wait_ms = wait.as_millis() as u64;
+        self.request.max_bytes = Some(if self.connected { MAX_ANSWER_BYTES } else { FIRST_ANSWER_BYTES });
         self.request.rollout_reports = if rollout_active { self.evidence.take() } else { Vec::new() };
     }
 
--- a/crates/data-plane/load-balancing/src/merge.rs
+++ b/crates/data-plane/load-balancing/src/merge.rs
@@ -25,9 +25,7 @@
     /// Merges an update that arrived at `now`.
     pub fn merge(&mut self, update: &Update, now: Ms) -> RegistryChanges {
         let mut changes = RegistryChanges::default();
-        if update.is_snapshot {
-            self.expire_unlisted(update, now);
-        }
+        self.collect_snapshot(update, now);
         for endpoint in &update.endpoints {
             self.merge_endpoint(endpoint, now, &mut changes);
         }
@@ -39,15 +37,27 @@
         changes
     }
 
-    /// Endpoints that a snapshot does not list are dropped once the node that sent it must have learned of them. A node
-    /// that lists no endpoint at all is not trusted about those that it lacks.
-    fn expire_unlisted(&mut self, snapshot: &Update, now: Ms) {
-        if snapshot.endpoints.is_empty() {
+    /// A snapshot may come in parts: only all of them together tell which endpoints it does not list.
+    fn collect_snapshot(&mut self, update: &Update, now: Ms) {
+        if update.is_snapshot {
+            self.snapshot_ids = Some(FxHashSet::default());
+        }
+        let Some(listed) = &mut self.snapshot_ids else { return };
+        listed.extend(update.endpoints.iter().map(|endpoint| endpoint.id.as_str().into()));
+        if update.incomplete {
+            return;
+        }
+        if let Some(listed) = self.snapshot_ids.take() {
+            self.expire_unlisted(&listed, now + WARM_UP_MS.saturating_sub(update.uptime_ms));
+        }
+    }
+
+    /// Endpoints that a snapshot does not list are dropped once the node that sent it must have learned of them, which is at
+    /// `until`. A node that lists no endpoint at all is not trusted about those that it lacks.
+    fn expire_unlisted(&mut self, listed: &FxHashSet<Box<str>>, until: Ms) {
+        if listed.is_empty() {
             return;
         }
-        let until = now + WARM_UP_MS.saturating_sub(snapshot.uptime_ms);
-        let listed: FxHashSet<&str> =
-            snapshot.endpoints.iter().map(|endpoint| endpoint.id.as_str()).collect();
         for endpoint in self.endpoints.values_mut().filter(|endpoint| !listed.contains(&*endpoint.id)) {
             endpoint.unlisted_until.get_or_insert(until);
         }
--- a/crates/data-plane/load-balancing/src/merge/tests.rs
+++ b/crates/data-plane/load-balancing/src/merge/tests.rs
@@ -33,6 +33,48 @@
     assert!(registry.endpoint("i-1").is_some(), "a node that lists no endpoint is not trusted about them");
 }
 
+#[test]
+fn a_snapshot_in_parts_drops_only_what_none_of_them_lists() {
+    let known = ["i-1", "i-2", "i-3"].map(|id| endpoint(id, "10.0.0.1:80", 1));
+    let mut registry = registry(known.to_vec());
+    let part = |is_snapshot, incomplete, id| Update {
+        is_snapshot,
+        incomplete,
+        uptime_ms: 60_000,
+        endpoints: vec![endpoint(id, "10.0.0.1:80", 2)],
+        ..Update::default()
+    };
+    registry.merge(&part(true, true, "i-1"), 100);
+    assert_eq!(
+        registry.merge(&Update { incomplete: true, ..Update::default() }, 200).unusable,
+        [],
+        "not all of it came"
+    );
+    let changes = registry.merge(&part(false, false, "i-3"), 300);
+    assert_eq!(changes.unusable, ["i-2".into()]);
+    assert_eq!(
+        registry.merge(&part(false, false, "i-3"), 400).unusable,
+        [],
+        "what is new later is no snapshot"
+    );
+}
+
+#[test]
+fn a_snapshot_that_begins_anew_forgets_what_its_first_parts_listed() {
+    let known = ["i-1", "i-2"].map(|id| endpoint(id, "10.0.0.1:80", 1));
+    let mut registry = registry(known.to_vec());
+    let begun = |incomplete, id| Update {
+        is_snapshot: true,
+        incomplete,
+        uptime_ms: 60_000,
+        endpoints: vec![endpoint(id, "10.0.0.1:80", 2)],
+        ..Update::default()
+    };
+    registry.merge(&begun(true, "i-1"), 100);
+    // Another node: it does not list the first endpoint.
+    assert_eq!(registry.merge(&begun(false, "i-2"), 200).unusable, ["i-1".into()]);
+}
+
 #[test]
 fn a_removed_endpoint_does_not_come_back_and_a_suspect_one_loses_a_reused_address() {
     let mut registry = registry(vec![endpoint("i-1", "10.0.0.1:80", 1)]);
