Control plane: serves HTTP by hyper, so that no connection waits for another to end

Cause: tiny_http hands a connection to its idle threads; those that come at once queue behind connections that are kept open, and are not read. A node that was stopped for a moment answered 4 of 100 callers; the same library ends the process when descriptors are used up. Change: one thread serves all connections of a node as tasks, by hyper, as at the edge; a connection or body that is idle for a minute is closed; a connection that can't be accepted is tried again.

--- a/crates/control-plane/server/src/lib.rs
+++ b/crates/control-plane/server/src/lib.rs
@@ -27,7 +27,6 @@
 mod reconciliation;
 mod replication;
 mod resources;
-mod response_writer;
 mod responses;
 mod rollout_views;
 pub mod rollouts;
--- a/crates/control-plane/server/src/listener.rs
+++ b/crates/control-plane/server/src/listener.rs
@@ -1,18 +1,50 @@
-//! Accepts HTTP requests on one address and parses them by the resource that they are for.
+//! The HTTP adapter: accepts connections on the addresses of a node, parses requests by the resource that they are for, and
+//! writes the responses.
+//!
+//! One thread serves all connections, each as a task: however many come at once, as after a restart or a partition, none waits
+//! for another to end.
 use crate::resources::{self, ParsedRequest, RequestError, Resource};
-use crate::response_writer;
-use std::error::Error;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::header::{HeaderValue, CONTENT_TYPE, LOCATION};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::convert::Infallible;
 use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::mpsc::{sync_channel, SyncSender};
 use std::sync::Arc;
-use tiny_http::{Method, Request};
-
-/// Bodies up to this length, in bytes, have been read when a request is accepted; a longer one may be long in coming.
-const MAX_BUFFERED_BODY_BYTES: usize = 1024;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::oneshot;
+use tokio::task::{spawn_local, LocalSet};
+use tokio::time::{sleep, timeout};
 
+/// Connections that may wait to be accepted: all edges and endpoints come back together after a partition.
+const BACKLOG: u32 = 1024;
+/// Pause after a connection could not be accepted: as a rule descriptors are used up, and others must end first.
+const ACCEPT_RETRY: Duration = Duration::from_millis(20);
+/// A connection that is idle for so long, or a body that takes so long, is given up: its client has gone, or is cut off.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 const STACK_BYTES: usize = 512 * 1024;
+const JSON: HeaderValue = HeaderValue::from_static("application/json");
+
+/// The response to a request.
+pub(crate) struct HttpResponse {
+    pub(crate) status: u16,
+    /// JSON; with status 307 the URL to redirect to.
+    pub(crate) body: String,
+}
+
+/// Takes the response to one request, from any thread.
+pub(crate) type Responder = oneshot::Sender<HttpResponse>;
 
 /// Takes a request that was parsed, and owes the response to it.
-pub(crate) type RequestHandler = Arc<dyn Fn(Request, ParsedRequest) + Send + Sync>;
+pub(crate) type RequestHandler = Arc<dyn Fn(ParsedRequest, Responder) + Send + Sync>;
 
 /// The address can't be listened on.
 #[derive(Debug, thiserror::Error)]
@@ -20,49 +52,91 @@
 pub struct BindError {
     /// IP address and port.
     pub address: String,
-    source: Box<dyn Error + Send + Sync>,
+    source: io::Error,
 }
 
-/// Listens on one address.
-pub(crate) struct Listener {
-    server: tiny_http::Server,
-    dispatcher: Arc<Dispatcher>,
+/// An address, and the resources that it serves.
+pub(crate) struct Binding {
+    pub(crate) address: String,
+    pub(crate) resources: Vec<Box<dyn Resource>>,
 }
 
-impl Listener {
-    pub(crate) fn bind(
-        address: &str,
-        resources: Vec<Box<dyn Resource>>,
-        on_request: RequestHandler,
-    ) -> Result<Listener, BindError> {
-        let server = tiny_http::Server::http(address)
-            .map_err(|source| BindError { address: address.to_string(), source })?;
-        Ok(Listener { server, dispatcher: Arc::new(Dispatcher { resources, on_request }) })
-    }
+/// Listens on all addresses, on a thread of its own for as long as the process runs.
+pub(crate) fn spawn(bindings: Vec<Binding>, on_request: RequestHandler) -> Result<(), SpawnError> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let (bound, is_bound) = sync_channel(1);
+    let serve = move || LocalSet::new().block_on(&runtime, listen(bindings, on_request, &bound));
+    std::thread::Builder::new().name("http".into()).stack_size(STACK_BYTES).spawn(serve)?;
+    // The thread ends without a word only if it panics, which ends the process.
+    Ok(is_bound.recv().unwrap_or(Ok(()))?)
+}
 
-    /// Accepts requests on a thread of its own, for as long as the process runs.
-    pub(crate) fn spawn(self) -> io::Result<()> {
-        spawn_thread("listener", move || loop {
-            let Ok(request) = self.server.recv() else { continue };
-            self.accept(request);
-        })
+/// Why a node can't listen.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum SpawnError {
+    #[error(transparent)]
+    Bind(#[from] BindError),
+    #[error(transparent)]
+    Thread(#[from] io::Error),
+}
+
+async fn listen(
+    bindings: Vec<Binding>,
+    on_request: RequestHandler,
+    bound: &SyncSender<Result<(), BindError>>,
+) {
+    let mut listeners = Vec::new();
+    for Binding { address, resources } in bindings {
+        match bind(&address) {
+            Ok(listener) => {
+                let dispatcher = Dispatcher { resources, on_request: on_request.clone() };
+                listeners.push((listener, Rc::new(dispatcher)));
+            }
+            Err(source) => {
+                let _ = bound.send(Err(BindError { address, source }));
+                return;
+            }
+        }
     }
+    let _ = bound.send(Ok(()));
+    let accepting: Vec<_> = listeners
+        .into_iter()
+        .map(|(listener, dispatcher)| spawn_local(accept(listener, dispatcher)))
+        .collect();
+    for task in accepting {
+        let _ = task.await;
+    }
+}
 
-    /// A request whose body is still to be received gets a thread of its own, so that it holds up no other.
-    fn accept(&self, request: Request) {
-        let is_short = request.body_length().is_some_and(|length| length <= MAX_BUFFERED_BODY_BYTES);
-        if is_short || request.method() == &Method::Get {
-            self.dispatcher.dispatch(request);
-        } else {
-            let dispatcher = self.dispatcher.clone();
-            let _ = spawn_thread("request", move || dispatcher.dispatch(request));
+fn bind(address: &str) -> io::Result<TcpListener> {
+    let address: SocketAddr = address.parse().map_err(io::Error::other)?;
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+async fn accept(listener: TcpListener, dispatcher: Rc<Dispatcher>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => drop(spawn_local(serve_connection(stream, dispatcher.clone()))),
+            Err(_) => sleep(ACCEPT_RETRY).await,
         }
     }
 }
 
-fn spawn_thread(name: &str, run: impl FnOnce() + Send + 'static) -> io::Result<()> {
-    std::thread::Builder::new().name(name.into()).stack_size(STACK_BYTES).spawn(run)?;
-    Ok(())
+async fn serve_connection(stream: TcpStream, dispatcher: Rc<Dispatcher>) {
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(|request| {
+        let dispatcher = dispatcher.clone();
+        async move { Ok::<_, Infallible>(to_http(dispatcher.respond(request).await)) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(IDLE_TIMEOUT)
+        .serve_connection(TokioIo::new(stream), service);
+    // A client that has gone needs no response.
+    let _ = connection.await;
 }
 
 struct Dispatcher {
@@ -71,17 +145,21 @@
 }
 
 impl Dispatcher {
-    fn dispatch(&self, mut request: Request) {
-        match self.parse(&mut request) {
-            Ok(parsed) => (self.on_request)(request, parsed),
-            Err(error) => response_writer::respond(request, error.status(), error.body()),
-        }
+    async fn respond(&self, request: Request<Incoming>) -> HttpResponse {
+        let parsed = match self.parse(request).await {
+            Ok(parsed) => parsed,
+            Err(error) => return HttpResponse { status: error.status(), body: error.body() },
+        };
+        let (responder, response) = oneshot::channel();
+        (self.on_request)(parsed, responder);
+        // Every request that the node takes is answered, at its deadline at the latest.
+        response.await.unwrap_or(HttpResponse { status: 503, body: String::new() })
     }
 
-    fn parse(&self, request: &mut Request) -> Result<ParsedRequest, RequestError> {
-        let body = resources::read_body(request);
-        let path = request.url().split('?').next().unwrap_or("");
-        let method = request.method();
+    async fn parse(&self, request: Request<Incoming>) -> Result<ParsedRequest, RequestError> {
+        let (head, body) = request.into_parts();
+        let body = read_body(body).await;
+        let (method, path) = (&head.method, head.uri.path());
         let (resource, parameter) = self
             .resources
             .iter()
@@ -90,3 +168,24 @@
         resource.parse(method, parameter, body?)
     }
 }
+
+/// Reads the body up to its end, which must come.
+async fn read_body(body: Incoming) -> Result<String, RequestError> {
+    let collected = timeout(IDLE_TIMEOUT, Limited::new(body, resources::MAX_BODY_BYTES).collect()).await;
+    let body = collected.ok().and_then(Result::ok).ok_or(RequestError::IncompleteBody)?;
+    String::from_utf8(body.to_bytes().into()).map_err(|_| RequestError::IncompleteBody)
+}
+
+fn to_http(response: HttpResponse) -> Response<Full<Bytes>> {
+    let HttpResponse { status, body } = response;
+    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let is_redirect = status == StatusCode::TEMPORARY_REDIRECT;
+    let location = HeaderValue::try_from(body.as_str()).ok().filter(|_| is_redirect);
+    let mut http = Response::new(Full::from(if is_redirect { String::new() } else { body }));
+    *http.status_mut() = status;
+    http.headers_mut().insert(CONTENT_TYPE, JSON);
+    if let Some(location) = location {
+        http.headers_mut().insert(LOCATION, location);
+    }
+    http
+}
--- a/crates/control-plane/server/src/resources.rs
+++ b/crates/control-plane/server/src/resources.rs
@@ -3,12 +3,11 @@
 use crate::node::{AdminRequest, PeerRequest};
 use crate::responses::error_body;
 use coppersail_peer_protocol::WatchRequest;
-use std::io::Read;
+use hyper::Method;
 use thiserror::Error;
-use tiny_http::{Method, Request};
 
 /// The longest body that is read, in bytes: no configuration is longer.
-const MAX_BODY_BYTES: u64 = 16 << 20;
+pub(crate) const MAX_BODY_BYTES: usize = 16 << 20;
 
 /// A request, as the node takes it.
 pub(crate) enum ParsedRequest {
@@ -63,19 +62,10 @@
     vec![Box::new(Watches), Box::new(ConsensusRequests)]
 }
 
-/// Reads the body up to its Content-Length.
-pub(crate) fn read_body(request: &mut Request) -> Result<String, RequestError> {
-    let mut body = String::new();
-    let mut reader = request.as_reader().take(MAX_BODY_BYTES);
-    reader.read_to_string(&mut body).map_err(|_| RequestError::IncompleteBody)?;
-    let is_complete = request.body_length().is_none_or(|length| length == body.len());
-    is_complete.then_some(body).ok_or(RequestError::IncompleteBody)
-}
-
 /// The id in `POST /servers/ID` with this suffix.
 fn endpoint_id<'a>(method: &Method, path: &'a str, suffix: &str) -> Option<&'a str> {
     let id = path.strip_prefix("/servers/")?.strip_suffix(suffix)?;
-    (*method == Method::Post && !id.is_empty()).then_some(id)
+    (*method == Method::POST && !id.is_empty()).then_some(id)
 }
 
 /// `POST /servers/ID/pulse`
@@ -110,14 +100,14 @@
 impl Resource for Configurations {
     fn matches<'a>(&self, method: &Method, path: &'a str) -> Option<&'a str> {
         match (method, path) {
-            (Method::Post, "/settings/replace") | (Method::Get, "/settings/read") => Some(path),
+            (&Method::POST, "/settings/replace") | (&Method::GET, "/settings/read") => Some(path),
             _ => None,
         }
     }
 
     fn parse(&self, method: &Method, _path: &str, body: String) -> Result<ParsedRequest, RequestError> {
-        Ok(ParsedRequest::Admin(match method {
-            Method::Post => AdminRequest::ReplaceConfig { body },
+        Ok(ParsedRequest::Admin(match *method {
+            Method::POST => AdminRequest::ReplaceConfig { body },
             _ => AdminRequest::ReadConfig,
         }))
     }
@@ -130,11 +120,11 @@
     fn matches<'a>(&self, method: &Method, path: &'a str) -> Option<&'a str> {
         let rest = path.strip_prefix("/rollouts")?;
         let is_segment = rest.is_empty() || rest.starts_with('/');
-        (is_segment && matches!(method, Method::Get | Method::Post)).then_some(rest)
+        (is_segment && matches!(*method, Method::GET | Method::POST)).then_some(rest)
     }
 
     fn parse(&self, method: &Method, rest: &str, body: String) -> Result<ParsedRequest, RequestError> {
-        let post = *method == Method::Post;
+        let post = *method == Method::POST;
         Ok(ParsedRequest::Admin(AdminRequest::Rollouts { post, path: rest.into(), body }))
     }
 }
@@ -144,7 +134,7 @@
 
 impl Resource for Watches {
     fn matches<'a>(&self, method: &Method, path: &'a str) -> Option<&'a str> {
-        (*method == Method::Post && path == "/follow").then_some(path)
+        (*method == Method::POST && path == "/follow").then_some(path)
     }
 
     fn parse(&self, _method: &Method, _path: &str, body: String) -> Result<ParsedRequest, RequestError> {
@@ -158,7 +148,7 @@
 
 impl Resource for ConsensusRequests {
     fn matches<'a>(&self, method: &Method, path: &'a str) -> Option<&'a str> {
-        (*method == Method::Post && path == "/core").then_some(path)
+        (*method == Method::POST && path == "/core").then_some(path)
     }
 
     fn parse(&self, _method: &Method, _path: &str, body: String) -> Result<ParsedRequest, RequestError> {
--- a/crates/control-plane/server/src/server.rs
+++ b/crates/control-plane/server/src/server.rs
@@ -2,11 +2,10 @@
 //!
 //! An event goes to the node under its lock, with the time; the effects that come out are carried out here. Nothing is
 //! decided in this module.
-use crate::listener::{BindError, Listener, RequestHandler};
+use crate::listener::{self, BindError, Binding, HttpResponse, RequestHandler, Responder, SpawnError};
 use crate::node::{Effect, Event, Node, PeerResponse, Startup};
 use crate::peer_rpc::{PeerCall, PeerRpcWorkers, ResponseHandler};
 use crate::resources::{self, ParsedRequest};
-use crate::response_writer;
 use crate::store::{DiskWriter, RecoveredState, WriteBatch};
 use coppersail_config::ProcessSettings;
 use coppersail_consensus::{Ms, OperationId, RequestId};
@@ -15,7 +14,6 @@
 use std::path::Path;
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
-use tiny_http::Request;
 
 /// How often the node is given the time.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
@@ -45,11 +43,20 @@
     Thread(#[from] io::Error),
 }
 
+impl From<SpawnError> for StartError {
+    fn from(error: SpawnError) -> StartError {
+        match error {
+            SpawnError::Bind(error) => error.into(),
+            SpawnError::Thread(error) => error.into(),
+        }
+    }
+}
+
 /// A running control-plane node.
 pub struct Server {
     node: Mutex<Node>,
     /// Requests that the node has not answered yet; the index is the request's id.
-    pending_requests: Mutex<Slab<Request>>,
+    pending_requests: Mutex<Slab<Responder>>,
     disk_writer: DiskWriter,
     peer_workers: PeerRpcWorkers,
     started: Instant,
@@ -95,8 +102,11 @@
         let server = Server::recover(settings, recovered, disk_writer, log);
         server.spawn_ticks()?;
         let peer_address = format!("{}:{}", settings.ip_address, settings.peer_ports.0);
-        Listener::bind(&peer_address, resources::of_peers(), server.request_handler())?.spawn()?;
-        Listener::bind(admin_address, resources::of_admin(), server.request_handler())?.spawn()?;
+        let bindings = vec![
+            Binding { address: peer_address, resources: resources::of_peers() },
+            Binding { address: admin_address.clone(), resources: resources::of_admin() },
+        ];
+        listener::spawn(bindings, server.request_handler())?;
         Ok(server)
     }
 
@@ -137,13 +147,13 @@
 
     fn request_handler(self: &Arc<Self>) -> RequestHandler {
         let server = self.clone();
-        Arc::new(move |request, parsed| server.submit_request(request, parsed))
+        Arc::new(move |request, responder| server.submit_request(request, responder))
     }
 
     /// The response is written when the node answers, by the request's id.
-    fn submit_request(self: &Arc<Self>, request: Request, parsed: ParsedRequest) {
-        let request_id = lock(&self.pending_requests).insert(request) as RequestId;
-        self.submit(match parsed {
+    fn submit_request(self: &Arc<Self>, request: ParsedRequest, responder: Responder) {
+        let request_id = lock(&self.pending_requests).insert(responder) as RequestId;
+        self.submit(match request {
             ParsedRequest::Admin(request) => Event::Admin { request_id, request },
             ParsedRequest::Peer(call) => Event::Peer { request_id, request: call },
         });
@@ -208,9 +218,10 @@
     }
 
     fn respond(&self, request_id: RequestId, status: u16, body: String) {
-        let request = lock(&self.pending_requests).try_remove(request_id as usize);
-        if let Some(request) = request {
-            response_writer::respond(request, status, body);
+        let responder = lock(&self.pending_requests).try_remove(request_id as usize);
+        if let Some(responder) = responder {
+            // A client that has gone needs no response.
+            let _ = responder.send(HttpResponse { status, body });
         }
     }
 
