Invariants that count; departures of endpoints come with every part of the feed

Cause: nothing in the running program said that a follower had not what it acknowledged. Change: a node checks that what is read back is what is stored, that a follower which took over an answer has its configuration, and that each part is an advance; violations are counted, logged and a rule of the simulator. The last 24 departures of endpoints come with every part.

--- a/crates/control-plane/server/src/feed.rs
+++ b/crates/control-plane/server/src/feed.rs
@@ -3,12 +3,16 @@
 //! Everything in it only goes forward (revision, number, state, count of heartbeats), so updates may be merged twice, in
 //! any order and from any member: the feeds converge. Members follow each other as edge proxies follow them, and send on
 //! what was new to them. `feed/updates.rs` makes the updates that they are sent.
-use coppersail_peer_protocol::{AssignmentRow, ConfigDocument, EndpointUpdate, Update};
+use coppersail_peer_protocol::{AssignmentRow, ConfigDocument, EndpointState, EndpointUpdate, Update};
 use coppersail_rollout::{Phase, RolloutState};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 mod updates;
 
+/// How many departures of endpoints are sent ahead of older changes: as many as a deployment has in some seconds, and few
+/// enough to leave most of an update to other changes.
+const MAX_DEPARTURES: usize = 24;
+
 /// A value and the sequence number with which it entered the feed.
 #[derive(Debug)]
 struct Versioned<T> {
@@ -32,6 +36,8 @@
     pub(crate) sequence: u64,
     config: Option<Versioned<ConfigDocument>>,
     endpoints: BTreeMap<String, Versioned<EndpointUpdate>>,
+    /// The ids of the endpoints that began to drain or were removed last, the latest at the end.
+    departures: VecDeque<String>,
     /// By service, the owner of each shard.
     assignments: BTreeMap<String, Vec<ShardOwner>>,
     rollouts: BTreeMap<String, Versioned<RolloutState>>,
@@ -94,11 +100,23 @@
             }
             None => new.clone(),
         };
+        let previous_state = self.endpoint(&new.id).map_or(EndpointState::Ready, |old| old.state);
+        if merged.state > previous_state {
+            self.record_departure(&new.id);
+        }
         let merged = self.versioned(merged);
         self.endpoints.insert(new.id.clone(), merged);
         true
     }
 
+    fn record_departure(&mut self, id: &str) {
+        self.departures.retain(|other| other != id);
+        if self.departures.len() == MAX_DEPARTURES {
+            self.departures.pop_front();
+        }
+        self.departures.push_back(id.into());
+    }
+
     /// Removes an endpoint that ended long ago. Followers are not told.
     pub(crate) fn forget_endpoint(&mut self, id: &str) {
         self.endpoints.remove(id);
--- a/crates/control-plane/server/src/feed/updates.rs
+++ b/crates/control-plane/server/src/feed/updates.rs
@@ -1,8 +1,9 @@
 //! The updates that followers are sent, in parts of the length that they ask for.
 //!
 //! A part has the oldest changes that a follower lacks, so that its sequence number acknowledges all up to it and a poll that
-//! fails costs one part. Only the configuration does not wait for its turn: it comes with the first answer to a follower that
-//! does not have it, as an edge that lacks it serves what is no longer allowed.
+//! fails costs one part. Two kinds of changes do not wait for their turn: the configuration comes with the first answer to a
+//! follower that does not have it, and the last departures of endpoints come with every part until their turn is over. An
+//! edge that lacks the one serves what is no longer allowed; one that lacks the other sends requests to endpoints that end.
 use super::{ChangeFeed, ShardOwner, Versioned};
 use crate::followers::{AnswerOptions, FeedPosition};
 use coppersail_peer_protocol::{
@@ -37,6 +38,7 @@
         };
         let is_due = |sequence: u64| since < sequence && sequence <= end;
         let endpoints = self.needed_endpoints(is_snapshot).filter(|endpoint| is_due(endpoint.sequence));
+        let endpoints = endpoints.chain(self.departures_after(end));
         let rollouts = self.rollouts.values().filter(|rollout| is_due(rollout.sequence));
         Update {
             feed_id: self.id,
@@ -60,6 +62,12 @@
         is_new.then_some(&config.value)
     }
 
+    /// The last departures with a higher sequence number.
+    fn departures_after(&self, sequence: u64) -> impl Iterator<Item = &Versioned<EndpointUpdate>> {
+        let endpoints = self.departures.iter().filter_map(|id| self.endpoints.get(id));
+        endpoints.filter(move |endpoint| endpoint.sequence > sequence)
+    }
+
     /// A follower that begins needs no endpoint that has ended.
     fn needed_endpoints(&self, is_snapshot: bool) -> impl Iterator<Item = &Versioned<EndpointUpdate>> {
         let is_needed = move |endpoint: &&Versioned<EndpointUpdate>| {
@@ -79,7 +87,9 @@
         let mut changes = self.changes_since(since, is_snapshot);
         changes.sort_unstable_by_key(|change| change.sequence);
         let service_names: usize = self.assignments.keys().map(|name| ASSIGNMENT_BYTES + name.len()).sum();
-        let mut length = ENVELOPE_BYTES + service_names + config.map_or(0, json_length);
+        let departures: usize =
+            self.departures_after(since).map(|endpoint| endpoint_length(&endpoint.value)).sum();
+        let mut length = ENVELOPE_BYTES + service_names + departures + config.map_or(0, json_length);
         let mut end = since;
         for change in &changes {
             length += change.bytes;
--- a/crates/control-plane/server/src/feed_tests.rs
+++ b/crates/control-plane/server/src/feed_tests.rs
@@ -137,6 +137,25 @@
     assert_eq!((last.incomplete, last.config), (false, None), "it has that one");
 }
 
+/// An edge that is behind would otherwise send requests to endpoints that have ended, until it has everything else.
+#[test]
+fn departures_come_with_every_part_until_their_turn() {
+    let mut feed = populated_feed();
+    feed.put_endpoint(&endpoint("i-5", 2, EndpointState::Draining));
+    feed.put_endpoint(&endpoint("i-6", 2, EndpointState::Removed));
+    let mut position = FeedPosition { feed_id: 7, sequence: 20 };
+    let options = AnswerOptions { known_revision: Some(3), max_bytes: Some(6_000) };
+    let mut parts = 0;
+    while position.sequence < feed.sequence {
+        let update = feed.updates_since(position, options);
+        let departed = update.endpoints.iter().filter(|endpoint| endpoint.state > EndpointState::Ready);
+        assert_eq!(departed.map(|endpoint| endpoint.id.as_str()).collect::<Vec<_>>(), ["i-5", "i-6"]);
+        position.sequence = update.sequence;
+        parts += 1;
+    }
+    assert!(parts > 3, "{parts} parts");
+}
+
 #[test]
 fn a_change_longer_than_the_limit_is_sent_alone() {
     let mut feed = ChangeFeed::new(7);
--- a/crates/control-plane/server/src/followers.rs
+++ b/crates/control-plane/server/src/followers.rs
@@ -25,9 +25,20 @@
     pub(crate) max_bytes: Option<u64>,
 }
 
+/// An answer that a follower was given.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct GivenAnswer {
+    /// The follower has taken it over if it polls with this position.
+    pub(crate) position: FeedPosition,
+    /// The revision in force when it was given.
+    pub(crate) revision: Option<u64>,
+}
+
 /// A watch request that is held until something is new, or until its deadline.
 pub(crate) struct LongPoll {
     pub(crate) request_id: RequestId,
+    /// The name of the follower.
+    pub(crate) follower: String,
     /// What the follower has; the same is sent back to it if there is nothing to send.
     pub(crate) position: FeedPosition,
     pub(crate) options: AnswerOptions,
@@ -40,6 +51,7 @@
     acknowledged_sequence: u64,
     last_seen: Ms,
     is_edge: bool,
+    last_answer: Option<GivenAnswer>,
 }
 
 #[derive(Default)]
@@ -53,10 +65,23 @@
 impl Followers {
     /// A follower has polled; the position of its poll acknowledges the update before.
     pub(crate) fn record_poll(&mut self, now: Ms, name: &str, acknowledged_sequence: u64, is_edge: bool) {
-        let follower = Follower { acknowledged_sequence, last_seen: now, is_edge };
+        let last_answer = self.by_name.get(name).and_then(|follower| follower.last_answer);
+        let follower = Follower { acknowledged_sequence, last_seen: now, is_edge, last_answer };
         self.by_name.insert(name.into(), follower);
     }
 
+    /// A follower is given this answer.
+    pub(crate) fn record_answer(&mut self, name: &str, answer: GivenAnswer) {
+        if let Some(follower) = self.by_name.get_mut(name) {
+            follower.last_answer = Some(answer);
+        }
+    }
+
+    /// The last answer that a follower was given.
+    pub(crate) fn last_answer(&self, name: &str) -> Option<GivenAnswer> {
+        self.by_name.get(name)?.last_answer
+    }
+
     /// An edge is running, as its poll or another member says.
     pub(crate) fn record_edge(&mut self, now: Ms, name: String) {
         self.edges.insert(name, now);
--- a/crates/control-plane/server/src/lib.rs
+++ b/crates/control-plane/server/src/lib.rs
@@ -11,6 +11,7 @@
 #[cfg(test)]
 mod feed_tests;
 mod followers;
+mod invariants;
 mod listener;
 mod members;
 mod messages;
--- a/crates/control-plane/server/src/node.rs
+++ b/crates/control-plane/server/src/node.rs
@@ -94,6 +94,7 @@
         }
         self.apply_outputs(now, outputs, effects);
         self.log_new_revision(effects);
+        effects.extend(self.state.violations.take_lines().into_iter().map(Effect::Log));
         effects.extend(replies.into_iter().map(Effect::from));
     }
 
@@ -257,6 +258,11 @@
         }
     }
 
+    /// How many violations of its invariants it has seen; each is logged.
+    pub fn violations(&self) -> u64 {
+        self.state.violations.count()
+    }
+
     /// Whether this member leads, as far as it knows. It may have lost its lease meanwhile.
     pub fn is_leader(&self) -> bool {
         self.state.is_leader()
--- a/crates/control-plane/server/src/operator_requests.rs
+++ b/crates/control-plane/server/src/operator_requests.rs
@@ -1,4 +1,5 @@
 //! Requests of operators: configurations, and plans of rollouts.
+use crate::invariants::Violation;
 use crate::messages::Effect;
 use crate::orders::{digest, OrderDecision, CONFIG_KEY};
 use crate::pending_replies::{PendingReply, ReplyKind};
@@ -73,16 +74,27 @@
         self.pending_replies.push(pending);
     }
 
-    pub(crate) fn read_config(&self, now: Ms) -> Response {
+    pub(crate) fn read_config(&mut self, now: Ms) -> Response {
         if !self.holds_leader_lease(now) {
             return self.redirect_to_leader(now, "/settings/read");
         }
+        self.check_config_in_force();
         match self.feed.config() {
             Some(config) => Response::ok(config.body.clone()),
             None => Rejection::not_found("no configuration yet").into(),
         }
     }
 
+    /// What this leader has in force, and lets operators read, is what is on the disks.
+    fn check_config_in_force(&mut self) {
+        let stored = self.core.state().get(CONFIG_KEY);
+        let stored = stored.and_then(|text| serde_json::from_str::<ConfigDocument>(text).ok());
+        let (read, stored) = (self.feed.config(), stored.as_ref());
+        let revision = |config: Option<&ConfigDocument>| config.map(|config| config.revision);
+        let (holds, read, stored) = (read == stored, revision(read), revision(stored));
+        self.violations.check(holds, || Violation::ReadDiffersFromState { read, stored });
+    }
+
     /// `GET /rollouts` and `GET /rollouts/NAME`. `path`: after `/rollouts`.
     pub(crate) fn read_rollouts(&self, now: Ms, path: &str) -> Response {
         if !self.holds_leader_lease(now) {
--- a/crates/control-plane/server/src/state.rs
+++ b/crates/control-plane/server/src/state.rs
@@ -8,6 +8,7 @@
 use crate::endpoints::Heartbeats;
 use crate::feed::ChangeFeed;
 use crate::followers::Followers;
+use crate::invariants::Violations;
 use crate::members::{self, Members};
 use crate::orders::Orders;
 use crate::pending_replies::PendingReplies;
@@ -35,6 +36,7 @@
     pub(crate) orders: Orders,
     pub(crate) proposals: Proposals,
     pub(crate) pending_replies: PendingReplies,
+    pub(crate) violations: Violations,
 }
 
 impl State {
@@ -53,6 +55,7 @@
             orders: Orders::default(),
             proposals: Proposals::default(),
             pending_replies: PendingReplies::default(),
+            violations: Violations::default(),
         }
     }
 
--- a/crates/control-plane/server/src/watch.rs
+++ b/crates/control-plane/server/src/watch.rs
@@ -1,5 +1,6 @@
 //! Followers of the change feed: edge proxies and other members poll, and are answered at once or later.
-use crate::followers::{AnswerOptions, FeedPosition, LongPoll};
+use crate::followers::{AnswerOptions, FeedPosition, GivenAnswer, LongPoll};
+use crate::invariants::Violation;
 use crate::members;
 use crate::responses::Reply;
 use crate::state::State;
@@ -23,9 +24,12 @@
         let is_this_feed = request.feed_id == self.feed.id;
         let acknowledged = if is_this_feed { request.sequence } else { 0 };
         self.followers.record_poll(now, &request.edge, acknowledged, request.status.is_none());
+        let position = FeedPosition { feed_id: request.feed_id, sequence: request.sequence };
+        self.check_known_revision(&request.edge, position, request.known_revision);
         let poll = LongPoll {
             request_id,
-            position: FeedPosition { feed_id: request.feed_id, sequence: request.sequence },
+            follower: request.edge.clone(),
+            position,
             options: AnswerOptions { known_revision: request.known_revision, max_bytes: request.max_bytes },
             deadline: now + request.wait_ms,
             member: request.status.as_ref().map(|status| status.id.clone()),
@@ -38,6 +42,18 @@
         }
     }
 
+    /// A follower that took over the last answer has the configuration that was in force then.
+    fn check_known_revision(&mut self, follower: &str, position: FeedPosition, known: Option<u64>) {
+        let Some(known) = known else { return };
+        let taken_over = self.followers.last_answer(follower).filter(|answer| answer.position == position);
+        let Some(answered) = taken_over.and_then(|answer| answer.revision) else { return };
+        self.violations.check(known >= answered, || Violation::FollowerLacksConfig {
+            follower: follower.into(),
+            known,
+            answered,
+        });
+    }
+
     /// Request counts and evidence about rollouts; the leader uses them, other members send them on to it.
     fn receive_measurements(&mut self, now: Ms, request: &WatchRequest) {
         let is_leader = self.is_leader();
@@ -72,15 +88,29 @@
         poll.member.is_none() && self.is_isolated(now)
     }
 
-    fn poll_reply(&self, now: Ms, poll: &LongPoll) -> Reply {
+    fn poll_reply(&mut self, now: Ms, poll: &LongPoll) -> Reply {
         let update = if self.must_send_elsewhere(now, poll) {
             self.isolated_update(now, poll.position)
         } else {
             self.update_for(now, poll)
         };
+        self.record_answer(poll, &update);
         Reply::Update(poll.request_id, Box::new(update))
     }
 
+    fn record_answer(&mut self, poll: &LongPoll, update: &Update) {
+        let position = FeedPosition { feed_id: update.feed_id, sequence: update.sequence };
+        let advances =
+            poll.position.feed_id != position.feed_id || poll.position.sequence < position.sequence;
+        self.violations.check(advances || !update.incomplete, || Violation::PartDoesNotAdvance {
+            follower: poll.follower.clone(),
+            sequence: position.sequence,
+        });
+        // An isolated node's answer is not taken over.
+        let revision = self.feed.revision().filter(|_| !update.isolated);
+        self.followers.record_answer(&poll.follower, GivenAnswer { position, revision });
+    }
+
     /// Where the other members are, and nothing else; the edge keeps what it has.
     fn isolated_update(&self, now: Ms, position: FeedPosition) -> Update {
         Update {
--- a/crates/tools/simulator/src/edge.rs
+++ b/crates/tools/simulator/src/edge.rs
@@ -98,11 +98,12 @@
 }
 
 impl Edge {
-    pub(crate) fn new(ip: String, zone: usize, targets: WatchTargets) -> Edge {
+    pub(crate) fn new(ip: String, zone: usize, targets: WatchTargets, max_answer_bytes: Option<u64>) -> Edge {
         let watch_request = WatchRequest {
             edge: ip.clone(),
             zone: zone_name(zone),
             wait_ms: WATCH_WAIT_MS,
+            max_bytes: max_answer_bytes,
             ..WatchRequest::default()
         };
         Edge { zone, ip, watch_request, targets, ..Edge::default() }
@@ -113,6 +114,7 @@
         self.targets = targets;
         self.watch_request.feed_id = 0;
         self.watch_request.sequence = 0;
+        self.watch_request.known_revision = None;
         self.watch_request.request_counts = Vec::new();
         (self.revision, self.order, self.polling) = (0, None, false);
         self.disturbed_at = self.disturbed_at.max(now);
--- a/crates/tools/simulator/src/generator.rs
+++ b/crates/tools/simulator/src/generator.rs
@@ -6,6 +6,8 @@
 use fastrand::Rng;
 
 /// Least time between two faults.
+/// So short that a snapshot comes in parts.
+const MAX_ANSWER_BYTES: u64 = 2 * 1024;
 const MIN_FAULT_INTERVAL_MS: Millis = 10;
 
 fn between(rng: &mut Rng, low: Millis, high: Millis) -> Millis {
@@ -166,6 +168,7 @@
         let machines = [3, 3, 3, 4, 5, 5, 6, 7, 9][rng.usize(0..9)];
         let max_failures = if machines >= 5 && rng.u8(0..3) == 0 { 2 } else { 1 };
         let mut scenario = Scenario {
+            max_answer_bytes: Some(MAX_ANSWER_BYTES),
             seed,
             machines,
             zones: rng.usize(3..=4),
--- a/crates/tools/simulator/src/invariants/violation.rs
+++ b/crates/tools/simulator/src/invariants/violation.rs
@@ -44,6 +44,8 @@
         "a centre cut off for longer than `inContact` answers nothing with 2xx";
     /// Each request has one response, each operation its own id.
     pub const NODE_PROTOCOL: &str = "a node answers each caller once and uses no token twice";
+    /// The invariants that a node checks itself.
+    pub const NODE_INVARIANT: &str = "a node sees none of its invariants violated";
     /// No panic.
     pub const PANIC: &str = "a node does not panic";
 }
--- a/crates/tools/simulator/src/scenario.rs
+++ b/crates/tools/simulator/src/scenario.rs
@@ -22,6 +22,8 @@
     pub endpoints: usize,
     /// Edge proxies.
     pub edges: usize,
+    /// The longest update that an edge takes at once, in bytes; without one it takes all at once.
+    pub max_answer_bytes: Option<u64>,
     /// Mean time between two orders of an operator, in milliseconds; 0: operators send none by themselves.
     pub order_interval: Millis,
     /// By ascending time.
@@ -46,6 +48,7 @@
             duration: 40_000,
             endpoints: 8,
             edges: 4,
+            max_answer_bytes: None,
             order_interval: 1500,
             faults: Vec::new(),
             final_fault: None,
--- a/crates/tools/simulator/src/world/edges.rs
+++ b/crates/tools/simulator/src/world/edges.rs
@@ -36,7 +36,7 @@
             let zone = edge_id % self.scenario.zones;
             let ip = format!("10.{}.1.{}", zone + 1, edge_id + 1);
             let targets = WatchTargets::new(configured.clone(), edge_id);
-            self.edges.push(Edge::new(ip, zone, targets));
+            self.edges.push(Edge::new(ip, zone, targets, self.scenario.max_answer_bytes));
             let delay = self.rng.u64(0..START_SPREAD);
             self.schedule_poll(edge_id, delay);
         }
@@ -132,6 +132,8 @@
         }
         edge.watch_request.feed_id = update.feed_id;
         edge.watch_request.sequence = update.sequence;
+        let revision = update.config.as_ref().map(|config| config.revision);
+        edge.watch_request.known_revision = edge.watch_request.known_revision.max(revision);
         edge.targets.record_success();
         let result = edge.apply_update(now, &mut update);
         self.record_check(result);
--- a/crates/tools/simulator/src/world/effects.rs
+++ b/crates/tools/simulator/src/world/effects.rs
@@ -18,9 +18,14 @@
         let Some(process) = &mut self.machines[machine_id].process else { return };
         let mut effects = Vec::new();
         process.node.step(process.clock(now), event, &mut effects);
+        let violations = process.node.violations();
         self.statistics.steps += 1;
         let result = self.check_effects(machine_id, &effects);
         self.record_check(result);
+        if violations > 0 {
+            let detail = format!("{} has seen {violations}", self.machines[machine_id].ip);
+            self.record_check::<()>(Err(CheckError::new(rule::NODE_INVARIANT, detail)));
+        }
         self.execute_with_trigger(machine_id, effects);
     }
 
--- a/crates/tools/simulator/tests/scenarios.rs
+++ b/crates/tools/simulator/tests/scenarios.rs
@@ -271,6 +271,18 @@
     }
 }
 
+/// Edges that take the feed in small parts while nodes are killed, and that go from one to the other.
+#[test]
+fn edges_that_take_the_feed_in_parts() {
+    for (seed, target) in ROLES.into_iter().enumerate() {
+        let mut faults = regular_load(9000, 40_000);
+        faults.push(at(14_000, target, FaultKind::PowerLoss { downtime: 2_000 }));
+        faults.push(at(26_000, FaultTarget::Leader, FaultKind::PowerLoss { downtime: 500 }));
+        let whole = scenario(seed as u64, 3, faults);
+        assert_holds(&Scenario { max_answer_bytes: Some(700), ..whole });
+    }
+}
+
 #[test]
 fn a_replaced_member_that_returns_with_its_old_disk() {
     for seed in 1..=3 {
