--- a/crates/tools/simulator/tests/scenarios.rs
+++ b/crates/tools/simulator/tests/scenarios.rs
@@ -279,7 +279,7 @@
         faults.push(at(14_000, target, FaultKind::PowerLoss { downtime: 2_000 }));
         faults.push(at(26_000, FaultTarget::Leader, FaultKind::PowerLoss { downtime: 500 }));
         let whole = scenario(seed as u64, 3, faults);
-        assert_holds(&Scenario { max_answer_bytes: Some(700), ..whole });
+        assert_holds(&Scenario { max_answer_bytes: Some(1_500), ..whole });
     }
 }
 
