Soak: real nodes and edges under random faults that overlap

Cause: configurations were checked against random faults in the simulator only, which has no sockets, threads or disks of its own.

--- /dev/null
+++ b/crates/tools/soak/src/cluster.rs
@@ -0,0 +1,210 @@
+//! The processes of a run, with their settings, data folders and logs, and a relay in front of each node.
+//!
+//! A node is known by the address of its relay: its settings name that as the address for operators, and edges and other nodes
+//! derive from it where they reach the node; the process itself listens on another address.
+use crate::relay::{self, Link};
+use eyre::WrapErr;
+use serde_json::{json, Value};
+use std::fs::File;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command};
+
+pub(crate) const NODES: usize = 3;
+pub(crate) const EDGES: usize = 3;
+const ADMIN_PORT: u16 = 8544;
+const PEER_PORT: u16 = 7540;
+const CLIENT_PORT: u16 = 8080;
+
+/// A process and what it is started with.
+struct Process {
+    program: PathBuf,
+    settings: PathBuf,
+    log: PathBuf,
+    child: Option<Child>,
+}
+
+impl Process {
+    fn start(&mut self) -> eyre::Result<()> {
+        let log = File::options().create(true).append(true).open(&self.log)?;
+        let mut command = Command::new(&self.program);
+        command.env("COPPERSAIL_SETTINGS", &self.settings).stdout(log.try_clone()?).stderr(log);
+        let program = self.program.display().to_string();
+        self.child = Some(command.spawn().wrap_err_with(|| format!("can't start {program}"))?);
+        Ok(())
+    }
+
+    fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Sends a signal by name; nothing if the process does not run.
+    fn signal(&self, name: &str) {
+        if let Some(child) = &self.child {
+            let _ = Command::new("kill").args([&format!("-{name}"), &child.id().to_string()]).status();
+        }
+    }
+}
+
+/// Which process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum ProcessId {
+    Node(usize),
+    Edge(usize),
+}
+
+/// The loopback addresses of a run: three subnets, for relays, nodes and edges.
+pub(crate) struct Network {
+    /// The second number of the addresses.
+    pub(crate) second: u8,
+    /// The third number of the first subnet.
+    pub(crate) first_subnet: u8,
+}
+
+impl Network {
+    fn address(&self, subnet: u8, index: usize) -> String {
+        format!("127.{}.{}.{}", self.second, self.first_subnet + subnet, index + 1)
+    }
+}
+
+/// Three nodes and the edges that follow them.
+pub(crate) struct Cluster {
+    folder: PathBuf,
+    network: Network,
+    nodes: Vec<Process>,
+    edges: Vec<Process>,
+    pub(crate) links: Vec<Link>,
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        self.nodes.iter_mut().chain(&mut self.edges).for_each(Process::kill);
+    }
+}
+
+impl Cluster {
+    /// Starts all processes, with empty folders below `folder`.
+    pub(crate) fn start(programs: &Path, folder: PathBuf, network: Network) -> eyre::Result<Cluster> {
+        let _ = std::fs::remove_dir_all(&folder);
+        std::fs::create_dir_all(&folder)?;
+        let mut cluster =
+            Cluster { folder, network, nodes: Vec::new(), edges: Vec::new(), links: Vec::new() };
+        for node in 0..NODES {
+            let relay = format!("{}:{PEER_PORT}", cluster.relay_ip(node));
+            let link = relay::start(&relay, format!("{}:{PEER_PORT}", cluster.node_ip(node)));
+            cluster.links.push(link.wrap_err_with(|| format!("can't listen at {relay}"))?);
+            let process = cluster.process(programs, "coppersail-control-plane", &format!("node-{node}"));
+            cluster.nodes.push(process);
+            cluster.write_node_settings(node, true)?;
+        }
+        for edge in 0..EDGES {
+            let process = cluster.process(programs, "coppersail-edge-proxy", &format!("edge-{edge}"));
+            cluster.edges.push(process);
+            cluster.write_edge_settings(edge)?;
+        }
+        cluster.nodes.iter_mut().chain(&mut cluster.edges).try_for_each(Process::start)?;
+        // A later start is never the first one.
+        (0..NODES).try_for_each(|node| cluster.write_node_settings(node, false))?;
+        Ok(cluster)
+    }
+
+    fn process(&self, programs: &Path, program: &str, name: &str) -> Process {
+        Process {
+            program: programs.join(program),
+            settings: self.folder.join(format!("{name}.json")),
+            log: self.folder.join(format!("{name}.log")),
+            child: None,
+        }
+    }
+
+    fn relay_ip(&self, node: usize) -> String {
+        self.network.address(0, node)
+    }
+
+    fn node_ip(&self, node: usize) -> String {
+        self.network.address(1, node)
+    }
+
+    fn edge_ip(&self, edge: usize) -> String {
+        self.network.address(2, edge)
+    }
+
+    /// Where operators reach a node, "ip:port".
+    pub(crate) fn admin_address(&self, node: usize) -> String {
+        format!("{}:{ADMIN_PORT}", self.relay_ip(node))
+    }
+
+    /// Where clients reach an edge, "ip:port".
+    pub(crate) fn client_address(&self, edge: usize) -> String {
+        format!("{}:{CLIENT_PORT}", self.edge_ip(edge))
+    }
+
+    fn common_settings(&self, ip: &str, initial_boot: bool) -> Value {
+        let peers: Vec<String> = (0..NODES).map(|node| self.admin_address(node)).collect();
+        json!({
+            "self": {"ipAddress": ip, "area": "north", "initialBoot": initial_boot},
+            "network": {"sparePorts": [PEER_PORT, PEER_PORT], "knownPeers": peers, "binds": {}},
+            "provider": {"heartbeat": "300ms"},
+            "terms": {
+                "survive": {"boxes": 1},
+                "timeLimits": {"inContact": "1500ms", "apply": "2s", "keepMax": "2s", "leeway": "2s"}
+            }
+        })
+    }
+
+    fn write_node_settings(&self, node: usize, initial_boot: bool) -> eyre::Result<()> {
+        let mut settings = self.common_settings(&self.node_ip(node), initial_boot);
+        settings["self"]["dataFolder"] = json!(self.folder.join(format!("data-{node}")));
+        settings["network"]["binds"]["admin"] = self.admin_address(node).into();
+        std::fs::create_dir_all(self.folder.join(format!("data-{node}")))?;
+        Ok(std::fs::write(&self.nodes[node].settings, settings.to_string())?)
+    }
+
+    fn write_edge_settings(&self, edge: usize) -> eyre::Result<()> {
+        let mut settings = self.common_settings(&self.edge_ip(edge), false);
+        settings["network"]["binds"]["publicPlain"] = self.client_address(edge).into();
+        settings["network"]["binds"]["readiness"] = format!("{}:8081", self.edge_ip(edge)).into();
+        Ok(std::fs::write(&self.edges[edge].settings, settings.to_string())?)
+    }
+
+    fn get_mut(&mut self, id: ProcessId) -> &mut Process {
+        match id {
+            ProcessId::Node(node) => &mut self.nodes[node],
+            ProcessId::Edge(edge) => &mut self.edges[edge],
+        }
+    }
+
+    pub(crate) fn kill(&mut self, id: ProcessId) {
+        self.get_mut(id).kill();
+    }
+
+    /// Starts a process unless it runs.
+    pub(crate) fn start_again(&mut self, id: ProcessId) -> eyre::Result<()> {
+        let process = self.get_mut(id);
+        if process.child.is_some() {
+            return Ok(());
+        }
+        process.start()
+    }
+
+    pub(crate) fn pause(&mut self, id: ProcessId) {
+        self.get_mut(id).signal("STOP");
+    }
+
+    pub(crate) fn resume(&mut self, id: ProcessId) {
+        self.get_mut(id).signal("CONT");
+    }
+
+    /// Lines of any log that tell of a fault of the program.
+    pub(crate) fn suspicious_log_lines(&self) -> Vec<String> {
+        let logs = self.nodes.iter().chain(&self.edges).map(|process| &process.log);
+        let texts = logs.filter_map(|log| std::fs::read_to_string(log).ok());
+        let is_suspicious =
+            |line: &&str| ["Invariant violated", "panicked", "torn"].iter().any(|word| line.contains(word));
+        texts
+            .flat_map(|text| text.lines().filter(is_suspicious).map(str::to_owned).collect::<Vec<_>>())
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/tools/soak/src/main.rs
@@ -0,0 +1,76 @@
+//! `coppersail-soak`: runs real control-plane nodes and edge proxies on loopback under random faults that overlap, and checks
+//! what must hold of configurations. Exit status 0: no violation; 1: a violation, or a process that does not start; 2: a
+//! wrong argument.
+mod cluster;
+mod faults;
+mod history;
+mod observers;
+mod relay;
+mod run;
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+const EXIT_USAGE: u8 = 2;
+const HELP: &str = "\
+coppersail-soak [--programs DIR] [--first SEED] [--seeds COUNT] [--seconds S]
+  runs COUNT (3) seeds from SEED (1), each with S (10) seconds of random faults, with the programs in DIR (target/release)";
+
+struct Arguments {
+    programs: PathBuf,
+    first: u64,
+    seeds: u64,
+    faults_for: Duration,
+}
+
+fn main() -> ExitCode {
+    let arguments = match parse_arguments() {
+        Ok(Some(arguments)) => arguments,
+        Ok(None) => {
+            println!("{HELP}");
+            return ExitCode::SUCCESS;
+        }
+        Err(error) => {
+            eprintln!("coppersail-soak: {error}");
+            return ExitCode::from(EXIT_USAGE);
+        }
+    };
+    let mut is_sound = true;
+    for seed in arguments.first..arguments.first + arguments.seeds {
+        match run::run(&arguments.programs, seed, arguments.faults_for) {
+            Ok(report) => {
+                println!("seed {seed}: {report}");
+                is_sound &= report.violations.is_empty();
+            }
+            Err(error) => {
+                eprintln!("seed {seed}: {error:#}");
+                is_sound = false;
+            }
+        }
+    }
+    ExitCode::from(u8::from(!is_sound))
+}
+
+/// `None`: help is asked for.
+fn parse_arguments() -> Result<Option<Arguments>, lexopt::Error> {
+    use lexopt::prelude::{Long, ValueExt};
+    let mut arguments = Arguments {
+        programs: "target/release".into(),
+        first: 1,
+        seeds: 3,
+        faults_for: Duration::from_secs(10),
+    };
+    let mut parser = lexopt::Parser::from_env();
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Long("programs") => arguments.programs = parser.value()?.into(),
+            Long("first") => arguments.first = parser.value()?.parse()?,
+            Long("seeds") => arguments.seeds = parser.value()?.parse()?,
+            Long("seconds") => arguments.faults_for = Duration::from_secs(parser.value()?.parse()?),
+            Long("help") => return Ok(None),
+            other => return Err(other.unexpected()),
+        }
+    }
+    Ok(Some(arguments))
+}
--- /dev/null
+++ b/crates/tools/soak/src/observers.rs
@@ -0,0 +1,191 @@
+//! Threads that act as an operator, a reader and the clients of edges, and tell the history what they see.
+use crate::history::History;
+use serde_json::{json, Value};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread::{sleep, spawn, JoinHandle};
+use std::time::{Duration, Instant};
+
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+const ORDER_PAUSE: Duration = Duration::from_millis(60);
+const READ_PAUSE: Duration = Duration::from_millis(20);
+const PROBE_PAUSE: Duration = Duration::from_millis(15);
+const MAX_REDIRECTS: usize = 2;
+/// A configuration routes the paths of so many revisions, its own the last: more than an edge may be ahead of the one that it
+/// should have.
+const ROUTED_REVISIONS: u64 = 200;
+/// No configuration routes it.
+const UNROUTED_PATH: &str = "/never/";
+
+/// What the threads of a run share.
+#[derive(Clone, Default)]
+pub(crate) struct Shared {
+    history: Arc<Mutex<History>>,
+    is_over: Arc<AtomicBool>,
+}
+
+impl Shared {
+    pub(crate) fn history(&self) -> MutexGuard<'_, History> {
+        self.history.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Ends the threads.
+    pub(crate) fn finish(&self) {
+        self.is_over.store(true, Ordering::Relaxed);
+    }
+
+    fn is_over(&self) -> bool {
+        self.is_over.load(Ordering::Relaxed)
+    }
+}
+
+fn agent() -> ureq::Agent {
+    let config = ureq::Agent::config_builder()
+        .http_status_as_error(false)
+        .max_redirects(0)
+        .timeout_global(Some(CALL_TIMEOUT))
+        .build();
+    config.into()
+}
+
+/// The configuration of a revision: its path and those of the ones before it lead to a service without endpoints.
+pub(crate) fn configuration(revision: u64) -> Value {
+    let first = revision.saturating_sub(ROUTED_REVISIONS - 1).max(1);
+    let rows: Vec<Value> =
+        (first..=revision).map(|n| json!(["d.example", format!("/{n}/"), "repeatable", "s"])).collect();
+    json!({
+        "revision": format!("r{revision}"),
+        "routes": {"columns": ["domain", "pathStart", "sort", "backend"], "rows": rows},
+        "backends": {"columns": ["name"], "rows": [["s"]]},
+        "caps": {}
+    })
+}
+
+/// A call of an operator, which follows redirects. `None`: no answer.
+fn call(agent: &ureq::Agent, address: &str, path: &str, body: Option<&str>) -> Option<(u16, String)> {
+    let mut url = format!("http://{address}{path}");
+    for _ in 0..=MAX_REDIRECTS {
+        let mut response = match body {
+            Some(body) => agent.post(&url).send(body).ok()?,
+            None => agent.get(&url).call().ok()?,
+        };
+        let status = response.status().as_u16();
+        if status != 307 {
+            return Some((status, response.body_mut().read_to_string().ok()?));
+        }
+        url = response.headers().get("location")?.to_str().ok()?.to_owned();
+    }
+    None
+}
+
+/// Sends one configuration after the other, each until it has a clear answer, and each acknowledged one again.
+pub(crate) fn start_operator(shared: Shared, nodes: Vec<String>, seed: u64) -> JoinHandle<()> {
+    spawn(move || {
+        let (agent, mut random) = (agent(), fastrand::Rng::with_seed(seed));
+        let mut revision = 0;
+        while !shared.is_over() {
+            revision += random.u64(1..4);
+            send_order(&shared, &agent, &nodes, revision, &mut random);
+            sleep(ORDER_PAUSE);
+        }
+    })
+}
+
+fn send_order(
+    shared: &Shared,
+    agent: &ureq::Agent,
+    nodes: &[String],
+    revision: u64,
+    random: &mut fastrand::Rng,
+) {
+    let body = configuration(revision).to_string();
+    let mut acknowledgements = 0;
+    while acknowledgements < 2 && !shared.is_over() {
+        let node = random.usize(0..nodes.len());
+        match call(agent, &nodes[node], "/settings/replace", Some(&body)) {
+            Some((200, _)) => {
+                shared.history().acknowledge(revision, Instant::now());
+                acknowledgements += 1;
+            }
+            Some((status @ 400..=499, _)) => return shared.history().refuse(revision, status),
+            _ => sleep(ORDER_PAUSE),
+        }
+    }
+}
+
+/// Reads the configuration at any node, again and again.
+pub(crate) fn start_reader(shared: Shared, nodes: Vec<String>, seed: u64) -> JoinHandle<()> {
+    spawn(move || {
+        let (agent, mut random) = (agent(), fastrand::Rng::with_seed(seed));
+        while !shared.is_over() {
+            let node = random.usize(0..nodes.len());
+            read(&shared, &agent, node, &nodes[node]);
+            sleep(READ_PAUSE);
+        }
+    })
+}
+
+/// Reads the configuration at a node; whether there was an answer.
+fn read(shared: &Shared, agent: &ureq::Agent, node: usize, address: &str) -> bool {
+    let acknowledged = shared.history().newest_acknowledged();
+    let Some((200, body)) = call(agent, address, "/settings/read", None) else { return false };
+    let document: Value = serde_json::from_str(&body).unwrap_or_default();
+    let revision = document["revision"].as_str().and_then(|text| text[1..].parse().ok()).unwrap_or(0);
+    shared.history().read(node, acknowledged, revision, document == configuration(revision));
+    true
+}
+
+/// Whether each node lets the newest configuration be read until then; the index of the first that does not.
+pub(crate) fn read_back(shared: &Shared, nodes: &[String], until: Instant) -> Option<usize> {
+    let agent = agent();
+    let is_read = |(node, address): &(usize, &String)| loop {
+        if read(shared, &agent, *node, address) {
+            return true;
+        }
+        if Instant::now() > until {
+            return false;
+        }
+        sleep(READ_PAUSE);
+    };
+    nodes.iter().enumerate().find(|node| !is_read(node)).map(|(node, _)| node)
+}
+
+/// Asks an edge for the paths of revisions, to see by which it serves.
+pub(crate) fn start_client(shared: Shared, edge: usize, address: String) -> JoinHandle<()> {
+    spawn(move || {
+        let agent = agent();
+        while !shared.is_over() {
+            probe_edge(&shared, &agent, edge, &address);
+            sleep(PROBE_PAUSE);
+        }
+    })
+}
+
+/// The revisions that tell most: the one that the edge should have, the one that it had, and the newest.
+fn probe_edge(shared: &Shared, agent: &ureq::Agent, edge: usize, address: &str) {
+    let revisions = {
+        let history = shared.history();
+        [history.newest_due(Instant::now()), history.highest_seen(edge), history.newest_acknowledged()]
+    };
+    for revision in revisions.into_iter().filter(|revision| *revision > 0) {
+        let probe = shared.history().probe(edge, Instant::now());
+        match has_route(agent, address, revision) {
+            Some(true) => shared.history().see_at_least(probe, revision),
+            Some(false) => shared.history().see_below(probe, revision),
+            None => return,
+        }
+    }
+}
+
+/// Whether the edge routes the path of this revision. `None`: no answer. An edge that has a route answers 503, as there is no
+/// endpoint, and one without it 404; one without a configuration answers 503 to everything.
+fn has_route(agent: &ureq::Agent, address: &str, revision: u64) -> Option<bool> {
+    let has_config = status_of(agent, address, UNROUTED_PATH)? == 404;
+    Some(has_config && status_of(agent, address, &format!("/{revision}/"))? == 503)
+}
+
+fn status_of(agent: &ureq::Agent, address: &str, path: &str) -> Option<u16> {
+    let request = agent.get(format!("http://{address}{path}"));
+    let request = request.header("Host", "d.example").header("Try-Id", "soak").header("Time-Left-Ms", "500");
+    request.call().ok().map(|response| response.status().as_u16())
+}
--- /dev/null
+++ b/crates/tools/soak/src/run.rs
@@ -0,0 +1,135 @@
+//! One run: start, a time of faults, a time of calm, and the last checks.
+use crate::cluster::{Cluster, Network, EDGES, NODES};
+use crate::faults::FaultSchedule;
+use crate::history::{Violation, APPLY, CONTACT};
+use crate::observers::{read_back, start_client, start_operator, start_reader, Shared};
+use eyre::ensure;
+use std::fmt;
+use std::path::Path;
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+const STEP: Duration = Duration::from_millis(20);
+/// Within this of their start the processes serve.
+const START_TIMEOUT: Duration = Duration::from_secs(20);
+/// Faults come in bursts, and between two of them it is calm for long enough that the guarantees about time hold again.
+const BURST: Duration = Duration::from_secs(6);
+const CALM: Duration = Duration::from_secs(6);
+
+/// What a run has shown.
+pub(crate) struct Report {
+    faults: u64,
+    overlapping: u64,
+    acknowledged: usize,
+    reads: u64,
+    latest_edge: Duration,
+    pub(crate) violations: Vec<Violation>,
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Report { faults, overlapping, acknowledged, reads, latest_edge, violations } = self;
+        let latest = latest_edge.as_millis();
+        write!(
+            out,
+            "{faults} faults ({overlapping} overlapping), {acknowledged} acknowledged, {reads} reads, \
+             latest edge {latest} ms, {} violations",
+            violations.len()
+        )?;
+        violations.iter().take(10).try_for_each(|violation| write!(out, "\n  {violation}"))
+    }
+}
+
+/// Runs one seed with faults for so long.
+pub(crate) fn run(programs: &Path, seed: u64, faults_for: Duration) -> eyre::Result<Report> {
+    let folder = std::env::temp_dir().join(format!("coppersail-soak-{}-{seed}", std::process::id()));
+    // Seeds that run at once, and runs of several processes, have addresses of their own.
+    let network =
+        Network { second: 20 + (std::process::id() % 200) as u8, first_subnet: (seed % 80) as u8 * 3 };
+    let mut cluster = Cluster::start(programs, folder.clone(), network)?;
+    let shared = Shared::default();
+    let nodes: Vec<String> = (0..NODES).map(|node| cluster.admin_address(node)).collect();
+    let mut threads = vec![
+        start_operator(shared.clone(), nodes.clone(), seed),
+        start_reader(shared.clone(), nodes.clone(), seed + 1),
+    ];
+    threads.extend((0..EDGES).map(|edge| start_client(shared.clone(), edge, cluster.client_address(edge))));
+    let result = wait_for_start(&shared)
+        .and_then(|()| inject_faults(&mut cluster, &shared, seed, faults_for))
+        .map(|faults| (faults, check_end(&cluster, &shared, &nodes)));
+    shared.finish();
+    threads.into_iter().for_each(|thread| drop(thread.join()));
+    let (faults, ()) = result?;
+    let mut history = shared.history();
+    let violations = std::mem::take(&mut history.violations);
+    if violations.is_empty() {
+        let _ = std::fs::remove_dir_all(&folder);
+    }
+    Ok(Report {
+        faults: faults.begun,
+        overlapping: faults.overlapping,
+        acknowledged: history.acknowledged_count(),
+        reads: history.reads,
+        latest_edge: history.latest_edge,
+        violations,
+    })
+}
+
+fn wait_for_start(shared: &Shared) -> eyre::Result<()> {
+    let end = Instant::now() + START_TIMEOUT;
+    let all_serve = || {
+        let history = shared.history();
+        (0..EDGES).all(|edge| history.highest_seen(edge) > 0)
+    };
+    while !all_serve() {
+        ensure!(
+            Instant::now() < end,
+            "the edges have no configuration {} s after the start",
+            START_TIMEOUT.as_secs()
+        );
+        sleep(STEP);
+    }
+    Ok(())
+}
+
+/// Bursts of faults with times of calm between them, the last at the end.
+fn inject_faults(
+    cluster: &mut Cluster,
+    shared: &Shared,
+    seed: u64,
+    faults_for: Duration,
+) -> eyre::Result<FaultSchedule> {
+    let mut now = Instant::now();
+    let end = now + faults_for;
+    let mut faults = FaultSchedule::new(seed, now);
+    while now < end {
+        let burst_end = end.min(now + BURST);
+        while now < burst_end || faults.is_active() {
+            let step = faults.step(cluster, now, now < burst_end)?;
+            record(shared, &step, &faults);
+            sleep(STEP);
+            now = Instant::now();
+        }
+        shared.history().end_faults(now);
+        sleep(CALM);
+        now = Instant::now();
+    }
+    Ok(faults)
+}
+
+fn record(shared: &Shared, step: &crate::faults::FaultStep, faults: &FaultSchedule) {
+    let mut history = shared.history();
+    if step.began || faults.is_active() {
+        history.begin_fault();
+    }
+    step.killed_edges.iter().for_each(|edge| history.restart_edge(*edge));
+}
+
+/// The newest configuration can be read at every node, and no process has logged a fault of its own.
+fn check_end(cluster: &Cluster, shared: &Shared, nodes: &[String]) {
+    if let Some(node) = read_back(shared, nodes, Instant::now() + CONTACT + APPLY) {
+        shared.history().violations.push(Violation::NotReadBack { node });
+    }
+    let lines = cluster.suspicious_log_lines();
+    shared.history().violations.extend(lines.into_iter().map(|line| Violation::Logged { line }));
+}
