--- a/crates/tools/soak/src/cluster.rs
+++ b/crates/tools/soak/src/cluster.rs
@@ -105,11 +105,14 @@
             cluster.write_edge_settings(edge)?;
         }
         cluster.nodes.iter_mut().chain(&mut cluster.edges).try_for_each(Process::start)?;
-        // A later start is never the first one.
-        (0..NODES).try_for_each(|node| cluster.write_node_settings(node, false))?;
         Ok(cluster)
     }
 
+    /// From now on a start of a node is not the first one. All must have read their settings, and written to their disks.
+    pub(crate) fn end_first_start(&self) -> eyre::Result<()> {
+        (0..NODES).try_for_each(|node| self.write_node_settings(node, false))
+    }
+
     fn process(&self, programs: &Path, program: &str, name: &str) -> Process {
         Process {
             program: programs.join(program),
--- a/crates/tools/soak/src/run.rs
+++ b/crates/tools/soak/src/run.rs
@@ -55,6 +55,7 @@
     ];
     threads.extend((0..EDGES).map(|edge| start_client(shared.clone(), edge, cluster.client_address(edge))));
     let result = wait_for_start(&shared)
+        .and_then(|()| cluster.end_first_start())
         .and_then(|()| inject_faults(&mut cluster, &shared, seed, faults_for))
         .map(|faults| (faults, check_end(&cluster, &shared, &nodes)));
     shared.finish();
