--- a/crates/data-plane/edge-proxy/src/watch/candidates.rs
+++ b/crates/data-plane/edge-proxy/src/watch/candidates.rs
@@ -2,6 +2,7 @@
 use coppersail_config::ProcessSettings;
 use coppersail_load_balancing::backoff;
 use coppersail_peer_protocol::{Update, WatchRequest};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// Timeout of a whole poll; a frozen node costs no more than this.
@@ -24,6 +25,9 @@
     hinted: Vec<String>,
     /// Index of the current node; it only rises and is taken modulo the number of nodes.
     position: usize,
+    /// By address, the feed id and sequence number of the last answer of that node that was applied. All that an edge has
+    /// only advances, so that it may go on from there after it has followed another node.
+    feed_positions: BTreeMap<String, (u64, u64)>,
     /// Polls that failed since the last usable answer.
     failures: usize,
     /// The last pause between two rounds.
@@ -79,12 +83,24 @@
             self.keep_current(|candidates| candidates.confirmed = update.control_plane_addresses.clone());
         }
         (request.feed_id, request.sequence) = (update.feed_id, update.sequence);
+        if let Some(address) = self.current().cloned() {
+            self.feed_positions.insert(address, (update.feed_id, update.sequence));
+        }
         let revision = update.config.as_ref().map(|config| config.revision);
         request.known_revision = request.known_revision.max(revision);
         self.poll_succeeded();
         Ok(update)
     }
 
+    /// Goes on where the edge was with the current node, if it has followed that before: the parts of a snapshot that it took
+    /// then are not sent again.
+    pub(crate) fn resume(&self, request: &mut WatchRequest) {
+        let known = self.current().and_then(|address| self.feed_positions.get(address));
+        if let Some((feed_id, sequence)) = known {
+            (request.feed_id, request.sequence) = (*feed_id, *sequence);
+        }
+    }
+
     /// Changes the lists; the current node stays the current one as long as it is in them.
     fn keep_current(&mut self, change: impl FnOnce(&mut Candidates)) {
         let current = self.current().cloned();
--- a/crates/data-plane/edge-proxy/src/watch/candidates_tests.rs
+++ b/crates/data-plane/edge-proxy/src/watch/candidates_tests.rs
@@ -75,3 +75,23 @@
     candidates.poll_succeeded();
     assert_eq!(candidates.response_timeout(), FIRST_RESPONSE_TIMEOUT);
 }
+
+/// On a full link an edge goes from node to node: each time it would begin a snapshot anew.
+#[test]
+fn a_node_that_was_followed_before_goes_on_where_it_was() {
+    let mut candidates = two_configured();
+    let mut request = WatchRequest::default();
+    let part = |feed_id, sequence| Update { feed_id, sequence, incomplete: true, ..Update::default() };
+    assert_matches!(candidates.accept(&mut request, part(4, 40)), Ok(_));
+    candidates.poll_failed();
+    candidates.resume(&mut request);
+    assert_eq!(
+        (request.feed_id, request.sequence),
+        (4, 40),
+        "another node: it will see that it is not its feed"
+    );
+    assert_matches!(candidates.accept(&mut request, part(5, 7)), Ok(_));
+    candidates.poll_failed();
+    candidates.resume(&mut request);
+    assert_eq!((request.feed_id, request.sequence), (4, 40));
+}
--- a/crates/data-plane/edge-proxy/src/watch/watch_loop.rs
+++ b/crates/data-plane/edge-proxy/src/watch/watch_loop.rs
@@ -100,6 +100,7 @@
 
     /// Takes along what the edge has counted. A node that is not followed yet is to answer at once.
     fn fill_request(&mut self) {
+        self.candidates.resume(&mut self.request);
         self.request.request_counts = self.request_counts.take();
         let rollout_active = self.evidence.is_active();
         let wait = match (self.connected, rollout_active) {
--- a/crates/data-plane/load-balancing/src/merge.rs
+++ b/crates/data-plane/load-balancing/src/merge.rs
@@ -12,6 +12,9 @@
 /// Removed endpoints are remembered, so that late updates cannot bring them back; no day has as many.
 const MAX_REMOVED: usize = 16_384;
 
+/// Feeds of which a snapshot has come in part; there are no more nodes than that at a time.
+const MAX_SNAPSHOTS: usize = 16;
+
 /// What an update changed, for those who hold connections to endpoints or wait for an owner.
 #[derive(Debug, Default, PartialEq)]
 pub struct RegistryChanges {
@@ -37,17 +40,21 @@
         changes
     }
 
-    /// A snapshot may come in parts: only all of them together tell which endpoints it does not list.
+    /// A snapshot may come in parts, between which the edge may follow another node: only all parts of one feed together tell
+    /// which endpoints it does not list.
     fn collect_snapshot(&mut self, update: &Update, now: Ms) {
         if update.is_snapshot {
-            self.snapshot_ids = Some(FxHashSet::default());
+            if self.snapshots.len() >= MAX_SNAPSHOTS {
+                self.snapshots.clear();
+            }
+            self.snapshots.insert(update.feed_id, FxHashSet::default());
         }
-        let Some(listed) = &mut self.snapshot_ids else { return };
+        let Some(listed) = self.snapshots.get_mut(&update.feed_id) else { return };
         listed.extend(update.endpoints.iter().map(|endpoint| endpoint.id.as_str().into()));
         if update.incomplete {
             return;
         }
-        if let Some(listed) = self.snapshot_ids.take() {
+        if let Some(listed) = self.snapshots.remove(&update.feed_id) {
             self.expire_unlisted(&listed, now + WARM_UP_MS.saturating_sub(update.uptime_ms));
         }
     }
--- a/crates/data-plane/load-balancing/src/registry.rs
+++ b/crates/data-plane/load-balancing/src/registry.rs
@@ -38,8 +38,8 @@
     pub(crate) endpoints: FxHashMap<Rc<str>, Endpoint>,
     pub(crate) services: FxHashMap<Rc<str>, ServiceEndpoints>,
     pub(crate) removed: FxHashSet<Rc<str>>,
-    /// While a snapshot comes in parts: the ids of the endpoints that it has listed so far.
-    pub(crate) snapshot_ids: Option<FxHashSet<Box<str>>>,
+    /// By feed, while a snapshot of it comes in parts: the ids of the endpoints that it has listed so far.
+    pub(crate) snapshots: FxHashMap<u64, FxHashSet<Box<str>>>,
     /// The largest number of edges that any control-plane node has reported; 0 if none has.
     pub edge_count: u32,
 }
