Test: a follower that lacks what it acknowledged is counted as a violation

Cause: the invariant had no test that violates it. Change: one at the pure node. Result: passes; with a known revision equal to the answer's the count stays 0, with a lower one it is 1.

--- a/crates/control-plane/server/tests/node.rs
+++ b/crates/control-plane/server/tests/node.rs
@@ -146,6 +146,22 @@
     }
 }
 
+#[test]
+fn a_follower_without_the_configuration_that_it_acknowledges_is_counted_as_a_violation() {
+    let mut harness = Harness::start(vec![endpoint()]);
+    harness.config = Some(ConfigDocument { revision: 7, body: "{}".into() });
+    harness.run(5_000);
+    let answer = harness.poll_with(json!({"edge": "e", "revision": 6, "max_bytes": LIMIT}));
+    let position = |revision: u64| json!({"edge": "e", "feed": answer.feed_id, "seq": answer.sequence, "revision": revision, "wait_ms": 1});
+    let mut poll = |request| {
+        let watch = serde_json::from_value(request).unwrap();
+        harness.step(Event::Peer { request_id: 2, request: PeerRequest::Watch(Box::new(watch)) });
+        harness.node.violations()
+    };
+    assert_eq!(poll(position(7)), 0);
+    assert_eq!(poll(position(6)), 1, "it took over an answer that had r7");
+}
+
 fn endpoint() -> EndpointUpdate {
     let (ident, backend, via) = ("i-1".into(), "s".into(), PEERS[1].into());
     EndpointUpdate {
