Edge: resumes only feeds of which it has a part

Change: positions are kept for incomplete feeds alone, and dropped once any node has sent all it has. Result: tests of the package pass; the changed test asks for it.

--- a/crates/data-plane/edge-proxy/src/watch/candidates.rs
+++ b/crates/data-plane/edge-proxy/src/watch/candidates.rs
@@ -25,9 +25,9 @@
     hinted: Vec<String>,
     /// Index of the current node; it only rises and is taken modulo the number of nodes.
     position: usize,
-    /// By address, the feed id and sequence number of the last answer of that node that was applied. All that an edge has
-    /// only advances, so that it may go on from there after it has followed another node.
-    feed_positions: BTreeMap<String, (u64, u64)>,
+    /// By address, the feed id and sequence number of the last answer that was applied, of nodes of which the edge lacks
+    /// the rest. All that an edge has only advances, so that it may go on from there after it has polled another node.
+    incomplete_feeds: BTreeMap<String, (u64, u64)>,
     /// Polls that failed since the last usable answer.
     failures: usize,
     /// The last pause between two rounds.
@@ -83,19 +83,26 @@
             self.keep_current(|candidates| candidates.confirmed = update.control_plane_addresses.clone());
         }
         (request.feed_id, request.sequence) = (update.feed_id, update.sequence);
-        if let Some(address) = self.current().cloned() {
-            self.feed_positions.insert(address, (update.feed_id, update.sequence));
-        }
+        self.record_position(&update);
         let revision = update.config.as_ref().map(|config| config.revision);
         request.known_revision = request.known_revision.max(revision);
         self.poll_succeeded();
         Ok(update)
     }
 
-    /// Goes on where the edge was with the current node, if it has followed that before: the parts of a snapshot that it took
-    /// then are not sent again.
+    /// An edge that has all of one node needs no rest of another one's snapshot.
+    fn record_position(&mut self, update: &Update) {
+        if !update.incomplete {
+            return self.incomplete_feeds.clear();
+        }
+        if let Some(address) = self.current().cloned() {
+            self.incomplete_feeds.insert(address, (update.feed_id, update.sequence));
+        }
+    }
+
+    /// Goes on where the edge was with the current node, if it has a part of its feed: that is not sent again.
     pub(crate) fn resume(&self, request: &mut WatchRequest) {
-        let known = self.current().and_then(|address| self.feed_positions.get(address));
+        let known = self.current().and_then(|address| self.incomplete_feeds.get(address));
         if let Some((feed_id, sequence)) = known {
             (request.feed_id, request.sequence) = (*feed_id, *sequence);
         }
--- a/crates/data-plane/edge-proxy/src/watch/candidates_tests.rs
+++ b/crates/data-plane/edge-proxy/src/watch/candidates_tests.rs
@@ -78,7 +78,7 @@
 
 /// On a full link an edge goes from node to node: each time it would begin a snapshot anew.
 #[test]
-fn a_node_that_was_followed_before_goes_on_where_it_was() {
+fn a_node_whose_snapshot_came_in_part_goes_on_where_it_was() {
     let mut candidates = two_configured();
     let mut request = WatchRequest::default();
     let part = |feed_id, sequence| Update { feed_id, sequence, incomplete: true, ..Update::default() };
@@ -94,4 +94,13 @@
     candidates.poll_failed();
     candidates.resume(&mut request);
     assert_eq!((request.feed_id, request.sequence), (4, 40));
+    let complete = Update { feed_id: 4, sequence: 90, ..Update::default() };
+    assert_matches!(candidates.accept(&mut request, complete), Ok(_));
+    candidates.poll_failed();
+    candidates.resume(&mut request);
+    assert_eq!(
+        (request.feed_id, request.sequence),
+        (4, 90),
+        "the other begins anew: it may have forgotten much"
+    );
 }
