--- a/crates/control-plane/server/tests/backlog.rs
+++ b/crates/control-plane/server/tests/backlog.rs
@@ -6,7 +6,7 @@
 use std::net::TcpStream;
 use std::time::Duration;
 
-/// The callers of one node of a deployment of some ninety edges and some hundred endpoints.
+/// More than a listener's idle threads could be, and fewer than its backlog holds.
 const CALLERS: usize = 100;
 /// Each of them would have gone to the next node by then.
 const SILENCE: Duration = Duration::from_secs(1);
