Edge: logs which requests a shutdown met, and how those it cuts had come

The incident's records do not tell whether a request that is cut came on a kept connection, a new one, or one that was busy all the time. The last log line now counts requests after the signal by connection, and each cut request has a line with the times of its connection. Phases of the shutdown move to a module of their own; connections are told of the end.

--- a/crates/data-plane/edge-proxy/src/client_connection.rs
+++ b/crates/data-plane/edge-proxy/src/client_connection.rs
@@ -1,8 +1,9 @@
 //! One connection of a client: HTTP/1.1 on its socket, and the timeouts that end it when it is idle or slow.
 use crate::connection_state::{ConnectionPhase, ConnectionState};
-use crate::edge::{Edge, Lifecycle};
+use crate::edge::Edge;
 use crate::request_handler;
 use crate::response::close_connection;
+use crate::shutdown::Lifecycle;
 use crate::socket_read::poll_read_observed;
 use coppersail_config::config::ClientLimits;
 use hyper::body::Incoming;
@@ -20,6 +21,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncWrite, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 use tokio::time::Instant;
 
 /// hyper accepts no smaller buffer (bytes).
@@ -98,6 +100,7 @@
         let (edge, state) = (edge.clone(), state.clone());
         async move {
             let (scanned, guard) = state.begin_request();
+            edge.shutdown.record_request(&state);
             let mut response = request_handler::handle(&edge, request, scanned, client).await;
             if edge.is_shutting_down() {
                 response = close_connection(response);
@@ -115,14 +118,18 @@
     let mut lifecycle = edge.lifecycle.subscribe();
     let timer = tokio::time::sleep_until(Instant::now() + caps.header_timeout.min(caps.idle_timeout));
     tokio::pin!(timer);
-    let mut closing = false;
+    let mut phase = Lifecycle::Serving;
     loop {
         tokio::select! {
             _ = &mut connection => return,
             _ = &mut timer => {}
-            _ = lifecycle.wait_for(|phase| *phase == Lifecycle::Closing), if !closing => closing = true,
+            next = next_phase(&mut lifecycle, phase) => phase = next,
         }
-        match check(&state, &caps, closing, Instant::now()) {
+        if phase == Lifecycle::Ended {
+            edge.shutdown.record_cut(&edge.log, &state);
+            return;
+        }
+        match check(&state, &caps, phase >= Lifecycle::Closing, Instant::now()) {
             Check::RecheckAt(instant) => timer.as_mut().reset(instant),
             Check::Close => return,
             Check::HeadTimeout => {
@@ -135,6 +142,11 @@
     }
 }
 
+/// Waits until the process is in a later phase than `phase`, and yields that.
+async fn next_phase(lifecycle: &mut watch::Receiver<Lifecycle>, phase: Lifecycle) -> Lifecycle {
+    lifecycle.wait_for(|current| *current > phase).await.map_or(Lifecycle::Ended, |current| *current)
+}
+
 /// What becomes of a connection whose timer fired.
 enum Check {
     RecheckAt(Instant),
--- a/crates/data-plane/edge-proxy/src/connection_state.rs
+++ b/crates/data-plane/edge-proxy/src/connection_state.rs
@@ -19,14 +19,20 @@
 pub(crate) struct ConnectionState {
     phase: Cell<ConnectionPhase>,
     since: Cell<Instant>,
+    opened_at: Instant,
+    /// When the response before the current request had gone out.
+    idle_since: Cell<Option<Instant>>,
     scanner: RefCell<HeadScanner>,
 }
 
 impl ConnectionState {
     pub(crate) fn new() -> Rc<ConnectionState> {
+        let now = Instant::now();
         Rc::new(ConnectionState {
             phase: Cell::new(ConnectionPhase::ReadingHead),
-            since: Cell::new(Instant::now()),
+            since: Cell::new(now),
+            opened_at: now,
+            idle_since: Cell::new(None),
             scanner: RefCell::default(),
         })
     }
@@ -40,6 +46,20 @@
         self.since.get()
     }
 
+    pub(crate) fn opened_at(&self) -> Instant {
+        self.opened_at
+    }
+
+    /// When the request in flight began, if there is one.
+    pub(crate) fn request_began_at(&self) -> Option<Instant> {
+        (self.phase.get() == ConnectionPhase::Processing).then(|| self.since.get())
+    }
+
+    /// When the response before the current request had gone out, if there was one.
+    pub(crate) fn idle_since(&self) -> Option<Instant> {
+        self.idle_since.get()
+    }
+
     fn enter(&self, phase: ConnectionPhase) {
         self.phase.set(phase);
         self.since.set(Instant::now());
@@ -69,5 +89,6 @@
 impl Drop for ResponseGuard {
     fn drop(&mut self) {
         self.0.enter(ConnectionPhase::Idle);
+        self.0.idle_since.set(Some(self.0.since()));
     }
 }
--- a/crates/data-plane/edge-proxy/src/edge.rs
+++ b/crates/data-plane/edge-proxy/src/edge.rs
@@ -3,6 +3,7 @@
 use crate::connection_pool::ConnectionPool;
 pub use crate::request_counter::RequestCounter;
 use crate::rollout::variants::RolloutVariants;
+use crate::shutdown::{Lifecycle, ShutdownRecord};
 use coppersail_config::config::{ClientLimits, Routes};
 use coppersail_config::{Config, ProcessSettings};
 use coppersail_load_balancing::budget::{BudgetSettings, RetryBudget};
@@ -23,16 +24,6 @@
     pub(crate) routes: Routes,
 }
 
-/// The phases of the process, in order.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd)]
-pub(crate) enum Lifecycle {
-    Serving,
-    /// Shutting down: connections are accepted, and closed after their next response.
-    Draining,
-    /// No connection is accepted, and those without a request are closed.
-    Closing,
-}
-
 /// The state of an edge proxy.
 pub struct Edge {
     /// Where it logs to.
@@ -49,6 +40,7 @@
     /// Wakes requests that wait for the owner of their key.
     pub(crate) updated: Notify,
     pub(crate) lifecycle: watch::Sender<Lifecycle>,
+    pub(crate) shutdown: ShutdownRecord,
     /// Requests by slice, for the control plane.
     pub request_counter: Arc<RequestCounter>,
     /// Session affinity; set at the start where the operators have a file for it.
@@ -81,6 +73,7 @@
             random: RefCell::new(fastrand::Rng::with_seed(seed)),
             updated: Notify::new(),
             lifecycle: watch::Sender::new(Lifecycle::Serving),
+            shutdown: ShutdownRecord::default(),
             request_counter: Arc::default(),
             sessions: OnceCell::new(),
             open_connections: Cell::new(0),
--- a/crates/data-plane/edge-proxy/src/ingress.rs
+++ b/crates/data-plane/edge-proxy/src/ingress.rs
@@ -1,6 +1,7 @@
 //! The listener for clients.
 use crate::client_connection;
-use crate::edge::{Edge, Lifecycle};
+use crate::edge::Edge;
+use crate::shutdown::Lifecycle;
 use std::net::{AddrParseError, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
@@ -37,7 +38,7 @@
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = lifecycle.wait_for(|phase| *phase == Lifecycle::Closing) => return,
+            _ = lifecycle.wait_for(|phase| *phase >= Lifecycle::Closing) => return,
         };
         let Ok((stream, client)) = accepted else {
             tokio::time::sleep(ACCEPT_RETRY).await;
--- a/crates/data-plane/edge-proxy/src/lib.rs
+++ b/crates/data-plane/edge-proxy/src/lib.rs
@@ -30,9 +30,11 @@
 pub mod rollout;
 mod server;
 pub mod sessions;
+mod shutdown;
 mod socket_read;
 mod upstream_response;
 mod upstream_socket;
 pub mod watch;
 
-pub use server::{check_settings, run, shut_down, start, MissingListener};
+pub use server::{check_settings, run, start, MissingListener};
+pub use shutdown::shut_down;
--- a/crates/data-plane/edge-proxy/src/server.rs
+++ b/crates/data-plane/edge-proxy/src/server.rs
@@ -1,12 +1,12 @@
-//! Starts an edge, drives it until it is told to stop, and shuts it down in order.
-use crate::edge::{Edge, Lifecycle};
+//! Starts an edge and drives it until it is told to stop.
+use crate::edge::Edge;
 use crate::sessions::Sessions;
+use crate::shutdown::shut_down;
 use crate::{ingress, input_poll, readiness, watch};
 use coppersail_config::ProcessSettings;
-use coppersail_load_balancing::timeouts::ShutdownTimes;
 use coppersail_peer_protocol::Update;
 use eyre::WrapErr;
-use slog::{info, Logger};
+use slog::Logger;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime};
@@ -14,12 +14,10 @@
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::task::{spawn_local, LocalSet};
-use tokio::time::{sleep_until, Instant, MissedTickBehavior};
+use tokio::time::MissedTickBehavior;
 
 /// How often expired state is dropped, and the settings file looked at.
 const TICK: Duration = Duration::from_secs(1);
-/// How often a shutdown checks whether all connections have ended.
-const SHUTDOWN_CHECK: Duration = Duration::from_millis(20);
 
 /// A listener that an edge needs and its settings leave out.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
@@ -120,19 +118,3 @@
     let path = PathBuf::from(std::env::var_os(coppersail_config::boot::VARIABLE)?);
     std::fs::metadata(path).ok()?.modified().ok()
 }
-
-/// Shuts down in order: readiness fails, connections are accepted for as long as some may come, and requests in flight
-/// end within the grace period.
-pub async fn shut_down(edge: &Rc<Edge>) {
-    let grace = edge.settings.borrow().limits.shutdown_grace;
-    let times = ShutdownTimes::within(grace);
-    let begun = Instant::now();
-    info!(edge.log, "edge: leaving, {} connections open", edge.open_connections.get());
-    edge.lifecycle.send_replace(Lifecycle::Draining);
-    sleep_until(begun + times.accept_until).await;
-    edge.lifecycle.send_replace(Lifecycle::Closing);
-    while edge.open_connections.get() > 0 && begun.elapsed() < times.exit_at {
-        tokio::time::sleep(SHUTDOWN_CHECK).await;
-    }
-    info!(edge.log, "edge: left, {} connections cut", edge.open_connections.get());
-}
