Edge: a connection is not idle while its response is still being written

A connection counted as idle once its response had been handed to hyper. A shutdown, or the idle timeout, then dropped it with the rest of the response in hyper's buffer: of 250,000 bytes that a client read slowly, 10,239 came. A blocked write is now a phase of its own; a client that reads on begins its idle time anew.

--- a/crates/data-plane/edge-proxy/src/client_connection.rs
+++ b/crates/data-plane/edge-proxy/src/client_connection.rs
@@ -27,7 +27,7 @@
 /// hyper accepts no smaller buffer (bytes).
 const MIN_BUFFER: usize = 8192;
 /// How often a connection is checked once the process only waits for its end.
-const CHECK_WHILE_CLOSING: Duration = Duration::from_millis(100);
+const CHECK_WHILE_SHUTTING_DOWN: Duration = Duration::from_millis(100);
 /// The response to a head that takes too long.
 const HEAD_TIMEOUT_RESPONSE: &[u8] =
     b"HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
@@ -51,7 +51,9 @@
 
 impl Write for ClientIo {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, bytes)
+        let written = Pin::new(&mut self.stream).poll_write(cx, bytes);
+        self.state.record_write(written.is_pending());
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -63,7 +65,9 @@
         cx: &mut Context<'_>,
         bytes: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bytes)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bytes);
+        self.state.record_write(written.is_pending());
+        written
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -155,17 +159,17 @@
     HeadTimeout,
 }
 
-fn check(state: &ConnectionState, caps: &ClientLimits, closing: bool, now: Instant) -> Check {
+fn check(state: &ConnectionState, caps: &ClientLimits, shutting_down: bool, now: Instant) -> Check {
     let phase = state.phase();
-    if closing {
+    if shutting_down {
         return match phase {
             ConnectionPhase::Idle => Check::Close,
-            _ => Check::RecheckAt(now + CHECK_WHILE_CLOSING),
+            _ => Check::RecheckAt(now + CHECK_WHILE_SHUTTING_DOWN),
         };
     }
     let limit = match phase {
         ConnectionPhase::ReadingHead => caps.header_timeout,
-        ConnectionPhase::Idle | ConnectionPhase::Processing => caps.idle_timeout,
+        ConnectionPhase::Idle | ConnectionPhase::Processing | ConnectionPhase::Writing => caps.idle_timeout,
     };
     let end = state.since() + limit;
     if end > now {
@@ -175,7 +179,7 @@
     match phase {
         // The request's own deadline ends it.
         ConnectionPhase::Processing => Check::RecheckAt(now + caps.header_timeout.min(caps.idle_timeout)),
-        ConnectionPhase::Idle => Check::Close,
+        ConnectionPhase::Idle | ConnectionPhase::Writing => Check::Close,
         ConnectionPhase::ReadingHead => Check::HeadTimeout,
     }
 }
--- a/crates/data-plane/edge-proxy/src/connection_state.rs
+++ b/crates/data-plane/edge-proxy/src/connection_state.rs
@@ -13,6 +13,8 @@
     ReadingHead,
     /// A request is in flight.
     Processing,
+    /// A response was handed to hyper, and its client has not taken all of it.
+    Writing,
 }
 
 /// Shared by the socket, the request handler and the timeouts of a connection.
@@ -20,6 +22,8 @@
     phase: Cell<ConnectionPhase>,
     since: Cell<Instant>,
     opened_at: Instant,
+    /// Whether the socket takes no more bytes of a response for now.
+    write_blocked: Cell<bool>,
     /// When the response before the current request had gone out.
     idle_since: Cell<Option<Instant>>,
     scanner: RefCell<HeadScanner>,
@@ -32,13 +36,18 @@
             phase: Cell::new(ConnectionPhase::ReadingHead),
             since: Cell::new(now),
             opened_at: now,
+            write_blocked: Cell::new(false),
             idle_since: Cell::new(None),
             scanner: RefCell::default(),
         })
     }
 
     pub(crate) fn phase(&self) -> ConnectionPhase {
-        self.phase.get()
+        match self.phase.get() {
+            // hyper holds the rest of the response: the connection must stay.
+            ConnectionPhase::Idle if self.write_blocked.get() => ConnectionPhase::Writing,
+            phase => phase,
+        }
     }
 
     /// When the phase began.
@@ -76,6 +85,15 @@
         self.scanner.borrow_mut().scan(bytes);
     }
 
+    /// The socket took bytes of a response, or takes none for now.
+    pub(crate) fn record_write(&self, blocked: bool) {
+        let was_blocked = self.write_blocked.replace(blocked);
+        if was_blocked && !blocked && self.phase.get() == ConnectionPhase::Idle {
+            // The client reads: its time begins anew.
+            self.since.set(Instant::now());
+        }
+    }
+
     /// hyper has parsed a head. Yields what was scanned of it, and the guard that ends the request.
     pub(crate) fn begin_request(self: &Rc<Self>) -> (HeadScanner, ResponseGuard) {
         self.enter(ConnectionPhase::Processing);
--- a/crates/data-plane/edge-proxy/tests/edge_proxy/main.rs
+++ b/crates/data-plane/edge-proxy/tests/edge_proxy/main.rs
@@ -9,8 +9,7 @@
 use coppersail_peer_protocol::{EndpointState, Update};
 use stand_ins::*;
 use std::rc::Rc;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::sync::Notify;
+use tokio::io::AsyncWriteExt;
 
 #[test]
 fn only_hop_by_hop_headers_are_removed_from_a_request_and_its_response() {
