Edge: a shutdown closes idle connections at once and takes no request too late

Idle connections stayed open for 3.5 s after SIGTERM. Clients took them up again, and a request that came 3.0 to 3.5 s after the signal was passed on and cut at 5.7 s.

--- a/crates/data-plane/edge-proxy/src/attempt_loop.rs
+++ b/crates/data-plane/edge-proxy/src/attempt_loop.rs
@@ -18,6 +18,9 @@
 /// Attempts of one request that reach no endpoint; each costs the client a part of its time.
 const MAX_UNSENT_ATTEMPTS: u32 = 3;
 
+/// `Retry-After` (ms) of a request that only this edge cannot take.
+const RETRY_AFTER_ELSEWHERE_MS: Ms = 0;
+
 /// How a request ended.
 pub(crate) struct ProxiedResponse {
     pub(crate) response: Response<ResponseBody>,
@@ -118,13 +121,19 @@
         self.final_response()
     }
 
-    /// Whether time and attempts are left.
+    /// Whether time and attempts are left, also until the end of the process.
     fn may_attempt(&self, now: Ms) -> bool {
         self.request.left(now) > 0
+            && self.ends_before_process()
             && self.history.delivered < self.request.route.max_attempts.max(1)
             && self.history.unsent < MAX_UNSENT_ATTEMPTS
     }
 
+    /// Late in a shutdown an attempt could be cut while its endpoint is at work, and the client would get no answer.
+    fn ends_before_process(&self) -> bool {
+        self.edge.shutdown.may_begin(self.edge.instant(self.request.deadline))
+    }
+
     /// Selects the endpoint of the next attempt, or waits until it is worth selecting again.
     async fn select_endpoint(&mut self, now: Ms) -> SelectionStep {
         match self.selection(now) {
@@ -332,6 +341,9 @@
 
     /// When the client should come back, in ms.
     fn client_backoff(&self) -> Ms {
+        if !self.ends_before_process() {
+            return RETRY_AFTER_ELSEWHERE_MS;
+        }
         let left = self.request.left(self.edge.now());
         match self.retry_after {
             Some(retry_after) => retry_after.min(left / 3),
--- a/crates/data-plane/edge-proxy/src/client_connection.rs
+++ b/crates/data-plane/edge-proxy/src/client_connection.rs
@@ -133,7 +133,7 @@
             edge.shutdown.record_cut(&edge.log, &state);
             return;
         }
-        match check(&state, &caps, phase >= Lifecycle::Closing, Instant::now()) {
+        match check(&state, &caps, phase > Lifecycle::Serving, Instant::now()) {
             Check::RecheckAt(instant) => timer.as_mut().reset(instant),
             Check::Close => return,
             Check::HeadTimeout => {
--- a/crates/data-plane/edge-proxy/src/edge.rs
+++ b/crates/data-plane/edge-proxy/src/edge.rs
@@ -3,7 +3,7 @@
 use crate::connection_pool::ConnectionPool;
 pub use crate::request_counter::RequestCounter;
 use crate::rollout::variants::RolloutVariants;
-use crate::shutdown::{Lifecycle, ShutdownRecord};
+use crate::shutdown::{Lifecycle, Shutdown};
 use coppersail_config::config::{ClientLimits, Routes};
 use coppersail_config::{Config, ProcessSettings};
 use coppersail_load_balancing::budget::{BudgetSettings, RetryBudget};
@@ -40,7 +40,7 @@
     /// Wakes requests that wait for the owner of their key.
     pub(crate) updated: Notify,
     pub(crate) lifecycle: watch::Sender<Lifecycle>,
-    pub(crate) shutdown: ShutdownRecord,
+    pub(crate) shutdown: Shutdown,
     /// Requests by slice, for the control plane.
     pub request_counter: Arc<RequestCounter>,
     /// Session affinity; set at the start where the operators have a file for it.
@@ -73,7 +73,7 @@
             random: RefCell::new(fastrand::Rng::with_seed(seed)),
             updated: Notify::new(),
             lifecycle: watch::Sender::new(Lifecycle::Serving),
-            shutdown: ShutdownRecord::default(),
+            shutdown: Shutdown::default(),
             request_counter: Arc::default(),
             sessions: OnceCell::new(),
             open_connections: Cell::new(0),
--- a/crates/data-plane/edge-proxy/src/shutdown.rs
+++ b/crates/data-plane/edge-proxy/src/shutdown.rs
@@ -19,18 +19,25 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd)]
 pub(crate) enum Lifecycle {
     Serving,
-    /// Shutting down: connections are accepted, and closed after their next response.
+    /// Shutting down: idle connections are closed, new ones accepted and closed after their first response.
     Draining,
-    /// No connection is accepted, and those without a request are closed.
+    /// No connection is accepted, and only requests are taken that end before the process does.
     Closing,
     /// The process ends: whatever is still in flight is cut.
     Ended,
 }
 
-/// What a shutdown has met so far.
+/// When a shutdown began, and its phases since then.
+#[derive(Debug, Clone, Copy)]
+struct Schedule {
+    begun: Instant,
+    times: ShutdownTimes,
+}
+
+/// The shutdown of this process, and what it has met so far.
 #[derive(Default)]
-pub(crate) struct ShutdownRecord {
-    begun: Cell<Option<Instant>>,
+pub(crate) struct Shutdown {
+    schedule: Cell<Option<Schedule>>,
     /// Requests that began after the signal, on connections that were open before it.
     on_kept_connections: Cell<u32>,
     /// Requests that began after the signal, on connections that were opened after it.
@@ -40,10 +47,17 @@
     cut_requests: Cell<u32>,
 }
 
-impl ShutdownRecord {
+impl Shutdown {
+    /// Whether an attempt for a request with this deadline may begin.
+    pub(crate) fn may_begin(&self, deadline: Instant) -> bool {
+        let Some(Schedule { begun, times }) = self.schedule.get() else { return true };
+        let left = deadline.saturating_duration_since(Instant::now());
+        times.may_begin(begun.elapsed(), left)
+    }
+
     /// Counts a request that has just begun, if a shutdown has, too.
     pub(crate) fn record_request(&self, connection: &ConnectionState) {
-        let Some(begun) = self.begun.get() else { return };
+        let Some(Schedule { begun, .. }) = self.schedule.get() else { return };
         let count = match connection.opened_at() < begun {
             true => &self.on_kept_connections,
             false => &self.on_new_connections,
@@ -54,7 +68,9 @@
 
     /// Logs the request that the end of the process cuts on a connection, if there is one.
     pub(crate) fn record_cut(&self, log: &Logger, connection: &ConnectionState) {
-        let (Some(begun), Some(request_at)) = (self.begun.get(), connection.request_began_at()) else {
+        let (Some(Schedule { begun, .. }), Some(request_at)) =
+            (self.schedule.get(), connection.request_began_at())
+        else {
             return;
         };
         self.cut_requests.set(self.cut_requests.get() + 1);
@@ -81,13 +97,13 @@
     }
 }
 
-/// Shuts down in order: readiness fails, connections are accepted for as long as some may come, and requests in flight
-/// end within the grace period.
+/// Shuts down in order: readiness fails, idle connections are closed, new ones are accepted for as long as some may come,
+/// and requests in flight end within the grace period.
 pub async fn shut_down(edge: &Rc<Edge>) {
     let grace = edge.settings.borrow().limits.shutdown_grace;
     let times = ShutdownTimes::within(grace);
     let begun = Instant::now();
-    edge.shutdown.begun.set(Some(begun));
+    edge.shutdown.schedule.set(Some(Schedule { begun, times }));
     info!(edge.log, "edge: leaving, {} connections open", edge.open_connections.get());
     edge.lifecycle.send_replace(Lifecycle::Draining);
     sleep_until(begun + times.accept_until).await;
--- a/crates/data-plane/load-balancing/src/timeouts.rs
+++ b/crates/data-plane/load-balancing/src/timeouts.rs
@@ -18,8 +18,8 @@
 /// Fraction of an endpoint's keep-alive time in which an idle connection is used for idempotent requests, and for others.
 const KEEP_ALIVE_FRACTIONS: (f64, f64) = (0.6, 0.4);
 /// How long new connections are accepted after SIGTERM. The platform probes readiness every second and needs two
-/// failures, so that connections stop coming after about three.
-const ACCEPT_AFTER_SIGTERM: Duration = Duration::from_millis(3_500);
+/// failures, so that connections stop coming after two seconds and the time that a probe takes.
+const ACCEPT_AFTER_SIGTERM: Duration = Duration::from_millis(2_500);
 /// Fraction of the shutdown grace period in which new connections are accepted, at most.
 const ACCEPT_FRACTION_OF_GRACE: f64 = 0.6;
 /// Fraction of the shutdown grace period after which the process ends; the platform kills it at the end.
@@ -59,7 +59,7 @@
 /// The phases of a shutdown, as times since SIGTERM.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ShutdownTimes {
-    /// Until when new connections are accepted.
+    /// Until when new connections are accepted, and requests whatever their deadline.
     pub accept_until: Duration,
     /// When the process ends, whatever is in flight.
     pub exit_at: Duration,
@@ -71,6 +71,12 @@
         let accept_until = ACCEPT_AFTER_SIGTERM.min(grace.mul_f64(ACCEPT_FRACTION_OF_GRACE));
         ShutdownTimes { accept_until, exit_at: grace.mul_f64(EXIT_FRACTION_OF_GRACE).max(accept_until) }
     }
+
+    /// Whether an attempt for a request may begin, `elapsed` since SIGTERM and `left` before the request's deadline. Late
+    /// in a shutdown it may only if its deadline ends it before the process does.
+    pub fn may_begin(&self, elapsed: Duration, left: Duration) -> bool {
+        elapsed < self.accept_until || elapsed + left <= self.exit_at
+    }
 }
 
 /// This edge's share of an endpoint's connections, which all edges share. One in eight is left for the health checks of
