--- a/crates/control-plane/server/tests/node.rs
+++ b/crates/control-plane/server/tests/node.rs
@@ -1,9 +1,10 @@
 //! The pure state machine of a member, without threads, sockets or a disk.
-use coppersail_control_plane::node::{Effect, Event, Node, PeerRequest, PeerResponse, Startup};
+use coppersail_control_plane::node::{AdminRequest, Effect, Event, Node, PeerRequest, PeerResponse, Startup};
 use coppersail_peer_protocol::{
     ConfigDocument, EndpointUpdate, MemberDetail, MemberStatus, Update, WatchRequest,
 };
 use serde_json::json;
+use std::collections::BTreeSet;
 
 const PEERS: [&str; 3] = ["10.1.0.1:8544", "10.2.0.1:8544", "10.3.0.1:8544"];
 
@@ -17,6 +18,10 @@
     /// The configuration that it reports with them.
     config: Option<ConfigDocument>,
     updates: Vec<Update>,
+    /// Requests of endpoints and operators that were submitted and are not answered.
+    unanswered: BTreeSet<u64>,
+    /// Those that were not when the node let the process end.
+    unanswered_at_exit: Option<BTreeSet<u64>>,
 }
 
 impl Harness {
@@ -39,6 +44,8 @@
             endpoints: Some(endpoints),
             config: None,
             updates: Vec::new(),
+            unanswered: BTreeSet::new(),
+            unanswered_at_exit: None,
         };
         harness.carry(effects);
         harness
@@ -57,6 +64,10 @@
                 Effect::RespondToPeer { response: PeerResponse::Update(update), .. } => {
                     self.updates.push(*update)
                 }
+                Effect::RespondToAdmin { request_id, .. } => {
+                    self.unanswered.remove(&request_id);
+                }
+                Effect::Exit => self.unanswered_at_exit = Some(self.unanswered.clone()),
                 _ => {}
             }
         }
@@ -89,6 +100,15 @@
         self.carry(out);
     }
 
+    /// A heartbeat of an endpoint that drains: it is acknowledged once followers know.
+    fn submit_drain(&mut self, request_id: u64) {
+        let body = json!({"backend": "s", "address": "10.9.0.1:80", "stage": "emptying", "callCount": 1});
+        let request =
+            AdminRequest::Heartbeat { endpoint_id: format!("i-{request_id}"), body: body.to_string() };
+        self.unanswered.insert(request_id);
+        self.step(Event::Admin { request_id, request });
+    }
+
     /// Lets time pass; its requests are answered with the next tick.
     fn run(&mut self, ms: u64) {
         let end = self.now + ms;
@@ -130,7 +150,7 @@
     harness.config = Some(ConfigDocument { revision: 7, body: "{}".into() });
     harness.run(5_000);
     let mut request = json!({"edge": "e", "feed": 0, "seq": 0, "wait_ms": 1, "max_bytes": LIMIT});
-    let mut listed = std::collections::BTreeSet::new();
+    let mut listed = BTreeSet::new();
     for part in 0.. {
         let update = harness.poll_with(request.clone());
         let length = serde_json::to_string(&update).unwrap().len();
@@ -216,3 +236,24 @@
     assert_eq!(after.control_plane_addresses.len(), 3);
     assert!(harness.poll(None).isolated);
 }
+
+/// A member that shut down ended as soon as its duties were over, whatever it had taken meanwhile: an endpoint that had told it of its
+/// end, and was kept waiting until followers knew, found its connection closed without an answer. The same went for operators whose
+/// change was being committed.
+#[test]
+fn a_member_that_shuts_down_answers_every_request_that_it_has_taken() {
+    let mut harness = Harness::start(Vec::new());
+    harness.run(5_000);
+    harness.step(Event::Shutdown);
+    for request_id in 0.. {
+        // A follower that acknowledges nothing.
+        harness.poll(None);
+        harness.submit_drain(request_id);
+        harness.run(50);
+        if harness.unanswered_at_exit.is_some() {
+            break;
+        }
+        assert!(harness.now < 60_000, "it never ends");
+    }
+    assert_eq!(harness.unanswered_at_exit, Some(BTreeSet::new()), "requests without an answer");
+}
