Control plane: a node that shuts down answers what it has taken before it ends

Once its duties were over a node ended at once: replies that were waiting for followers or for a commit, and responses not written yet, were lost with it. It now takes no more requests of endpoints and operators then, answers those that it has, and ends once its connections have got their responses, 200 ms later at the latest.

--- a/crates/control-plane/server/src/listener.rs
+++ b/crates/control-plane/server/src/listener.rs
@@ -15,13 +15,15 @@
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::mpsc::{sync_channel, SyncSender};
 use std::sync::Arc;
-use std::time::Duration;
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::sync::oneshot;
-use tokio::task::{spawn_local, LocalSet};
+use tokio::sync::{oneshot, watch};
+use tokio::task::{spawn_local, JoinSet, LocalSet};
 use tokio::time::{sleep, timeout};
 
 /// Connections that may wait to be accepted: all edges and endpoints come back together after a partition.
@@ -30,6 +32,8 @@
 const ACCEPT_RETRY: Duration = Duration::from_millis(20);
 /// A connection that is idle for so long, or a body that takes so long, is given up: its client has gone, or is cut off.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+/// How often a shutdown checks whether all connections have ended.
+const SHUTDOWN_CHECK: Duration = Duration::from_millis(5);
 const STACK_BYTES: usize = 512 * 1024;
 const JSON: HeaderValue = HeaderValue::from_static("application/json");
 
@@ -61,14 +65,35 @@
     pub(crate) resources: Vec<Box<dyn Resource>>,
 }
 
-/// Listens on all addresses, on a thread of its own for as long as the process runs.
-pub(crate) fn spawn(bindings: Vec<Binding>, on_request: RequestHandler) -> Result<(), SpawnError> {
+/// The thread that serves all connections.
+pub(crate) struct Listener {
+    shutdown: watch::Sender<bool>,
+    thread: JoinHandle<()>,
+}
+
+impl Listener {
+    /// Accepts no more connections, and waits until the open ones have got the responses that they are owed, or until
+    /// `limit` is over.
+    pub(crate) fn shut_down(&self, limit: Duration) {
+        self.shutdown.send_replace(true);
+        let begun = Instant::now();
+        while !self.thread.is_finished() && begun.elapsed() < limit {
+            std::thread::sleep(SHUTDOWN_CHECK);
+        }
+    }
+}
+
+/// Listens on all addresses, on a thread of its own until it is shut down.
+pub(crate) fn spawn(bindings: Vec<Binding>, on_request: RequestHandler) -> Result<Listener, SpawnError> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let (bound, is_bound) = sync_channel(1);
-    let serve = move || LocalSet::new().block_on(&runtime, listen(bindings, on_request, &bound));
-    std::thread::Builder::new().name("http".into()).stack_size(STACK_BYTES).spawn(serve)?;
+    let (shutdown, is_shut_down) = watch::channel(false);
+    let serve =
+        move || LocalSet::new().block_on(&runtime, listen(bindings, on_request, &bound, is_shut_down));
+    let thread = std::thread::Builder::new().name("http".into()).stack_size(STACK_BYTES).spawn(serve)?;
     // The thread ends without a word only if it panics, which ends the process.
-    Ok(is_bound.recv().unwrap_or(Ok(()))?)
+    is_bound.recv().unwrap_or(Ok(()))?;
+    Ok(Listener { shutdown, thread })
 }
 
 /// Why a node can't listen.
@@ -84,6 +109,7 @@
     bindings: Vec<Binding>,
     on_request: RequestHandler,
     bound: &SyncSender<Result<(), BindError>>,
+    shutdown: watch::Receiver<bool>,
 ) {
     let mut listeners = Vec::new();
     for Binding { address, resources } in bindings {
@@ -101,7 +127,7 @@
     let _ = bound.send(Ok(()));
     let accepting: Vec<_> = listeners
         .into_iter()
-        .map(|(listener, dispatcher)| spawn_local(accept(listener, dispatcher)))
+        .map(|(listener, dispatcher)| spawn_local(accept(listener, dispatcher, shutdown.clone())))
         .collect();
     for task in accepting {
         let _ = task.await;
@@ -116,16 +142,36 @@
     socket.listen(BACKLOG)
 }
 
-async fn accept(listener: TcpListener, dispatcher: Rc<Dispatcher>) {
+/// Accepts connections until a shutdown, and ends when all of them have.
+async fn accept(listener: TcpListener, dispatcher: Rc<Dispatcher>, mut shutdown: watch::Receiver<bool>) {
+    let mut connections = JoinSet::new();
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => drop(spawn_local(serve_connection(stream, dispatcher.clone()))),
-            Err(_) => sleep(ACCEPT_RETRY).await,
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => {
+                    connections.spawn_local(serve_connection(stream, dispatcher.clone(), shutdown.clone()));
+                }
+                Err(_) => sleep(ACCEPT_RETRY).await,
+            },
+            Some(_) = connections.join_next() => {}
+            _ = wait_for_shutdown(&mut shutdown) => break,
         }
     }
+    drop(listener);
+    while connections.join_next().await.is_some() {}
+}
+
+/// A dropped sender is a shutdown, too.
+async fn wait_for_shutdown(shutdown: &mut watch::Receiver<bool>) {
+    let _ = shutdown.wait_for(|is_shut_down| *is_shut_down).await;
 }
 
-async fn serve_connection(stream: TcpStream, dispatcher: Rc<Dispatcher>) {
+/// Serves requests until the client leaves, or until a shutdown and the response that is owed by then.
+async fn serve_connection(
+    stream: TcpStream,
+    dispatcher: Rc<Dispatcher>,
+    mut shutdown: watch::Receiver<bool>,
+) {
     let _ = stream.set_nodelay(true);
     let service = service_fn(|request| {
         let dispatcher = dispatcher.clone();
@@ -135,7 +181,12 @@
         .timer(TokioTimer::new())
         .header_read_timeout(IDLE_TIMEOUT)
         .serve_connection(TokioIo::new(stream), service);
+    let mut connection = pin!(connection);
     // A client that has gone needs no response.
+    tokio::select! {
+        _ = &mut connection => return,
+        _ = wait_for_shutdown(&mut shutdown) => connection.as_mut().graceful_shutdown(),
+    }
     let _ = connection.await;
 }
 
--- a/crates/control-plane/server/src/node.rs
+++ b/crates/control-plane/server/src/node.rs
@@ -2,7 +2,7 @@
 //! are adapters (`lib.rs`, `peer_rpc.rs`, `store.rs`) that decide nothing; the simulator drives the same machine.
 pub use crate::messages::{AdminRequest, Effect, Event, PeerRequest, PeerResponse, Startup};
 use crate::peer_links::PeerLinks;
-use crate::responses::Reply;
+use crate::responses::{Rejection, Reply, SHUTS_DOWN};
 use crate::state::State;
 use crate::store::{FolderCondition, WriteBatch};
 use crate::timeouts::Timeouts;
@@ -16,6 +16,16 @@
 const COUNT_DECAY_TICKS: u64 = 100;
 const PEER_SELECTION_TICKS: u64 = 10;
 
+/// How far a shutdown has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ExitPhase {
+    /// No shutdown, or the node has duties left.
+    Running,
+    /// The duties are over; requests that were taken are still to be answered, and no more are taken.
+    Finishing,
+    Exited,
+}
+
 /// One member of the control plane.
 pub struct Node {
     state: State,
@@ -25,7 +35,7 @@
     had_quorum_contact: bool,
     /// The revision of the configuration that was last seen in force, for the log.
     logged_revision: Option<u64>,
-    has_exited: bool,
+    exit: ExitPhase,
 }
 
 impl Node {
@@ -52,7 +62,7 @@
             ticks: 0,
             had_quorum_contact: false,
             logged_revision: None,
-            has_exited: false,
+            exit: ExitPhase::Running,
         };
         let mut effects = Vec::new();
         node.log_voters_needed(&mut effects);
@@ -72,8 +82,12 @@
     /// Takes one event at `now` (ms); the effects are appended in the order in which they are to be carried out.
     pub fn step(&mut self, now: Ms, event: Event, effects: &mut Vec<Effect>) {
         let (mut outputs, mut replies) = (Vec::new(), Vec::new());
+        let is_tick = matches!(event, Event::Tick);
         match event {
             Event::Tick => self.tick(now, &mut replies, &mut outputs, effects),
+            Event::Admin { request_id, .. } if self.exit != ExitPhase::Running => {
+                replies.push(Reply::Admin(request_id, Rejection::unavailable(SHUTS_DOWN).into()))
+            }
             Event::Admin { request_id, request } => {
                 self.state.handle_admin_request(now, request_id, request, &mut replies, effects)
             }
@@ -95,7 +109,12 @@
         self.apply_outputs(now, outputs, effects);
         self.log_new_revision(effects);
         effects.extend(self.state.violations.take_lines().into_iter().map(Effect::Log));
+        let exits = is_tick && self.advance_exit(now, &mut replies);
         effects.extend(replies.into_iter().map(Effect::from));
+        if exits {
+            effects.push(Effect::Log("Left.".into()));
+            effects.push(Effect::Exit);
+        }
     }
 
     /// With the same line of the edges, it tells where a configuration is late.
@@ -133,7 +152,6 @@
             self.peer_links.select_peers(now, &self.state);
         }
         self.peer_links.start_due_polls(now, &mut self.state, effects);
-        self.exit_if_possible(now, effects);
     }
 
     /// Once quorum contact is lost, edges are sent to other members at once.
@@ -145,12 +163,18 @@
         self.had_quorum_contact = has_quorum_contact;
     }
 
-    fn exit_if_possible(&mut self, now: Ms, effects: &mut Vec<Effect>) {
-        if !self.has_exited && self.state.core.may_exit(now) {
-            self.has_exited = true;
-            effects.push(Effect::Log("Left.".into()));
-            effects.push(Effect::Exit);
+    /// Whether the process may end now. Once its duties are over the node takes no more requests of endpoints and
+    /// operators, and first answers those that it has taken.
+    fn advance_exit(&mut self, now: Ms, replies: &mut Vec<Reply>) -> bool {
+        if self.exit == ExitPhase::Running && self.state.core.may_exit(now) {
+            self.exit = ExitPhase::Finishing;
+        }
+        if self.exit != ExitPhase::Finishing || !self.state.pending_replies.is_empty() {
+            return false;
         }
+        self.exit = ExitPhase::Exited;
+        self.state.answer_all_polls(now, replies);
+        true
     }
 
     fn watch(
--- a/crates/control-plane/server/src/pending_replies.rs
+++ b/crates/control-plane/server/src/pending_replies.rs
@@ -43,6 +43,10 @@
         std::mem::take(&mut self.replies)
     }
 
+    pub(crate) fn is_empty(&self) -> bool {
+        self.replies.is_empty()
+    }
+
     pub(crate) fn any_awaits_followers(&self) -> bool {
         self.replies.iter().any(|reply| reply.sequence.is_some())
     }
--- a/crates/control-plane/server/src/responses.rs
+++ b/crates/control-plane/server/src/responses.rs
@@ -9,6 +9,8 @@
 pub(crate) const NOT_COMMITTED: &str = "not on two disks";
 /// Why an isolated member answers no endpoint.
 pub(crate) const ISOLATED: &str = "out of touch with most witnesses";
+/// Why a member that is about to end answers no endpoint and no operator.
+pub(crate) const SHUTS_DOWN: &str = "shuts down";
 /// Why a configuration is refused whose revision was committed with another content.
 pub(crate) const CONFLICTING_REVISION: &str =
     "revision: its number has another content already, expected a higher one";
--- a/crates/control-plane/server/src/server.rs
+++ b/crates/control-plane/server/src/server.rs
@@ -2,7 +2,9 @@
 //!
 //! An event goes to the node under its lock, with the time; the effects that come out are carried out here. Nothing is
 //! decided in this module.
-use crate::listener::{self, BindError, Binding, HttpResponse, RequestHandler, Responder, SpawnError};
+use crate::listener::{
+    self, BindError, Binding, HttpResponse, Listener, RequestHandler, Responder, SpawnError,
+};
 use crate::node::{Effect, Event, Node, PeerResponse, Startup};
 use crate::peer_rpc::{PeerCall, PeerRpcWorkers, ResponseHandler};
 use crate::resources::{self, ParsedRequest};
@@ -12,7 +14,7 @@
 use slab::Slab;
 use std::io;
 use std::path::Path;
-use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
 /// How often the node is given the time.
@@ -20,6 +22,9 @@
 
 const TICK_STACK_BYTES: usize = 512 * 1024;
 
+/// How long the last responses of a node that shuts down may take to be written.
+const RESPONSE_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// Integers below this are exact in every JSON reader.
 const MAX_INCARNATION: u64 = 1 << 53;
 
@@ -62,6 +67,8 @@
     started: Instant,
     log: slog::Logger,
     exit: ExitFlag,
+    /// Set once the node listens.
+    listener: OnceLock<Listener>,
 }
 
 /// Set once the node has handed over its duties.
@@ -106,7 +113,8 @@
             Binding { address: peer_address, resources: resources::of_peers() },
             Binding { address: admin_address.clone(), resources: resources::of_admin() },
         ];
-        listener::spawn(bindings, server.request_handler())?;
+        let listener = listener::spawn(bindings, server.request_handler())?;
+        let _ = server.listener.set(listener);
         Ok(server)
     }
 
@@ -130,6 +138,7 @@
             started,
             log,
             exit: ExitFlag::default(),
+            listener: OnceLock::new(),
         });
         server.carry_out_all(lock(&server.node), effects);
         server
@@ -240,8 +249,11 @@
         self.submit(Event::Shutdown);
     }
 
-    /// Blocks until a graceful shutdown is complete.
+    /// Blocks until a graceful shutdown is complete, and callers have got the responses that they are owed.
     pub fn wait_for_exit(&self) {
         self.exit.wait();
+        if let Some(listener) = self.listener.get() {
+            listener.shut_down(RESPONSE_TIMEOUT);
+        }
     }
 }
