Soak: SIGTERM, SIGHUP and restarts in series, and clients that keep connections

The soak had killed processes, but never told one to end, and its edges had no endpoint, so that it could not see a request that a shutdown cuts. Each edge now has four clients that use their connections until they are closed, an endpoint notes what it has begun, and a request that was begun and has no answer is a violation unless its edge was killed.

--- /dev/null
+++ b/crates/tools/soak/src/clients.rs
@@ -0,0 +1,108 @@
+//! Clients that keep their connections open and use them until the edge closes them.
+use crate::backend::{header, read_head, BegunRequests, ID_HEADER, WORK_HEADER};
+use crate::observers::Shared;
+use std::io::{BufReader, Read, Write};
+use std::net::TcpStream;
+use std::thread::{sleep, spawn, JoinHandle};
+use std::time::{Duration, Instant};
+
+/// How long a client waits between two requests on a connection.
+const IDLE_MS: std::ops::Range<u64> = 0..1_500;
+/// How long a request takes at its endpoint.
+const WORK_MS: std::ops::Range<u64> = 0..400;
+/// The time that a client gives a request. All that an edge takes until it accepts no more ends before the edge does.
+const TIME_LEFT_MS: u64 = 500;
+/// Longer than any answer takes: what comes after is no answer.
+const READ_TIMEOUT: Duration = Duration::from_secs(5);
+const RECONNECT_PAUSE: Duration = Duration::from_millis(20);
+/// The endpoint notes a request before the edge can know that it has come.
+const NOTE_TIME: Duration = Duration::from_millis(50);
+/// The path of the first revision, which every later one routes as well.
+const PATH: &str = "/1/";
+
+/// What came of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Exchange {
+    Answered {
+        closes: bool,
+    },
+    /// An answer to another request.
+    Foreign,
+    /// The connection ended before an answer was complete.
+    Closed,
+}
+
+/// Uses connections to an edge until the run is over.
+pub(crate) fn start(
+    shared: Shared,
+    edge: usize,
+    address: String,
+    begun: BegunRequests,
+    seed: u64,
+) -> JoinHandle<()> {
+    spawn(move || {
+        let mut random = fastrand::Rng::with_seed(seed);
+        while !shared.is_over() {
+            if let Ok(stream) = TcpStream::connect(&address) {
+                use_connection(&shared, edge, &stream, &begun, &mut random);
+            }
+            sleep(RECONNECT_PAUSE);
+        }
+    })
+}
+
+/// Sends request after request, with pauses, until the connection ends.
+fn use_connection(
+    shared: &Shared,
+    edge: usize,
+    stream: &TcpStream,
+    begun: &BegunRequests,
+    random: &mut fastrand::Rng,
+) {
+    let _ = stream.set_nodelay(true);
+    let _ = stream.set_read_timeout(Some(READ_TIMEOUT));
+    let mut reader = BufReader::new(stream);
+    while !shared.is_over() {
+        sleep(Duration::from_millis(random.u64(IDLE_MS)));
+        let id = format!("{edge}-{:016x}", random.u64(..));
+        let sent = Instant::now();
+        match exchange(&mut reader, &id, random.u64(WORK_MS)) {
+            Exchange::Answered { closes: false } => shared.history().answer(),
+            Exchange::Answered { closes: true } => return shared.history().answer(),
+            Exchange::Foreign => return shared.history().foreign_answer(edge),
+            Exchange::Closed => {
+                sleep(NOTE_TIME);
+                // One that crossed the close and reached no endpoint can be sent again.
+                if begun.contains(&id) {
+                    shared.history().lose_request(edge, &id, sent);
+                }
+                return;
+            }
+        }
+    }
+}
+
+/// Sends one request and reads its answer.
+fn exchange(reader: &mut BufReader<&TcpStream>, id: &str, work: u64) -> Exchange {
+    let request = format!(
+        "GET {PATH} HTTP/1.1\r\nHost: d.example\r\n{ID_HEADER}: {id}\r\nTime-Left-Ms: {TIME_LEFT_MS}\r\n\
+         {WORK_HEADER}: {work}\r\n\r\n"
+    );
+    if reader.get_mut().write_all(request.as_bytes()).is_err() {
+        return Exchange::Closed;
+    }
+    read_answer(reader, id).unwrap_or(Exchange::Closed)
+}
+
+/// `None`: the connection ended first.
+fn read_answer(reader: &mut BufReader<&TcpStream>, id: &str) -> Option<Exchange> {
+    let head = read_head(reader)?;
+    let length = header(&head, "Content-Length").and_then(|value| value.parse().ok()).unwrap_or(0);
+    let mut body = vec![0; length];
+    reader.read_exact(&mut body).ok()?;
+    // An answer of the edge's own bears no id.
+    if header(&head, ID_HEADER).is_some_and(|other| other != id) {
+        return Some(Exchange::Foreign);
+    }
+    Some(Exchange::Answered { closes: header(&head, "Connection") == Some("close") })
+}
--- a/crates/tools/soak/src/cluster.rs
+++ b/crates/tools/soak/src/cluster.rs
@@ -10,7 +10,6 @@
 use std::process::{Child, Command};
 
 pub(crate) const NODES: usize = 3;
-pub(crate) const EDGES: usize = 3;
 const ADMIN_PORT: u16 = 8544;
 const PEER_PORT: u16 = 7540;
 const CLIENT_PORT: u16 = 8080;
@@ -55,6 +54,23 @@
     Edge(usize),
 }
 
+impl ProcessId {
+    /// Its number among the nodes, or the edges.
+    pub(crate) fn index(self) -> usize {
+        match self {
+            ProcessId::Node(index) | ProcessId::Edge(index) => index,
+        }
+    }
+
+    /// The number of an edge; none for a node.
+    pub(crate) fn edge(self) -> Option<usize> {
+        match self {
+            ProcessId::Edge(edge) => Some(edge),
+            ProcessId::Node(_) => None,
+        }
+    }
+}
+
 /// The loopback addresses of a run: three subnets, for relays, nodes and edges.
 pub(crate) struct Network {
     /// The second number of the addresses.
@@ -86,7 +102,12 @@
 
 impl Cluster {
     /// Starts all processes, with empty folders below `folder`.
-    pub(crate) fn start(programs: &Path, folder: PathBuf, network: Network) -> eyre::Result<Cluster> {
+    pub(crate) fn start(
+        programs: &Path,
+        folder: PathBuf,
+        network: Network,
+        edges: usize,
+    ) -> eyre::Result<Cluster> {
         let _ = std::fs::remove_dir_all(&folder);
         std::fs::create_dir_all(&folder)?;
         let mut cluster =
@@ -99,7 +120,7 @@
             cluster.nodes.push(process);
             cluster.write_node_settings(node, true)?;
         }
-        for edge in 0..EDGES {
+        for edge in 0..edges {
             let process = cluster.process(programs, "coppersail-edge-proxy", &format!("edge-{edge}"));
             cluster.edges.push(process);
             cluster.write_edge_settings(edge)?;
@@ -139,6 +160,11 @@
         format!("{}:{ADMIN_PORT}", self.relay_ip(node))
     }
 
+    /// Where the endpoint is, "ip:port". It shares the subnet of the relays.
+    pub(crate) fn endpoint_address(&self) -> String {
+        format!("{}:{CLIENT_PORT}", self.network.address(0, NODES))
+    }
+
     /// Where clients reach an edge, "ip:port".
     pub(crate) fn client_address(&self, edge: usize) -> String {
         format!("{}:{CLIENT_PORT}", self.edge_ip(edge))
@@ -192,12 +218,27 @@
         process.start()
     }
 
-    pub(crate) fn pause(&mut self, id: ProcessId) {
-        self.get_mut(id).signal("STOP");
+    /// Sends a signal by name.
+    pub(crate) fn signal(&mut self, id: ProcessId, name: &str) {
+        self.get_mut(id).signal(name);
     }
 
-    pub(crate) fn resume(&mut self, id: ProcessId) {
-        self.get_mut(id).signal("CONT");
+    /// Whether a process that was told to end has; it can be started again then.
+    pub(crate) fn has_ended(&mut self, id: ProcessId) -> bool {
+        let process = self.get_mut(id);
+        let runs = process.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None)));
+        if !runs {
+            process.child = None;
+        }
+        !runs
+    }
+
+    /// Writes the settings of a process once more.
+    pub(crate) fn rewrite_settings(&self, id: ProcessId) -> eyre::Result<()> {
+        match id {
+            ProcessId::Node(node) => self.write_node_settings(node, false),
+            ProcessId::Edge(edge) => self.write_edge_settings(edge),
+        }
     }
 
     /// Lines of any log that tell of a fault of the program.
--- a/crates/tools/soak/src/history.rs
+++ b/crates/tools/soak/src/history.rs
@@ -1,4 +1,5 @@
 //! What was acknowledged, read and seen at edges, and what that violates. Pure: times are passed in.
+use crate::cluster::ProcessId;
 use std::collections::BTreeMap;
 use std::fmt;
 use std::time::{Duration, Instant};
@@ -21,6 +22,12 @@
     Late { edge: usize, acknowledged: u64 },
     /// An order that was acknowledged was refused when it was sent again.
     Refused { revision: u64, status: u16 },
+    /// An edge passed a request on and closed its connection without an answer, though nothing killed the edge.
+    Lost { edge: usize, id: String },
+    /// A client got the answer to another request.
+    Foreign { edge: usize },
+    /// A process did not end within its grace period after SIGTERM.
+    DidNotEnd { process: ProcessId },
     /// At the end a node gave no answer, or an older one.
     NotReadBack { node: usize },
     /// A process has logged that one of its own invariants was violated, or has panicked.
@@ -43,6 +50,9 @@
             Violation::Refused { revision, status } => {
                 write!(out, "r{revision} was acknowledged and then refused with {status}")
             }
+            Violation::Lost { edge, id } => write!(out, "edge {edge} lost the request {id}"),
+            Violation::Foreign { edge } => write!(out, "edge {edge} gave an answer to another request"),
+            Violation::DidNotEnd { process } => write!(out, "{process:?} did not end after SIGTERM"),
             Violation::NotReadBack { node } => write!(out, "node {node} does not let the newest be read"),
             Violation::Logged { line } => write!(out, "log: {line}"),
         }
@@ -56,6 +66,8 @@
     life: u64,
     /// In this life.
     highest_seen: u64,
+    /// When it was killed last.
+    killed_at: Option<Instant>,
 }
 
 /// A request to an edge.
@@ -77,6 +89,8 @@
     calm_since: Option<Instant>,
     /// Reads that were answered with 200.
     pub(crate) reads: u64,
+    /// Requests of clients that got a complete answer.
+    pub(crate) answers: u64,
     /// The longest time from an acknowledgement to an edge, in times without faults.
     pub(crate) latest_edge: Duration,
     pub(crate) violations: Vec<Violation>,
@@ -123,10 +137,35 @@
         }
     }
 
-    /// An edge was killed: it starts anew.
+    /// An edge starts anew.
     pub(crate) fn restart_edge(&mut self, edge: usize) {
-        let life = self.edges.get(&edge).map_or(0, |state| state.life);
-        self.edges.insert(edge, EdgeState { life: life + 1, highest_seen: 0 });
+        let state = self.edges.entry(edge).or_default();
+        state.life += 1;
+        state.highest_seen = 0;
+    }
+
+    /// An edge is killed: what it has in flight is lost.
+    pub(crate) fn kill_edge(&mut self, edge: usize, now: Instant) {
+        self.edges.entry(edge).or_default().killed_at = Some(now);
+        self.restart_edge(edge);
+    }
+
+    /// A client got a complete answer.
+    pub(crate) fn answer(&mut self) {
+        self.answers += 1;
+    }
+
+    /// A client got the answer to another request.
+    pub(crate) fn foreign_answer(&mut self, edge: usize) {
+        self.violations.push(Violation::Foreign { edge });
+    }
+
+    /// A request that was sent then was begun by its endpoint, and its connection ended without an answer.
+    pub(crate) fn lose_request(&mut self, edge: usize, id: &str, sent: Instant) {
+        let killed_at = self.edges.get(&edge).and_then(|state| state.killed_at);
+        if killed_at.is_none_or(|killed| killed < sent) {
+            self.violations.push(Violation::Lost { edge, id: id.into() });
+        }
     }
 
     /// A request that is sent to an edge now.
--- a/crates/tools/soak/src/history/tests.rs
+++ b/crates/tools/soak/src/history/tests.rs
@@ -70,3 +70,15 @@
     history.refuse(8, 409);
     assert_eq!(history.violations, [Violation::Refused { revision: 8, status: 409 }]);
 }
+
+#[test]
+fn a_request_that_ends_without_an_answer_is_lost_unless_its_edge_was_killed_meanwhile() {
+    let (mut history, start) = (History::default(), Instant::now());
+    history.kill_edge(0, after(start, 100));
+    history.lose_request(0, "before", after(start, 50));
+    assert_eq!(history.violations, []);
+    history.lose_request(0, "after", after(start, 150));
+    history.lose_request(1, "other", after(start, 50));
+    let lost = |edge, id: &str| Violation::Lost { edge, id: id.into() };
+    assert_eq!(history.violations, [lost(0, "after"), lost(1, "other")]);
+}
--- a/crates/tools/soak/src/main.rs
+++ b/crates/tools/soak/src/main.rs
@@ -1,6 +1,8 @@
 //! `coppersail-soak`: runs real control-plane nodes and edge proxies on loopback under random faults that overlap, and checks
-//! what must hold of configurations. Exit status 0: no violation; 1: a violation, or a process that does not start; 2: a
+//! what must hold of configurations and of clients' requests. Exit status 0: no violation; 1: a violation, or a process that does not start; 2: a
 //! wrong argument.
+mod backend;
+mod clients;
 mod cluster;
 mod faults;
 mod history;
@@ -14,13 +16,17 @@
 
 const EXIT_USAGE: u8 = 2;
 const HELP: &str = "\
-coppersail-soak [--programs DIR] [--first SEED] [--seeds COUNT] [--seconds S]
-  runs COUNT (3) seeds from SEED (1), each with S (10) seconds of random faults, with the programs in DIR (target/release)";
+coppersail-soak [--programs DIR] [--first SEED] [--seeds COUNT] [--seconds S] [--edges N]
+  runs COUNT (3) seeds from SEED (1), each with S (10) seconds of random faults and N (3) edges, with the programs in DIR
+  (target/release)";
+/// Edges have addresses of one subnet.
+const MAX_EDGES: usize = 250;
 
 struct Arguments {
     programs: PathBuf,
     first: u64,
     seeds: u64,
+    edges: usize,
     faults_for: Duration,
 }
 
@@ -38,7 +44,7 @@
     };
     let mut is_sound = true;
     for seed in arguments.first..arguments.first + arguments.seeds {
-        match run::run(&arguments.programs, seed, arguments.faults_for) {
+        match run::run(&arguments.programs, seed, arguments.edges, arguments.faults_for) {
             Ok(report) => {
                 println!("seed {seed}: {report}");
                 is_sound &= report.violations.is_empty();
@@ -59,6 +65,7 @@
         programs: "target/release".into(),
         first: 1,
         seeds: 3,
+        edges: 3,
         faults_for: Duration::from_secs(10),
     };
     let mut parser = lexopt::Parser::from_env();
@@ -68,9 +75,19 @@
             Long("first") => arguments.first = parser.value()?.parse()?,
             Long("seeds") => arguments.seeds = parser.value()?.parse()?,
             Long("seconds") => arguments.faults_for = Duration::from_secs(parser.value()?.parse()?),
+            Long("edges") => arguments.edges = parse_edges(parser.value()?)?,
             Long("help") => return Ok(None),
             other => return Err(other.unexpected()),
         }
     }
     Ok(Some(arguments))
 }
+
+fn parse_edges(value: std::ffi::OsString) -> Result<usize, lexopt::Error> {
+    use lexopt::prelude::ValueExt;
+    let edges: usize = value.parse()?;
+    if !(1..=MAX_EDGES).contains(&edges) {
+        return Err(format!("--edges {edges}: expected 1 to {MAX_EDGES}").into());
+    }
+    Ok(edges)
+}
--- a/crates/tools/soak/src/observers.rs
+++ b/crates/tools/soak/src/observers.rs
@@ -1,4 +1,5 @@
 //! Threads that act as an operator, a reader and the clients of edges, and tell the history what they see.
+use crate::backend::SERVICE;
 use crate::history::History;
 use serde_json::{json, Value};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -11,8 +12,8 @@
 const READ_PAUSE: Duration = Duration::from_millis(20);
 const PROBE_PAUSE: Duration = Duration::from_millis(15);
 const MAX_REDIRECTS: usize = 2;
-/// A configuration routes the paths of so many revisions, its own the last: more than an edge may be ahead of the one that it
-/// should have.
+/// A configuration routes the path of the first revision and those of so many others, its own the last: more than an edge may be
+/// ahead of the one that it should have.
 const ROUTED_REVISIONS: u64 = 200;
 /// No configuration routes it.
 const UNROUTED_PATH: &str = "/never/";
@@ -34,12 +35,12 @@
         self.is_over.store(true, Ordering::Relaxed);
     }
 
-    fn is_over(&self) -> bool {
+    pub(crate) fn is_over(&self) -> bool {
         self.is_over.load(Ordering::Relaxed)
     }
 }
 
-fn agent() -> ureq::Agent {
+pub(crate) fn agent() -> ureq::Agent {
     let config = ureq::Agent::config_builder()
         .http_status_as_error(false)
         .max_redirects(0)
@@ -48,21 +49,28 @@
     config.into()
 }
 
-/// The configuration of a revision: its path and those of the ones before it lead to a service without endpoints.
+/// The configuration of a revision: its path and those of the ones before it lead to the endpoint.
 pub(crate) fn configuration(revision: u64) -> Value {
-    let first = revision.saturating_sub(ROUTED_REVISIONS - 1).max(1);
-    let rows: Vec<Value> =
-        (first..=revision).map(|n| json!(["d.example", format!("/{n}/"), "repeatable", "s"])).collect();
+    let first = revision.saturating_sub(ROUTED_REVISIONS - 1).max(2);
+    let rows: Vec<Value> = std::iter::once(1)
+        .chain(first..=revision)
+        .map(|n| json!(["d.example", format!("/{n}/"), "repeatable", SERVICE]))
+        .collect();
     json!({
         "revision": format!("r{revision}"),
         "routes": {"columns": ["domain", "pathStart", "sort", "backend"], "rows": rows},
-        "backends": {"columns": ["name"], "rows": [["s"]]},
+        "backends": {"columns": ["name"], "rows": [[SERVICE]]},
         "caps": {}
     })
 }
 
 /// A call of an operator, which follows redirects. `None`: no answer.
-fn call(agent: &ureq::Agent, address: &str, path: &str, body: Option<&str>) -> Option<(u16, String)> {
+pub(crate) fn call(
+    agent: &ureq::Agent,
+    address: &str,
+    path: &str,
+    body: Option<&str>,
+) -> Option<(u16, String)> {
     let mut url = format!("http://{address}{path}");
     for _ in 0..=MAX_REDIRECTS {
         let mut response = match body {
@@ -177,11 +185,11 @@
     }
 }
 
-/// Whether the edge routes the path of this revision. `None`: no answer. An edge that has a route answers 503, as there is no
-/// endpoint, and one without it 404; one without a configuration answers 503 to everything.
+/// Whether the edge routes the path of this revision. `None`: no answer. An edge without the route answers 404, and one without a
+/// configuration 503 to everything.
 fn has_route(agent: &ureq::Agent, address: &str, revision: u64) -> Option<bool> {
     let has_config = status_of(agent, address, UNROUTED_PATH)? == 404;
-    Some(has_config && status_of(agent, address, &format!("/{revision}/"))? == 503)
+    Some(has_config && status_of(agent, address, &format!("/{revision}/"))? != 404)
 }
 
 fn status_of(agent: &ureq::Agent, address: &str, path: &str) -> Option<u16> {
--- a/crates/tools/soak/src/run.rs
+++ b/crates/tools/soak/src/run.rs
@@ -1,9 +1,11 @@
 //! One run: start, a time of faults, a time of calm, and the last checks.
-use crate::cluster::{Cluster, Network, EDGES, NODES};
+use crate::backend;
+use crate::clients;
+use crate::cluster::{Cluster, Network, NODES};
 use crate::faults::FaultSchedule;
 use crate::history::{Violation, APPLY, CONTACT};
 use crate::observers::{read_back, start_client, start_operator, start_reader, Shared};
-use eyre::ensure;
+use eyre::{ensure, WrapErr};
 use std::fmt;
 use std::path::Path;
 use std::thread::sleep;
@@ -16,24 +18,30 @@
 const BURST: Duration = Duration::from_secs(6);
 const CALM: Duration = Duration::from_secs(6);
 
+/// How many clients of each edge keep their connections.
+const KEPT_CONNECTIONS: usize = 4;
+
 /// What a run has shown.
 pub(crate) struct Report {
     faults: u64,
     overlapping: u64,
+    terminated: u64,
     acknowledged: usize,
     reads: u64,
+    answers: u64,
     latest_edge: Duration,
     pub(crate) violations: Vec<Violation>,
 }
 
 impl fmt::Display for Report {
     fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Report { faults, overlapping, acknowledged, reads, latest_edge, violations } = self;
+        let Report { faults, overlapping, terminated, acknowledged, reads, answers, latest_edge, violations } =
+            self;
         let latest = latest_edge.as_millis();
         write!(
             out,
-            "{faults} faults ({overlapping} overlapping), {acknowledged} acknowledged, {reads} reads, \
-             latest edge {latest} ms, {} violations",
+            "{faults} faults ({overlapping} overlapping, {terminated} SIGTERM), {acknowledged} acknowledged, {reads} reads, \
+             {answers} answers on kept connections, latest edge {latest} ms, {} violations",
             violations.len()
         )?;
         violations.iter().take(10).try_for_each(|violation| write!(out, "\n  {violation}"))
@@ -41,22 +49,33 @@
 }
 
 /// Runs one seed with faults for so long.
-pub(crate) fn run(programs: &Path, seed: u64, faults_for: Duration) -> eyre::Result<Report> {
+pub(crate) fn run(programs: &Path, seed: u64, edges: usize, faults_for: Duration) -> eyre::Result<Report> {
     let folder = std::env::temp_dir().join(format!("coppersail-soak-{}-{seed}", std::process::id()));
     // Seeds that run at once, and runs of several processes, have addresses of their own.
     let network =
         Network { second: 20 + (std::process::id() % 200) as u8, first_subnet: (seed % 80) as u8 * 3 };
-    let mut cluster = Cluster::start(programs, folder.clone(), network)?;
+    let mut cluster = Cluster::start(programs, folder.clone(), network, edges)?;
     let shared = Shared::default();
     let nodes: Vec<String> = (0..NODES).map(|node| cluster.admin_address(node)).collect();
+    let endpoint = cluster.endpoint_address();
+    let begun = backend::start(&endpoint).wrap_err_with(|| format!("can't listen at {endpoint}"))?;
     let mut threads = vec![
+        backend::start_heartbeats(shared.clone(), nodes.clone(), endpoint),
         start_operator(shared.clone(), nodes.clone(), seed),
         start_reader(shared.clone(), nodes.clone(), seed + 1),
     ];
-    threads.extend((0..EDGES).map(|edge| start_client(shared.clone(), edge, cluster.client_address(edge))));
-    let result = wait_for_start(&shared)
+    threads.extend((0..edges).map(|edge| start_client(shared.clone(), edge, cluster.client_address(edge))));
+    let clients = (0..edges * KEPT_CONNECTIONS).map(|number| {
+        let edge = number % edges;
+        let address = cluster.client_address(edge);
+        clients::start(shared.clone(), edge, address, begun.clone(), seed.wrapping_mul(1_000) + number as u64)
+    });
+    threads.extend(clients);
+    let result = wait_for_start(&shared, edges)
         .and_then(|()| cluster.end_first_start())
-        .and_then(|()| inject_faults(&mut cluster, &shared, seed, faults_for))
+        .and_then(|()| {
+            inject_faults(&mut cluster, &shared, FaultSchedule::new(seed, edges, Instant::now()), faults_for)
+        })
         .map(|faults| (faults, check_end(&cluster, &shared, &nodes)));
     shared.finish();
     threads.into_iter().for_each(|thread| drop(thread.join()));
@@ -69,18 +88,20 @@
     Ok(Report {
         faults: faults.begun,
         overlapping: faults.overlapping,
+        terminated: faults.terminated,
         acknowledged: history.acknowledged_count(),
         reads: history.reads,
+        answers: history.answers,
         latest_edge: history.latest_edge,
         violations,
     })
 }
 
-fn wait_for_start(shared: &Shared) -> eyre::Result<()> {
+fn wait_for_start(shared: &Shared, edges: usize) -> eyre::Result<()> {
     let end = Instant::now() + START_TIMEOUT;
     let all_serve = || {
         let history = shared.history();
-        (0..EDGES).all(|edge| history.highest_seen(edge) > 0)
+        (0..edges).all(|edge| history.highest_seen(edge) > 0)
     };
     while !all_serve() {
         ensure!(
@@ -97,12 +118,11 @@
 fn inject_faults(
     cluster: &mut Cluster,
     shared: &Shared,
-    seed: u64,
+    mut faults: FaultSchedule,
     faults_for: Duration,
 ) -> eyre::Result<FaultSchedule> {
     let mut now = Instant::now();
     let end = now + faults_for;
-    let mut faults = FaultSchedule::new(seed, now);
     while now < end {
         let burst_end = end.min(now + BURST);
         while now < burst_end || faults.is_active() {
@@ -123,7 +143,11 @@
     if step.began || faults.is_active() {
         history.begin_fault();
     }
-    step.killed_edges.iter().for_each(|edge| history.restart_edge(*edge));
+    let now = Instant::now();
+    step.killed_edges.iter().for_each(|edge| history.kill_edge(*edge, now));
+    step.restarted_edges.iter().for_each(|edge| history.restart_edge(*edge));
+    let not_ended = step.not_ended.iter().map(|process| Violation::DidNotEnd { process: *process });
+    history.violations.extend(not_ended);
 }
 
 /// The newest configuration can be read at every node, and no process has logged a fault of its own.
