Soak: requests and pauses long enough for a shutdown to cut them

With requests of 400 ms at most no edge could fail: one request and one pause in four are long now, and the grace period is that of the deployments (6 s).

--- a/crates/tools/soak/src/clients.rs
+++ b/crates/tools/soak/src/clients.rs
@@ -6,14 +6,17 @@
 use std::thread::{sleep, spawn, JoinHandle};
 use std::time::{Duration, Instant};
 
-/// How long a client waits between two requests on a connection.
-const IDLE_MS: std::ops::Range<u64> = 0..1_500;
-/// How long a request takes at its endpoint.
-const WORK_MS: std::ops::Range<u64> = 0..400;
-/// The time that a client gives a request. All that an edge takes until it accepts no more ends before the edge does.
-const TIME_LEFT_MS: u64 = 500;
+/// How long a client waits between two requests on a connection, as a rule and at times.
+const IDLE_MS: [std::ops::Range<u64>; 2] = [0..1_000, 1_000..4_000];
+/// How long a request takes at its endpoint, as a rule and at times: what an edge that shuts down takes until it accepts no more
+/// connections (2.5 s) ends before the edge does (5.7 s), and what it took a second later would not.
+const WORK_MS: [std::ops::Range<u64>; 2] = [0..400, 2_400..2_900];
+/// One in so many waits and requests is long.
+const LONG_ONES: usize = 4;
+/// The time that a client gives a request.
+const TIME_LEFT_MS: u64 = 4_000;
 /// Longer than any answer takes: what comes after is no answer.
-const READ_TIMEOUT: Duration = Duration::from_secs(5);
+const READ_TIMEOUT: Duration = Duration::from_secs(8);
 const RECONNECT_PAUSE: Duration = Duration::from_millis(20);
 /// The endpoint notes a request before the edge can know that it has come.
 const NOTE_TIME: Duration = Duration::from_millis(50);
@@ -63,10 +66,10 @@
     let _ = stream.set_read_timeout(Some(READ_TIMEOUT));
     let mut reader = BufReader::new(stream);
     while !shared.is_over() {
-        sleep(Duration::from_millis(random.u64(IDLE_MS)));
+        sleep(Duration::from_millis(random_ms(random, &IDLE_MS)));
         let id = format!("{edge}-{:016x}", random.u64(..));
         let sent = Instant::now();
-        match exchange(&mut reader, &id, random.u64(WORK_MS)) {
+        match exchange(&mut reader, &id, random_ms(random, &WORK_MS)) {
             Exchange::Answered { closes: false } => shared.history().answer(),
             Exchange::Answered { closes: true } => return shared.history().answer(),
             Exchange::Foreign => return shared.history().foreign_answer(edge),
@@ -82,6 +85,12 @@
     }
 }
 
+/// A time of the first range as a rule, and of the second at times.
+fn random_ms(random: &mut fastrand::Rng, ranges: &[std::ops::Range<u64>; 2]) -> u64 {
+    let is_long = random.usize(0..LONG_ONES) == 0;
+    random.u64(ranges[usize::from(is_long)].clone())
+}
+
 /// Sends one request and reads its answer.
 fn exchange(reader: &mut BufReader<&TcpStream>, id: &str, work: u64) -> Exchange {
     let request = format!(
--- a/crates/tools/soak/src/cluster.rs
+++ b/crates/tools/soak/src/cluster.rs
@@ -178,7 +178,7 @@
             "provider": {"heartbeat": "300ms"},
             "terms": {
                 "survive": {"boxes": 1},
-                "timeLimits": {"inContact": "1500ms", "apply": "2s", "keepMax": "2s", "leeway": "2s"}
+                "timeLimits": {"inContact": "1500ms", "apply": "2s", "keepMax": "2s", "leeway": "6s"}
             }
         })
     }
--- a/crates/tools/soak/src/faults.rs
+++ b/crates/tools/soak/src/faults.rs
@@ -12,7 +12,7 @@
 /// The longest series.
 const MAX_SERIES: usize = 40;
 /// A process that was told to end has ended within this: its grace period, and what a machine full of processes adds.
-const END_TIMEOUT: Duration = Duration::from_secs(5);
+const END_TIMEOUT: Duration = Duration::from_secs(8);
 
 /// What is wrong while a fault is active. Disks are never lost, so that any faults may overlap.
 #[derive(Debug, Clone, PartialEq, Eq)]
