--- a/crates/data-plane/edge-proxy/src/attempt_loop.rs
+++ b/crates/data-plane/edge-proxy/src/attempt_loop.rs
@@ -1,4 +1,6 @@
 //! The attempts of one request, until one brings a response or the request is given up.
+mod endpoint_selection;
+
 use crate::attempt::{Attempt, AttemptResult};
 use crate::body::{Body, RequestBody};
 use crate::edge::Edge;
@@ -6,14 +8,13 @@
 use crate::response::{empty_response, unavailable, ResponseBody};
 use crate::rollout::recording::AttemptRecord;
 use crate::rollout::variants::AssignedVariant;
-use crate::sessions::AttemptTarget;
 use crate::upstream_response::UpstreamResponse;
-use coppersail_load_balancing::selection::{self, Selection, SelectionRequest, VersionFilter};
 use coppersail_load_balancing::{backoff, timeouts, Ms};
 use coppersail_retry::{AttemptHistory, AttemptOutcome, FinalOutcome, RejectReason, SendFailure};
+use endpoint_selection::SelectionStep;
 use hyper::Response;
 use std::rc::Rc;
-use tokio::time::{timeout_at, Instant};
+use tokio::time::Instant;
 
 /// Attempts of one request that reach no endpoint; each costs the client a part of its time.
 const MAX_UNSENT_ATTEMPTS: u32 = 3;
@@ -56,13 +57,6 @@
     owner_wait_until: Ms,
 }
 
-/// What follows from the selection of an endpoint.
-enum SelectionStep {
-    Attempt(Rc<str>),
-    Reselect,
-    GiveUp,
-}
-
 /// What follows from an attempt.
 enum NextStep {
     Respond(UpstreamResponse),
@@ -134,79 +128,6 @@
         self.edge.shutdown.may_begin(self.edge.instant(self.request.deadline))
     }
 
-    /// Selects the endpoint of the next attempt, or waits until it is worth selecting again.
-    async fn select_endpoint(&mut self, now: Ms) -> SelectionStep {
-        match self.selection(now) {
-            Selection::Endpoint(selected) => SelectionStep::Attempt(self.apply_affinity(selected)),
-            Selection::NoLeaseHolder => self.wait_for_owner(now).await,
-            Selection::NoEndpoint if self.can_fall_back() => {
-                self.variant = self.variant.take().map(AssignedVariant::into_control_group);
-                SelectionStep::Reselect
-            }
-            Selection::NoEndpoint | Selection::Overloaded => SelectionStep::GiveUp,
-        }
-    }
-
-    fn selection(&self, now: Ms) -> Selection {
-        let version =
-            self.variant.as_ref().and_then(AssignedVariant::revision_filter).map(|(version, is_new)| {
-                match is_new {
-                    true => VersionFilter::Only(version),
-                    false => VersionFilter::Except(version),
-                }
-            });
-        let request = SelectionRequest {
-            service: self.request.service,
-            key: self.request.key,
-            idempotent: self.request.route.idempotent,
-            rank: self.request.route.priority,
-            left: self.request.left(now),
-            drain_grace: self.edge.drain_grace(),
-            version,
-            excluded: &self.excluded,
-        };
-        let (registry, mut random) = (self.edge.registry.borrow(), self.edge.random.borrow_mut());
-        selection::select_endpoint(&registry, &request, now, &mut random)
-    }
-
-    /// The endpoint of the request's session, where it has one.
-    fn apply_affinity(&self, selected: Rc<str>) -> Rc<str> {
-        match &self.request.affinity {
-            Some(affinity) => {
-                let target = AttemptTarget {
-                    service: self.request.service,
-                    sharded: self.request.key.is_some(),
-                    attempted: &self.excluded,
-                };
-                let registry = self.edge.registry.borrow();
-                affinity.choose_endpoint(&registry, self.edge.now(), selected, &target)
-            }
-            None => selected,
-        }
-    }
-
-    /// Waits for an update. An owner is in doubt for a while only, so that the end of the wait is worth a selection, too.
-    async fn wait_for_owner(&mut self, now: Ms) -> SelectionStep {
-        self.lacked_owner = true;
-        let updated = self.edge.updated.notified();
-        let until = self.edge.instant(self.owner_wait_until);
-        if now >= self.owner_wait_until || timeout_at(until, updated).await.is_err() {
-            return SelectionStep::GiveUp;
-        }
-        SelectionStep::Reselect
-    }
-
-    /// Whether the request may go to the old version because the new one has no endpoint: only if it has certainly not
-    /// been processed.
-    fn can_fall_back(&self) -> bool {
-        let is_new = self
-            .variant
-            .as_ref()
-            .and_then(AssignedVariant::revision_filter)
-            .is_some_and(|(_, is_new)| is_new);
-        is_new && !self.history.may_have_run()
-    }
-
     /// Whether the attempt is within the retry budget; the first one, and those after which no endpoint has read the
     /// request, are not retries.
     fn take_retry_budget(&self, now: Ms) -> bool {
--- a/crates/tools/soak/src/faults.rs
+++ b/crates/tools/soak/src/faults.rs
@@ -11,6 +11,8 @@
 const SERIES_GAP_MS: std::ops::Range<u64> = 20..400;
 /// The longest series.
 const MAX_SERIES: usize = 40;
+/// Operators and platforms repeat themselves: only the first counts.
+const TERMINATION_SIGNALS: [&str; 3] = ["TERM", "HUP", "TERM"];
 /// A process that was told to end has ended within this: its grace period, and what a machine full of processes adds.
 const END_TIMEOUT: Duration = Duration::from_secs(8);
 
@@ -63,7 +65,9 @@
     fn begin(&self, cluster: &mut Cluster) -> eyre::Result<()> {
         match self {
             Fault::Killed(processes) => processes.iter().for_each(|process| cluster.kill(*process)),
-            Fault::Terminated(process) => cluster.signal(*process, "TERM"),
+            Fault::Terminated(process) => {
+                TERMINATION_SIGNALS.iter().for_each(|signal| cluster.signal(*process, signal))
+            }
             Fault::HungUp(process) => {
                 cluster.rewrite_settings(*process)?;
                 cluster.signal(*process, "HUP");
