--- a/review/stand-ins/src/case_stuck.rs
+++ b/review/stand-ins/src/case_stuck.rs
@@ -1,4 +1,4 @@
-//! Two hosts of a service that is divided by key lose their links to the core for five seconds, and no other
+//! Two hosts of a service that is divided by key lose their links to the core for almost five seconds, and no other
 //! link. Once the cut has healed and times are calm, their keys must be served again.
 use crate::client::{Clients, Traffic};
 use crate::gateway::{Failure, Gateway, APPLY, HEARTBEAT, IN_CONTACT};
@@ -9,10 +9,16 @@
 use std::thread::sleep;
 use std::time::Duration;
 
-/// How long the two hosts are cut off from the directors.
-const CUT: Duration = Duration::from_secs(5);
+/// When the cut ends, in seconds after the last beat of the large host. That host's leases are over by then, and
+/// it is the first of the two to call again. The cut is shorter by the time between the beats.
+const CUT_ENDS: f64 = 5.2;
+/// The longest cut that the pages allow, in seconds.
+const LONGEST_CUT: f64 = 5.0;
 /// All hosts; the last two are those with keys, which are a sixth of them.
 const HOSTS: usize = 12;
+/// The time between the beats of the large and of the small host, in seconds. They are found to be lost one
+/// after the other; the leader looks five times a second.
+const BEATS_APART: std::ops::Range<f64> = 0.25..1.0;
 /// How long the calm time is in which requests are counted.
 const CALM: f64 = 20.0;
 /// From the end of the cut to the calm time: `inContact` and half a second.
@@ -67,13 +73,18 @@
     sleep(Duration::from_secs(6));
     // The cut begins after a beat of each host, that of the large one first.
     await_beat(large);
+    let large_beat = record.say("beat of the large host");
     await_beat(small);
+    let cut = CUT_ENDS - (record.say("beat of the small host") - large_beat);
+    if !BEATS_APART.contains(&(CUT_ENDS - cut)) || cut > LONGEST_CUT {
+        return Err("the beats of the two hosts are not apart as they were at the start".into());
+    }
     let before = record.now();
     if trouble {
         large.cut_from_directors(true);
         small.cut_from_directors(true);
     }
-    sleep(CUT);
+    sleep(Duration::from_secs_f64(cut));
     if trouble {
         large.cut_from_directors(false);
         small.cut_from_directors(false);
@@ -139,6 +150,6 @@
         directors,
     };
     // Hosts do not beat at the same moment.
-    sleep(Duration::from_millis(210));
+    sleep(Duration::from_millis(if number == HOSTS - 1 { 500 } else { 210 }));
     Ok(Host::start(settings, record)?)
 }
