review: the forgotten sign-off is case 3 again; the lost core is taken back as a case

Change: the three cases are those of before: single-shot keys, ungranted leases, the forgotten sign-off.

--- a/review/stand-ins/src/client.rs
+++ b/review/stand-ins/src/client.rs
@@ -11,6 +11,7 @@
 /// A request of a client: when it was sent, and what came back (0: nothing).
 #[derive(Debug, Clone)]
 pub struct Sent {
+    pub id: String,
     pub at: f64,
     pub status: u16,
 }
@@ -130,7 +131,7 @@
             _ => 0,
         };
         self.record.line(&format!("client gets {status} for {id} ({name})"));
-        self.sent.lock().unwrap().push(Sent { at, status });
+        self.sent.lock().unwrap().push(Sent { id, at, status });
         if let Ok(Some(response)) = answer {
             if !response.closes() {
                 *kept = Some(connection);
--- a/review/stand-ins/src/gateway.rs
+++ b/review/stand-ins/src/gateway.rs
@@ -12,6 +12,7 @@
 
 /// The bounds of the case, as the pages of the site give them.
 pub const IN_CONTACT: f64 = 3.0;
+pub const EMPTY: f64 = 2.5;
 pub const APPLY: f64 = 2.5;
 pub const HEARTBEAT: Duration = Duration::from_millis(1300);
 
@@ -54,6 +55,11 @@
             record.line(&format!("process {} is killed", self.name));
         }
     }
+
+    /// Whether it ended by itself.
+    pub fn has_ended(&mut self) -> bool {
+        self.child.as_mut().is_some_and(|child| !matches!(child.try_wait(), Ok(None)))
+    }
 }
 
 impl Drop for Process {
@@ -214,7 +220,7 @@
     /// acknowledgement.
     pub fn configure(&self, body: &str, record: &Record, limit: Duration) -> Result<f64, Failure> {
         let until = Instant::now() + limit;
-        record.say(&format!("operator sends {}", &body[..body.len().min(600)]));
+        record.say(&format!("operator sends {body}"));
         let mut last = String::new();
         while Instant::now() < until {
             for address in self.admin_addresses() {
--- a/review/stand-ins/src/host.rs
+++ b/review/stand-ins/src/host.rs
@@ -1,4 +1,4 @@
-//! A sound host: it beats, serves requests and holds keys as the pages say.
+//! A sound host: it beats, serves requests, and leaves as the pages say.
 use crate::http::{call_admin, Connection, Message};
 use crate::leases::Leases;
 use crate::record::Record;
@@ -13,6 +13,14 @@
 /// How long a call to a director may take.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// A request that reached the host.
+#[derive(Debug, Clone)]
+pub struct Arrival {
+    pub at: f64,
+    pub id: String,
+    pub ran: bool,
+}
+
 pub struct HostSettings {
     pub id: String,
     pub service: String,
@@ -29,15 +37,18 @@
 pub struct Host {
     pub settings: HostSettings,
     pub record: Record,
+    pub arrivals: Mutex<Vec<Arrival>>,
     /// It sends no more beats.
     silent: AtomicBool,
+    /// It has said that it leaves; its answers close their connections.
+    leaving: AtomicBool,
     /// It has ended.
     ended: AtomicBool,
     /// Its link to the directors is cut.
     cut_from_directors: AtomicBool,
     /// Calls over that link are refused at once while it is cut; else they get no answer.
     refused: AtomicBool,
-    /// Its link to the edges is cut: connections to it are refused, and those that are open are reset.
+    /// Its link to the edges is cut: connections to it are refused, and those that were open are closed.
     cut_from_edges: AtomicBool,
     connections: Mutex<Vec<TcpStream>>,
     leases: Mutex<Leases>,
@@ -55,7 +66,9 @@
         let host = Arc::new(Host {
             settings,
             record: record.clone(),
+            arrivals: Mutex::default(),
             silent: AtomicBool::new(false),
+            leaving: AtomicBool::new(false),
             ended: AtomicBool::new(false),
             cut_from_directors: AtomicBool::new(false),
             refused: AtomicBool::new(false),
@@ -127,7 +140,7 @@
                 return;
             }
             let response = self.respond(&request);
-            if connection.write(&response).is_err() || request.closes() {
+            if connection.write(&response).is_err() || self.leaving.load(SeqCst) || request.closes() {
                 return;
             }
         }
@@ -154,10 +167,11 @@
             _ => None,
         };
         if !is_check {
-            self.record.line(&format!(
+            let at = self.record.line(&format!(
                 "host {own} gets {id} ({method} {path}, key {key:?}, wanted {wanted}): {}",
                 rejected.map_or("runs it".into(), |status| format!("{status}, not run"))
             ));
+            self.arrivals.lock().unwrap().push(Arrival { at, id: id.clone(), ran: rejected.is_none() });
         }
         if rejected.is_none() && !is_check {
             thread::sleep(self.settings.work);
@@ -166,9 +180,10 @@
             (None, Some(key)) if !is_check => self.leases.lock().unwrap().finish(key),
             _ => true,
         };
+        let close = if self.leaving.load(SeqCst) { "close" } else { "keep-alive" };
         let keep = KEEP_ALIVE.as_secs();
         let common = format!(
-            "Keep-Alive: timeout={keep}\r\nTry-Id: {id}\r\nServer-Id: {own}\r\nServer-Load: 1,0,4\r\n"
+            "Connection: {close}\r\nKeep-Alive: timeout={keep}\r\nTry-Id: {id}\r\nServer-Id: {own}\r\nServer-Load: 1,0,4\r\n"
         );
         match rejected {
             Some(status) => {
@@ -178,6 +193,9 @@
                 format!("HTTP/1.1 500 Internal Server Error\r\n{common}Content-Length: 0\r\n\r\n")
                     .into_bytes()
             }
+            None if is_check && self.leaving.load(SeqCst) => {
+                format!("HTTP/1.1 503 Service Unavailable\r\n{common}Content-Length: 0\r\n\r\n").into_bytes()
+            }
             None => {
                 let body = format!("{id} from {own}");
                 let length = body.len();
@@ -268,6 +286,22 @@
         }
     }
 
+    /// Ends the beats and signs off, without having said `emptying` before. Returns the time of the
+    /// acknowledgement and the director that gave it.
+    pub fn sign_off(&self, limit: Duration) -> Option<(f64, SocketAddr)> {
+        self.silent.store(true, SeqCst);
+        self.leaving.store(true, SeqCst);
+        let until = Instant::now() + limit;
+        let path = format!("/servers/{}/sign-off", self.settings.id);
+        self.record.say(&format!("host {} begins to sign off", self.settings.id));
+        self.call_until_acknowledged(&path, String::new, || Instant::now() < until)?;
+        let address = *self.director.lock().unwrap();
+        Some((
+            self.record.say(&format!("host {} sign-off acknowledged by {address}", self.settings.id)),
+            address,
+        ))
+    }
+
     pub fn end(&self) {
         self.silent.store(true, SeqCst);
         self.ended.store(true, SeqCst);
--- a/review/stand-ins/src/main.rs
+++ b/review/stand-ins/src/main.rs
@@ -2,7 +2,7 @@
 //! `target/release`, and writes `record.txt` into the folder. With `TROUBLE=0` the disruption is left out.
 //! Status 0: the rule held; 1: it was broken; 2: the case couldn't run.
 mod case_owner;
-mod case_repair;
+mod case_sign_off;
 mod case_stuck;
 mod client;
 mod gateway;
@@ -25,8 +25,8 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let record = Record::create(&Path::new(&folder).join("record.txt"))?;
     let result = match case.as_str() {
+        "sign-off" => case_sign_off::run(trouble, &record),
         "owner" => case_owner::run(trouble, &record),
-        "repair" => case_repair::run(trouble, &record),
         "stuck" => case_stuck::run(trouble, &record),
         _ => Err(format!("no case {case}").into()),
     };
