Nodes log what a departing endpoint is answered, edges why they drop one

A node now logs what it knew of an endpoint that drains or signs off, and how it was answered, after which time and with how many of its followers knowing. Decisions are as they were.

--- a/crates/control-plane/peer-protocol/src/endpoints.rs
+++ b/crates/control-plane/peer-protocol/src/endpoints.rs
@@ -1,5 +1,6 @@
 //! Changes of the endpoints of backend services.
 use serde::{Deserialize, Serialize};
+use std::fmt;
 
 /// The states of an endpoint, in the order in which it goes through them; it never returns to an earlier one.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -16,6 +17,16 @@
     Removed,
 }
 
+impl fmt::Display for EndpointState {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        out.write_str(match self {
+            EndpointState::Ready => "ready",
+            EndpointState::Draining => "draining",
+            EndpointState::Removed => "removed",
+        })
+    }
+}
+
 /// The state of one instance of a backend service, from its registration to its end.
 ///
 /// The control-plane node that receives the endpoint's heartbeats sends an update when any field changes. Of
--- a/crates/control-plane/server/src/due_replies.rs
+++ b/crates/control-plane/server/src/due_replies.rs
@@ -1,6 +1,7 @@
 //! Replies that are due: each pending request is answered once its condition is met or its deadline has
 //! passed.
-use crate::pending_replies::{PendingReply, ReplyKind};
+use crate::followers::Acknowledgements;
+use crate::pending_replies::{Departure, PendingReply, ReplyKind};
 use crate::proposals::ProposalStatus;
 use crate::responses::{
     heartbeat_response, GrantedShards, Rejection, RenewedLeases, Reply, Response, CONFLICTING_REVISION,
@@ -34,6 +35,7 @@
                 Readiness::NotCommitted => Rejection::unavailable(NOT_COMMITTED).into(),
                 Readiness::Due => self.final_response(now, &pending.kind),
             };
+            self.log_departure_reply(now, &pending, &response);
             replies.push(Reply::Admin(pending.request_id, response));
         }
         self.publish_assignments();
@@ -68,14 +70,18 @@
     }
 
     fn awaits_followers(&self, now: Ms, pending: &PendingReply) -> bool {
+        pending.sequence.is_some_and(|sequence| !self.acknowledgements(now, sequence).are_complete())
+    }
+
+    fn acknowledgements(&self, now: Ms, sequence: u64) -> Acknowledgements {
         let timeout = FOLLOWER_TIMEOUT + self.timeouts.core.heartbeat_interval;
-        pending.sequence.is_some_and(|sequence| !self.followers.have_acknowledged(now, sequence, timeout))
+        self.followers.acknowledgements(now, sequence, timeout)
     }
 
     /// Whether shards are being transferred to the endpoint that their owners can release before the
     /// deadline.
     fn awaits_lease_transfer(&self, pending: &PendingReply) -> bool {
-        let ReplyKind::Heartbeat { endpoint, sharded_service: Some(service) } = &pending.kind else {
+        let ReplyKind::Heartbeat { endpoint, sharded_service: Some(service), .. } = &pending.kind else {
             return false;
         };
         let releases_in_time =
@@ -92,12 +98,25 @@
             }
             ReplyKind::Order => Response::acknowledged(),
             ReplyKind::ConflictingOrder => Rejection::conflict(CONFLICTING_REVISION).into(),
-            ReplyKind::Heartbeat { endpoint, sharded_service } => {
+            ReplyKind::Heartbeat { endpoint, sharded_service, .. } => {
                 self.heartbeat_reply(now, endpoint, sharded_service.as_deref())
             }
         }
     }
 
+    /// Logs what an endpoint that leaves is answered, and how many followers know of it by then.
+    fn log_departure_reply(&mut self, now: Ms, pending: &PendingReply, response: &Response) {
+        let ReplyKind::Heartbeat { endpoint, departure: Some(departure), .. } = &pending.kind else { return };
+        let Departure { state, announced_at } = departure;
+        let Acknowledgements { acknowledged, followers } =
+            self.acknowledgements(now, pending.sequence.unwrap_or(0));
+        self.log_lines.push(format!(
+            "Endpoint {endpoint} is answered {} as {state} after {} ms; {acknowledged} of {followers} followers know.",
+            response.status,
+            now - announced_at
+        ));
+    }
+
     fn heartbeat_reply(&mut self, now: Ms, endpoint: &str, sharded_service: Option<&str>) -> Response {
         let may_grant = sharded_service.is_none() || self.holds_leader_lease(now);
         if self.is_isolated(now) || !may_grant {
--- a/crates/control-plane/server/src/endpoint_requests.rs
+++ b/crates/control-plane/server/src/endpoint_requests.rs
@@ -1,5 +1,5 @@
 //! Requests of endpoints: heartbeats and sign-offs.
-use crate::pending_replies::{PendingReply, ReplyKind};
+use crate::pending_replies::{Departure, PendingReply, ReplyKind};
 use crate::responses::{Rejection, Reply, Response, ISOLATED};
 use crate::state::State;
 use coppersail_consensus::{Ms, RequestId};
@@ -54,6 +54,10 @@
             return replies.push(Reply::Admin(request_id, Response::acknowledged()));
         }
         let starts_draining = self.starts_draining(endpoint, &heartbeat);
+        let departure = starts_draining.then_some(Departure { state: heartbeat.state, announced_at: now });
+        if let Some(departure) = &departure {
+            self.log_departure(endpoint, departure);
+        }
         self.publish_endpoint(endpoint, &heartbeat);
         let is_sharded = self.is_sharded(&heartbeat.service);
         if is_sharded && !self.holds_leader_lease(now) {
@@ -70,7 +74,7 @@
             }
         }
         let sharded_service = is_sharded.then_some(heartbeat.service);
-        let kind = ReplyKind::Heartbeat { endpoint: endpoint.into(), sharded_service };
+        let kind = ReplyKind::Heartbeat { endpoint: endpoint.into(), departure, sharded_service };
         let deadline = now + self.timeouts.acknowledgement_wait;
         self.pending_replies.push(PendingReply { request_id, deadline, ticket, sequence, kind });
         self.send_due_replies(now, replies);
@@ -102,6 +106,16 @@
         heartbeat.state > EndpointState::Ready && known.is_none_or(|e| e.state == EndpointState::Ready)
     }
 
+    /// Logs that an endpoint leaves, and what this member knew of it before.
+    fn log_departure(&mut self, endpoint: &str, departure: &Departure) {
+        let known = self.feed.endpoint(endpoint).map(|known| known.state);
+        let known = known.map_or("not known".into(), |state| format!("known as {state}"));
+        self.log_lines.push(format!(
+            "Endpoint {endpoint} announces that it is {}; it is {known} here.",
+            departure.state
+        ));
+    }
+
     fn publish_endpoint(&mut self, endpoint: &str, heartbeat: &HeartbeatRequest) {
         self.feed.put_endpoint(&EndpointUpdate {
             id: endpoint.into(),
@@ -138,6 +152,8 @@
         if self.is_isolated(now) {
             return replies.push(Reply::Admin(request_id, Rejection::unavailable(ISOLATED).into()));
         }
+        let departure = Departure { state: EndpointState::Removed, announced_at: now };
+        self.log_departure(endpoint, &departure);
         if let Some(known) = self.feed.endpoint(endpoint).cloned() {
             let last_sequence = self.heartbeats.get(endpoint).map_or(0, |record| record.sequence);
             self.feed.put_endpoint(&EndpointUpdate {
@@ -152,7 +168,11 @@
             deadline: now + self.timeouts.acknowledgement_wait,
             ticket: None,
             sequence: Some(self.feed.sequence),
-            kind: ReplyKind::Heartbeat { endpoint: endpoint.into(), sharded_service: None },
+            kind: ReplyKind::Heartbeat {
+                endpoint: endpoint.into(),
+                departure: Some(departure),
+                sharded_service: None,
+            },
         });
         self.send_due_replies(now, replies);
     }
--- a/crates/control-plane/server/src/followers.rs
+++ b/crates/control-plane/server/src/followers.rs
@@ -55,6 +55,19 @@
     last_answer: Option<SentAnswer>,
 }
 
+/// How many of the live followers have acknowledged a sequence number.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Acknowledgements {
+    pub(crate) acknowledged: usize,
+    pub(crate) followers: usize,
+}
+
+impl Acknowledgements {
+    pub(crate) fn are_complete(self) -> bool {
+        self.acknowledged == self.followers
+    }
+}
+
 #[derive(Default)]
 pub(crate) struct Followers {
     by_name: BTreeMap<String, Follower>,
@@ -98,11 +111,12 @@
         self.by_name.iter().filter(|(_, f)| live(f)).map(|(name, _)| name.clone()).collect()
     }
 
-    /// Whether all followers have acknowledged this sequence number. A follower that has not polled for
-    /// `timeout` (ms) does not count: it has lost contact, and knows that itself.
-    pub(crate) fn have_acknowledged(&self, now: Ms, sequence: u64, timeout: Ms) -> bool {
-        let mut live = self.by_name.values().filter(|f| now < f.last_seen + timeout);
-        live.all(|f| f.acknowledged_sequence >= sequence)
+    /// Which followers have acknowledged this sequence number. A follower that has not polled for `timeout`
+    /// (ms) does not count: it has lost contact, and knows that itself.
+    pub(crate) fn acknowledgements(&self, now: Ms, sequence: u64, timeout: Ms) -> Acknowledgements {
+        let live = || self.by_name.values().filter(|f| now < f.last_seen + timeout);
+        let acknowledged = live().filter(|f| f.acknowledged_sequence >= sequence).count();
+        Acknowledgements { acknowledged, followers: live().count() }
     }
 
     pub(crate) fn forget_silent(&mut self, now: Ms) {
--- a/crates/control-plane/server/src/node.rs
+++ b/crates/control-plane/server/src/node.rs
@@ -110,7 +110,8 @@
         }
         self.apply_outputs(now, outputs, effects);
         self.log_new_revision(effects);
-        effects.extend(self.state.violations.take_lines().into_iter().map(Effect::Log));
+        let lines = std::mem::take(&mut self.state.log_lines);
+        effects.extend(lines.into_iter().chain(self.state.violations.take_lines()).map(Effect::Log));
         let exits = is_tick && self.advance_exit(now, &mut replies);
         effects.extend(replies.into_iter().map(Effect::from));
         if exits {
--- a/crates/control-plane/server/src/pending_replies.rs
+++ b/crates/control-plane/server/src/pending_replies.rs
@@ -1,6 +1,7 @@
 //! Requests of endpoints and operators whose reply waits for a commit, for acknowledgements of followers, or
 //! for the release of a lease.
 use coppersail_consensus::{Ms, RequestId};
+use coppersail_peer_protocol::EndpointState;
 
 /// A request that is not answered yet.
 pub(crate) struct PendingReply {
@@ -14,6 +15,13 @@
     pub(crate) kind: ReplyKind,
 }
 
+/// The announcement of an endpoint that it drains or has signed off.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Departure {
+    pub(crate) state: EndpointState,
+    pub(crate) announced_at: Ms,
+}
+
 pub(crate) enum ReplyKind {
     /// An order that is being committed.
     Order,
@@ -22,6 +30,8 @@
     /// A heartbeat or a sign-off.
     Heartbeat {
         endpoint: String,
+        /// What the endpoint announces, if it leaves.
+        departure: Option<Departure>,
         /// The sharded service of which the endpoint renews leases.
         sharded_service: Option<String>,
     },
@@ -56,7 +66,7 @@
     /// Endpoints whose heartbeat is waiting here for leases.
     pub(crate) fn waiting_endpoints(&self) -> impl Iterator<Item = &String> {
         self.replies.iter().filter_map(|reply| match &reply.kind {
-            ReplyKind::Heartbeat { endpoint, sharded_service: Some(_) } => Some(endpoint),
+            ReplyKind::Heartbeat { endpoint, sharded_service: Some(_), .. } => Some(endpoint),
             _ => None,
         })
     }
--- a/crates/control-plane/server/src/state.rs
+++ b/crates/control-plane/server/src/state.rs
@@ -37,6 +37,8 @@
     pub(crate) proposals: Proposals,
     pub(crate) pending_replies: PendingReplies,
     pub(crate) violations: Violations,
+    /// Lines for the log that were not written yet.
+    pub(crate) log_lines: Vec<String>,
 }
 
 impl State {
@@ -56,6 +58,7 @@
             proposals: Proposals::default(),
             pending_replies: PendingReplies::default(),
             violations: Violations::default(),
+            log_lines: Vec::new(),
         }
     }
 
--- a/crates/data-plane/edge-proxy/src/edge.rs
+++ b/crates/data-plane/edge-proxy/src/edge.rs
@@ -8,7 +8,7 @@
 use coppersail_config::{Config, ProcessSettings};
 use coppersail_load_balancing::budget::{BudgetSettings, RetryBudget};
 use coppersail_load_balancing::endpoint::drain_grace;
-use coppersail_load_balancing::{EndpointRegistry, Ms, RegistryChanges};
+use coppersail_load_balancing::{EndpointRegistry, Ms, RegistryChanges, UnusableEndpoint};
 use coppersail_peer_protocol::{ConfigDocument, Update};
 use rustc_hash::FxHashMap;
 use slog::{info, warn, Logger};
@@ -128,15 +128,21 @@
         if !update.incomplete {
             self.first_update_at.set(self.first_update_at.get().or(Some(now)));
         }
-        for endpoint in &changes.unusable {
-            self.pool.close_idle(endpoint);
-        }
+        self.release_unusable(&changes);
         if self.rollouts.is_active() || !update.rollouts.is_empty() {
             self.apply_rollouts(&update);
         }
         self.updated.notify_waiters();
     }
 
+    /// Closes the idle connections to endpoints that became unusable, and logs why they did.
+    fn release_unusable(&self, changes: &RegistryChanges) {
+        for UnusableEndpoint { id, cause } in &changes.unusable {
+            info!(self.log, "edge: endpoint {id} is unusable: {cause}");
+            self.pool.close_idle(id);
+        }
+    }
+
     /// Applies a configuration if it is newer than the current one. If it cannot be parsed, the current one
     /// is kept.
     fn apply_config(&self, document: &ConfigDocument) {
@@ -159,7 +165,7 @@
         self.queue_evidence();
         let mut changes = RegistryChanges::default();
         self.registry.borrow_mut().remove_expired(self.now(), &mut changes);
-        changes.unusable.iter().for_each(|endpoint| self.pool.close_idle(endpoint));
+        self.release_unusable(&changes);
         self.pool.close_expired(Instant::now());
     }
 
--- a/crates/data-plane/load-balancing/src/lib.rs
+++ b/crates/data-plane/load-balancing/src/lib.rs
@@ -18,7 +18,7 @@
 
 pub use budget::RetryBudget;
 pub use endpoint::Endpoint;
-pub use merge::RegistryChanges;
+pub use merge::{RegistryChanges, UnusableCause, UnusableEndpoint};
 pub use registry::EndpointRegistry;
 pub use selection::{Selection, SelectionRequest};
 
--- a/crates/data-plane/load-balancing/src/merge.rs
+++ b/crates/data-plane/load-balancing/src/merge.rs
@@ -7,6 +7,7 @@
 use crate::Ms;
 use coppersail_peer_protocol::{AssignmentUpdate, EndpointState, EndpointUpdate, Update};
 use rustc_hash::FxHashSet;
+use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -18,15 +19,54 @@
 /// nodes.
 const MAX_SNAPSHOTS: usize = 16;
 
+/// Why an endpoint became unusable.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum UnusableCause {
+    /// The control plane reports that it drains.
+    Draining,
+    /// The control plane reports that it is removed.
+    Removed,
+    /// A snapshot does not list it, and the time to learn of it has passed.
+    Unlisted,
+    /// Another endpoint has its address.
+    AddressTaken,
+}
+
+impl fmt::Display for UnusableCause {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        out.write_str(match self {
+            UnusableCause::Draining => "it drains",
+            UnusableCause::Removed => "it is removed",
+            UnusableCause::Unlisted => "a snapshot does not list it",
+            UnusableCause::AddressTaken => "another endpoint has its address",
+        })
+    }
+}
+
+/// An endpoint that became unusable.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct UnusableEndpoint {
+    /// Its id.
+    pub id: Rc<str>,
+    /// Why.
+    pub cause: UnusableCause,
+}
+
 /// The changes of an update that matter to connection pools and to requests that wait for an owner.
 #[derive(Debug, Default, PartialEq)]
 pub struct RegistryChanges {
-    /// Ids of endpoints that became unusable: draining, removed, dropped, or without a valid address.
-    pub unusable: Vec<Rc<str>>,
+    /// Endpoints that became unusable.
+    pub unusable: Vec<UnusableEndpoint>,
     /// Whether the owner of any slice changed.
     pub owners_changed: bool,
 }
 
+impl RegistryChanges {
+    fn add_unusable(&mut self, id: Rc<str>, cause: UnusableCause) {
+        self.unusable.push(UnusableEndpoint { id, cause });
+    }
+}
+
 impl EndpointRegistry {
     /// Merges an update that arrived at `now`.
     pub fn merge(&mut self, update: &Update, now: Ms) -> RegistryChanges {
@@ -81,13 +121,13 @@
             return;
         }
         if update.state == EndpointState::Removed {
-            self.remove_for_good(&update.id, changes);
+            self.remove_for_good(&update.id, UnusableCause::Removed, changes);
             return;
         }
         match self.endpoints.get_mut(update.id.as_str()) {
             Some(endpoint) => {
                 if endpoint.merge(update, address, now) {
-                    changes.unusable.push(endpoint.id.clone());
+                    changes.add_unusable(endpoint.id.clone(), UnusableCause::Draining);
                 }
             }
             None => self.add_endpoint(update, address, now, changes),
@@ -108,7 +148,7 @@
             let suspects = self.endpoints.values_mut();
             for endpoint in suspects.filter(|endpoint| endpoint.address == address && endpoint.suspect) {
                 endpoint.mark_address_taken();
-                changes.unusable.push(endpoint.id.clone());
+                changes.add_unusable(endpoint.id.clone(), UnusableCause::AddressTaken);
             }
         }
         let endpoint = Endpoint::new(update, address, &self.zone, now);
@@ -117,21 +157,20 @@
         self.endpoints.insert(endpoint.id.clone(), endpoint);
     }
 
-    fn remove_for_good(&mut self, id: &str, changes: &mut RegistryChanges) {
+    fn remove_for_good(&mut self, id: &str, cause: UnusableCause, changes: &mut RegistryChanges) {
         if self.removed.len() >= MAX_REMOVED {
             self.removed.clear();
         }
-        let id: Rc<str> = id.into();
-        self.removed.insert(id.clone());
-        self.drop_endpoint(&id);
-        changes.unusable.push(id);
+        self.removed.insert(id.into());
+        self.drop_endpoint(id, cause, changes);
     }
 
-    fn drop_endpoint(&mut self, id: &str) {
+    fn drop_endpoint(&mut self, id: &str, cause: UnusableCause, changes: &mut RegistryChanges) {
         let Some(endpoint) = self.endpoints.remove(id) else { return };
         if let Some(service) = self.services.get_mut(&endpoint.service) {
             service.endpoints.retain(|other| &**other != id);
         }
+        changes.add_unusable(endpoint.id, cause);
     }
 
     /// Drops endpoints that snapshots no longer list and whose `unlisted_until` has passed.
@@ -142,10 +181,9 @@
         for id in expired {
             // A late update must not restore a draining endpoint as ready.
             if self.endpoints[&id].state > EndpointState::Ready {
-                self.remove_for_good(&id, changes);
+                self.remove_for_good(&id, UnusableCause::Unlisted, changes);
             } else {
-                self.drop_endpoint(&id);
-                changes.unusable.push(id);
+                self.drop_endpoint(&id, UnusableCause::Unlisted, changes);
             }
         }
     }
--- a/crates/data-plane/load-balancing/src/merge/tests.rs
+++ b/crates/data-plane/load-balancing/src/merge/tests.rs
@@ -18,6 +18,10 @@
     registry
 }
 
+fn unlisted(id: &str) -> UnusableEndpoint {
+    UnusableEndpoint { id: id.into(), cause: UnusableCause::Unlisted }
+}
+
 #[test]
 fn an_endpoint_missing_from_the_snapshot_of_a_node_in_warm_up_is_kept_until_the_warm_up_ends() {
     let mut registry = registry(vec![endpoint("i-1", "10.0.0.1:80", 1), endpoint("i-2", "10.0.0.2:80", 1)]);
@@ -28,7 +32,7 @@
     );
     assert!(registry.endpoint("i-2").is_some());
     let changes = registry.merge(&Update::default(), 4_100);
-    assert_eq!(changes.unusable, ["i-2".into()]);
+    assert_eq!(changes.unusable, [unlisted("i-2")]);
     registry.merge(&Update { is_snapshot: true, uptime_ms: 60_000, ..Update::default() }, 4_200);
     assert!(registry.endpoint("i-1").is_some(), "a snapshot without endpoints drops none");
 }
@@ -51,7 +55,7 @@
         "the snapshot is still incomplete"
     );
     let changes = registry.merge(&part(false, false, "i-3"), 300);
-    assert_eq!(changes.unusable, ["i-2".into()]);
+    assert_eq!(changes.unusable, [unlisted("i-2")]);
     assert_eq!(
         registry.merge(&part(false, false, "i-3"), 400).unusable,
         [],
@@ -75,7 +79,7 @@
     registry.merge(&part(8, true, true, "i-2"), 200);
     // The first node's feed resumes and lists two of the three endpoints. The other feed restarts its
     // snapshot and lists a different pair.
-    assert_eq!(registry.merge(&part(7, false, false, "i-3"), 300).unusable, ["i-2".into()]);
+    assert_eq!(registry.merge(&part(7, false, false, "i-3"), 300).unusable, [unlisted("i-2")]);
     registry.merge(&part(8, true, true, "i-1"), 400);
     assert_eq!(registry.merge(&part(8, false, false, "i-3"), 500).unusable, []);
 }
