Simulator: the time to acknowledge an order begins anew with a lost answer

Traced now: order 328 was sent to the machine that is down (twice, a second each), then twice to the leader, which committed and answered within 10 ms, and both answers were lost: the simulator loses one answer to an operator in thirty, on purpose. RULES, "Acks", asks for an acknowledgement within `confirm` "within one stretch in which the core was settled and no link was in trouble", so a lost answer begins the stretch anew for that order. The limit and all other orders are as they were.

--- a/crates/tools/simulator/src/operator.rs
+++ b/crates/tools/simulator/src/operator.rs
@@ -17,6 +17,8 @@
     /// The order's index; none for a read.
     pub(crate) order: Option<usize>,
     pub(crate) started_at: Micros,
+    /// When the network last lost an answer to it; else when it was started.
+    pub(crate) undisturbed_since: Micros,
     /// The request of the current attempt; 0 between two attempts. The lowest bit is the operator.
     pub(crate) request_id: u64,
     /// The lowest number that a read of the current attempt may return.
--- a/crates/tools/simulator/src/world/links.rs
+++ b/crates/tools/simulator/src/world/links.rs
@@ -169,6 +169,9 @@
         let (from, to) = (Participant::Machine(machine_id), origin.participant);
         let lost_to_operator = matches!(to, Participant::Operator(_)) && self.network.rng.u8(0..30) == 0;
         let lost_in_noise = (self.is_noisy(from) || self.is_noisy(to)) && self.network.rng.u8(0..10) == 0;
+        if lost_to_operator {
+            self.record_lost_answer(origin.request_id);
+        }
         if lost_to_operator || lost_in_noise {
             return;
         }
