--- a/crates/control-plane/server/src/endpoints.rs
+++ b/crates/control-plane/server/src/endpoints.rs
@@ -43,7 +43,12 @@
     /// The record of an endpoint; an unknown endpoint gets a new one.
     pub(crate) fn entry(&mut self, now: Ms, endpoint: &str) -> &mut HeartbeatRecord {
         let registration_order = self.records.len() as u64;
-        let new = HeartbeatRecord { registration_order, first_seen_at: now, ..HeartbeatRecord::default() };
+        let new = HeartbeatRecord {
+            received_at: now,
+            registration_order,
+            first_seen_at: now,
+            ..HeartbeatRecord::default()
+        };
         self.records.entry(endpoint.into()).or_insert(new)
     }
 
@@ -86,7 +91,8 @@
         candidates.filter_map(suspect).collect()
     }
 
-    /// Treats endpoints that live members report as if their heartbeats had come to this member.
+    /// Treats endpoints that live members report as if their heartbeats had come to this member, and notes
+    /// when it first learned of removed ones, which are forgotten like those without heartbeats.
     pub(crate) fn record_reports_of_live_members(
         &mut self,
         now: Ms,
@@ -96,11 +102,14 @@
     ) {
         let is_live =
             |member: &str| core.peers.get(member).is_some_and(|p| now < p.last_heard + timeouts.core.lease);
-        let reported =
-            |e: &&EndpointUpdate| e.reported_by != core.id && !e.suspect && is_live(&e.reported_by);
-        for endpoint in feed.endpoints().filter(reported) {
-            let record = self.entry(now, &endpoint.id);
-            (record.received_at, record.capacity) = (now, f64::from(endpoint.capacity));
+        let reported = |e: &EndpointUpdate| e.reported_by != core.id && !e.suspect && is_live(&e.reported_by);
+        for endpoint in feed.endpoints() {
+            if endpoint.state == EndpointState::Removed {
+                self.entry(now, &endpoint.id);
+            } else if reported(endpoint) {
+                let record = self.entry(now, &endpoint.id);
+                (record.received_at, record.capacity) = (now, f64::from(endpoint.capacity));
+            }
         }
     }
 
--- a/crates/control-plane/server/src/feed/updates.rs
+++ b/crates/control-plane/server/src/feed/updates.rs
@@ -8,9 +8,7 @@
 //! down.
 use super::{ChangeFeed, ShardOwner, Versioned};
 use crate::followers::{AnswerOptions, FeedPosition};
-use coppersail_peer_protocol::{
-    AssignmentRow, AssignmentUpdate, ConfigDocument, EndpointState, EndpointUpdate, Update,
-};
+use coppersail_peer_protocol::{AssignmentRow, AssignmentUpdate, ConfigDocument, EndpointUpdate, Update};
 
 /// The size of an update without its changes, in bytes of JSON; the addresses of members are included.
 const ENVELOPE_BYTES: usize = 1024;
@@ -35,11 +33,11 @@
         let since = if is_snapshot { 0 } else { position.sequence };
         let config = self.config_for(since, options.known_revision);
         let end = match options.max_bytes {
-            Some(max_bytes) => self.end_of_part(since, is_snapshot, max_bytes as usize, config),
+            Some(max_bytes) => self.end_of_part(since, max_bytes as usize, config),
             None => self.sequence,
         };
         let is_due = |sequence: u64| since < sequence && sequence <= end;
-        let endpoints = self.needed_endpoints(is_snapshot).filter(|endpoint| is_due(endpoint.sequence));
+        let endpoints = self.endpoints.values().filter(|endpoint| is_due(endpoint.sequence));
         let endpoints = endpoints.chain(self.departures_after(end));
         let rollouts = self.rollouts.values().filter(|rollout| is_due(rollout.sequence));
         Update {
@@ -70,24 +68,10 @@
         endpoints.filter(move |endpoint| endpoint.sequence > sequence)
     }
 
-    /// The endpoints that a follower needs. A snapshot leaves out the removed ones.
-    fn needed_endpoints(&self, is_snapshot: bool) -> impl Iterator<Item = &Versioned<EndpointUpdate>> {
-        let is_needed = move |endpoint: &&Versioned<EndpointUpdate>| {
-            !is_snapshot || endpoint.value.state != EndpointState::Removed
-        };
-        self.endpoints.values().filter(is_needed)
-    }
-
     /// The sequence number up to which the changes after `since` fit into a part. Each part has at least one
     /// change, so that it advances the follower.
-    fn end_of_part(
-        &self,
-        since: u64,
-        is_snapshot: bool,
-        max_bytes: usize,
-        config: Option<&ConfigDocument>,
-    ) -> u64 {
-        let mut changes = self.changes_since(since, is_snapshot);
+    fn end_of_part(&self, since: u64, max_bytes: usize, config: Option<&ConfigDocument>) -> u64 {
+        let mut changes = self.changes_since(since);
         changes.sort_unstable_by_key(|change| change.sequence);
         let service_names: usize = self.assignments.keys().map(|name| ASSIGNMENT_BYTES + name.len()).sum();
         let departures: usize =
@@ -105,9 +89,10 @@
         self.sequence
     }
 
-    fn changes_since(&self, since: u64, is_snapshot: bool) -> Vec<Change> {
+    fn changes_since(&self, since: u64) -> Vec<Change> {
         let endpoints = self
-            .needed_endpoints(is_snapshot)
+            .endpoints
+            .values()
             .map(|endpoint| Change { sequence: endpoint.sequence, bytes: endpoint_length(&endpoint.value) });
         let rollouts = self
             .rollouts
--- a/crates/control-plane/server/src/feed_tests.rs
+++ b/crates/control-plane/server/src/feed_tests.rs
@@ -119,7 +119,9 @@
         }
     }
     let copied = updates_since(&copy, 0, 0);
-    assert_eq!(copied.endpoints.len(), whole.endpoints.len() - 1);
+    let is_removed = |endpoint: &&EndpointUpdate| endpoint.state == EndpointState::Removed;
+    let removed: Vec<&str> = copied.endpoints.iter().filter(is_removed).map(|e| e.id.as_str()).collect();
+    assert_eq!((removed, copied.endpoints.len()), (vec!["i-0"], whole.endpoints.len()));
     assert_eq!((copied.assignments, copied.config), (whole.assignments, whole.config));
 }
 
@@ -137,6 +139,21 @@
     assert_eq!((last.incomplete, last.config), (false, None), "it has that one");
 }
 
+/// Guards against an edge that goes on using an endpoint which has signed off: it has known the endpoint from
+/// another member, and would drop it only once the warm-up of this one is over.
+#[test]
+fn a_snapshot_names_the_removed_endpoints() {
+    let mut feed = ChangeFeed::new(7);
+    feed.put_endpoint(&endpoint("i-1", 1, EndpointState::Ready));
+    feed.put_endpoint(&endpoint("i-2", 1, EndpointState::Removed));
+    let update = updates_since(&feed, 6, 4);
+    let states: Vec<_> = update.endpoints.iter().map(|e| (e.id.as_str(), e.state)).collect();
+    assert!(update.is_snapshot);
+    assert_eq!(states, [("i-1", EndpointState::Ready), ("i-2", EndpointState::Removed)]);
+    feed.forget_endpoint("i-2");
+    assert_eq!(updates_since(&feed, 6, 4).endpoints.len(), 1);
+}
+
 /// Otherwise an edge that lags would send requests to removed endpoints until it has all older changes.
 #[test]
 fn departures_come_with_every_part_until_their_turn() {
--- a/crates/control-plane/server/tests/node.rs
+++ b/crates/control-plane/server/tests/node.rs
@@ -1,7 +1,7 @@
 //! The pure state machine of a member, without threads, sockets or a disk.
 use coppersail_control_plane::node::{AdminRequest, Effect, Event, Node, PeerRequest, PeerResponse, Startup};
 use coppersail_peer_protocol::{
-    ConfigDocument, EndpointUpdate, MemberDetail, MemberStatus, Update, WatchRequest,
+    ConfigDocument, EndpointState, EndpointUpdate, MemberDetail, MemberStatus, Update, WatchRequest,
 };
 use serde_json::json;
 use std::collections::BTreeSet;
@@ -203,6 +203,18 @@
     assert!(!reported[0].suspect, "its own lost connections would spread as failures of endpoints");
 }
 
+/// Guards against snapshots that grow with every endpoint that ever left.
+#[test]
+fn a_removed_endpoint_that_another_member_reported_is_forgotten() {
+    let removed = EndpointUpdate { state: EndpointState::Removed, ..endpoint() };
+    let mut harness = Harness::start(vec![removed]);
+    harness.run(5_000);
+    assert_eq!(harness.poll(None).endpoints.len(), 1);
+    harness.endpoints = Some(Vec::new());
+    harness.run(70_000);
+    assert_eq!(harness.poll(None).endpoints, []);
+}
+
 #[test]
 fn lost_quorum_contact_sends_edges_to_other_members_and_nothing_else() {
     let mut harness = Harness::start(vec![endpoint()]);
--- a/crates/data-plane/load-balancing/src/merge.rs
+++ b/crates/data-plane/load-balancing/src/merge.rs
@@ -94,7 +94,8 @@
             self.snapshots.insert(update.feed_id, FxHashSet::default());
         }
         let Some(listed) = self.snapshots.get_mut(&update.feed_id) else { return };
-        listed.extend(update.endpoints.iter().map(|endpoint| endpoint.id.as_str().into()));
+        let present = update.endpoints.iter().filter(|endpoint| endpoint.state < EndpointState::Removed);
+        listed.extend(present.map(|endpoint| endpoint.id.as_str().into()));
         if update.incomplete {
             return;
         }
@@ -104,8 +105,8 @@
     }
 
     /// Schedules the endpoints that a snapshot does not list to be dropped at `until`, the time by which the
-    /// sending node must have learned of them if they are alive. A snapshot without any endpoint is not
-    /// trusted and drops none.
+    /// sending node must have learned of them if they are alive. A snapshot that lists none but removed
+    /// endpoints is not trusted and drops none.
     fn expire_unlisted(&mut self, listed: &FxHashSet<Box<str>>, until: Ms) {
         if listed.is_empty() {
             return;
--- a/crates/data-plane/load-balancing/src/merge/tests.rs
+++ b/crates/data-plane/load-balancing/src/merge/tests.rs
@@ -37,6 +37,17 @@
     assert!(registry.endpoint("i-1").is_some(), "a snapshot without endpoints drops none");
 }
 
+#[test]
+fn a_snapshot_of_nothing_but_removed_endpoints_drops_only_these() {
+    let mut registry = registry(vec![endpoint("i-1", "10.0.0.1:80", 1), endpoint("i-2", "10.0.0.2:80", 1)]);
+    let removed = EndpointUpdate { state: EndpointState::Removed, ..endpoint("i-2", "10.0.0.2:80", 2) };
+    let snapshot =
+        Update { is_snapshot: true, uptime_ms: 60_000, endpoints: vec![removed], ..Update::default() };
+    let changes = registry.merge(&snapshot, 100);
+    assert_eq!(changes.unusable, [UnusableEndpoint { id: "i-2".into(), cause: UnusableCause::Removed }]);
+    assert!(registry.endpoint("i-1").is_some());
+}
+
 #[test]
 fn a_snapshot_in_parts_drops_only_endpoints_that_no_part_lists() {
     let known = ["i-1", "i-2", "i-3"].map(|id| endpoint(id, "10.0.0.1:80", 1));
