--- a/crates/control-plane/server/src/endpoint_requests.rs
+++ b/crates/control-plane/server/src/endpoint_requests.rs
@@ -1,4 +1,5 @@
 //! Requests of endpoints: heartbeats and sign-offs.
+use crate::departures;
 use crate::pending_replies::{Departure, PendingReply, ReplyKind};
 use crate::responses::{Rejection, Reply, Response, ISOLATED};
 use crate::state::State;
@@ -53,26 +54,24 @@
         if !self.record_heartbeat(now, endpoint, &heartbeat) {
             return replies.push(Reply::Admin(request_id, Response::acknowledged()));
         }
-        let starts_draining = self.starts_draining(endpoint, &heartbeat);
-        let departure = starts_draining.then_some(Departure { state: heartbeat.state, announced_at: now });
-        if let Some(departure) = &departure {
-            self.log_departure(endpoint, departure);
-        }
+        let departure = self.uncommitted_departure(now, endpoint, heartbeat.state);
         self.publish_endpoint(endpoint, &heartbeat);
         let is_sharded = self.is_sharded(&heartbeat.service);
-        if is_sharded && !self.holds_leader_lease(now) {
-            let redirect = self.redirect_to_leader(now, &format!("/servers/{endpoint}/pulse"));
-            self.send_due_replies(now, replies);
-            return replies.push(Reply::Admin(request_id, redirect));
+        if (is_sharded || departure.is_some()) && !self.holds_leader_lease(now) {
+            let path = format!("/servers/{endpoint}/pulse");
+            return self.redirect_and_publish(now, request_id, &path, departure, replies);
         }
-        let sequence = starts_draining.then_some(self.feed.sequence);
         let mut ticket = None;
         if is_sharded {
             ticket = self.release_leases(endpoint, &heartbeat);
-            if starts_draining {
+        }
+        if departure.is_some() {
+            ticket = self.propose_departure(endpoint).or(ticket);
+            if is_sharded {
                 self.reconcile_assignments(now);
             }
         }
+        let sequence = departure.is_some().then_some(self.feed.sequence);
         let sharded_service = is_sharded.then_some(heartbeat.service);
         let kind = ReplyKind::Heartbeat { endpoint: endpoint.into(), departure, sharded_service };
         let deadline = now + self.timeouts.acknowledgement_wait;
@@ -101,9 +100,24 @@
         true
     }
 
-    fn starts_draining(&self, endpoint: &str, heartbeat: &HeartbeatRequest) -> bool {
-        let known = self.feed.endpoint(endpoint);
-        heartbeat.state > EndpointState::Ready && known.is_none_or(|e| e.state == EndpointState::Ready)
+    /// What an endpoint announces with this state, unless it has announced nothing or that is committed.
+    ///
+    /// Only the leader knows what is committed. Other members pass every announcement on to it.
+    fn uncommitted_departure(&mut self, now: Ms, endpoint: &str, state: EndpointState) -> Option<Departure> {
+        let is_committed =
+            self.holds_leader_lease(now) && departures::committed_state(self.core.state(), endpoint) >= state;
+        if state == EndpointState::Ready || is_committed {
+            return None;
+        }
+        let departure = Departure { state, announced_at: now };
+        self.log_departure(endpoint, &departure);
+        Some(departure)
+    }
+
+    /// Proposes the published departure of an endpoint. Returns the ticket of the proposal.
+    fn propose_departure(&mut self, endpoint: &str) -> Option<u64> {
+        let departure = departures::write(self.feed.endpoint(endpoint)?);
+        Some(self.proposals.submit(vec![departure]))
     }
 
     /// Logs that an endpoint leaves, and what this member knew of it before.
@@ -140,8 +154,8 @@
         (!writes.is_empty()).then(|| self.proposals.submit(writes))
     }
 
-    /// Removes an endpoint that shuts down. The reply waits until followers have acknowledged the removal,
-    /// because they send requests to the endpoint until then.
+    /// Removes an endpoint that shuts down, known here or not. The reply waits until that is committed, and
+    /// until followers have acknowledged it, because they send requests to the endpoint until then.
     pub(crate) fn sign_off(
         &mut self,
         now: Ms,
@@ -152,28 +166,52 @@
         if self.is_isolated(now) {
             return replies.push(Reply::Admin(request_id, Rejection::unavailable(ISOLATED).into()));
         }
-        let departure = Departure { state: EndpointState::Removed, announced_at: now };
-        self.log_departure(endpoint, &departure);
-        if let Some(known) = self.feed.endpoint(endpoint).cloned() {
-            let last_sequence = self.heartbeats.get(endpoint).map_or(0, |record| record.sequence);
-            self.feed.put_endpoint(&EndpointUpdate {
-                state: EndpointState::Removed,
-                heartbeat_sequence: last_sequence + 1,
-                reported_by: self.core.id.clone(),
-                ..known
-            });
+        let departure = self.uncommitted_departure(now, endpoint, EndpointState::Removed);
+        self.publish_removal(now, endpoint);
+        if !self.holds_leader_lease(now) {
+            let path = format!("/servers/{endpoint}/sign-off");
+            return self.redirect_and_publish(now, request_id, &path, departure, replies);
         }
+        let ticket = departure.and_then(|_| self.propose_departure(endpoint));
         self.pending_replies.push(PendingReply {
             request_id,
             deadline: now + self.timeouts.acknowledgement_wait,
-            ticket: None,
+            ticket,
             sequence: Some(self.feed.sequence),
-            kind: ReplyKind::Heartbeat {
-                endpoint: endpoint.into(),
-                departure: Some(departure),
-                sharded_service: None,
-            },
+            kind: ReplyKind::Heartbeat { endpoint: endpoint.into(), departure, sharded_service: None },
         });
         self.send_due_replies(now, replies);
     }
+
+    fn publish_removal(&mut self, now: Ms, endpoint: &str) {
+        let last_sequence = self.heartbeats.entry(now, endpoint).sequence;
+        let known = self.feed.endpoint(endpoint).cloned();
+        let known =
+            known.unwrap_or_else(|| EndpointUpdate { id: endpoint.into(), ..EndpointUpdate::default() });
+        self.feed.put_endpoint(&EndpointUpdate {
+            state: EndpointState::Removed,
+            heartbeat_sequence: known.heartbeat_sequence.max(last_sequence) + 1,
+            reported_by: self.core.id.clone(),
+            ..known
+        });
+    }
+
+    /// Passes a request on to the leader, and tells followers what it has changed here.
+    fn redirect_and_publish(
+        &mut self,
+        now: Ms,
+        request_id: RequestId,
+        path: &str,
+        departure: Option<Departure>,
+        replies: &mut Vec<Reply>,
+    ) {
+        let redirect = self.redirect_to_leader(now, path);
+        if let Some(departure) = departure {
+            let line =
+                format!("{path} is answered {} as {}: not the leader.", redirect.status, departure.state);
+            self.log_lines.push(line);
+        }
+        self.send_due_replies(now, replies);
+        replies.push(Reply::Admin(request_id, redirect));
+    }
 }
--- a/crates/control-plane/server/src/endpoints.rs
+++ b/crates/control-plane/server/src/endpoints.rs
@@ -36,10 +36,6 @@
 }
 
 impl Heartbeats {
-    pub(crate) fn get(&self, endpoint: &str) -> Option<&HeartbeatRecord> {
-        self.records.get(endpoint)
-    }
-
     /// The record of an endpoint; an unknown endpoint gets a new one.
     pub(crate) fn entry(&mut self, now: Ms, endpoint: &str) -> &mut HeartbeatRecord {
         let registration_order = self.records.len() as u64;
--- a/crates/control-plane/server/src/lib.rs
+++ b/crates/control-plane/server/src/lib.rs
@@ -10,6 +10,7 @@
 //! change a rollout.
 mod admin;
 mod assignments;
+mod departures;
 mod due_replies;
 mod endpoint_requests;
 mod endpoints;
--- a/crates/control-plane/server/src/reconciliation.rs
+++ b/crates/control-plane/server/src/reconciliation.rs
@@ -1,5 +1,6 @@
 //! Periodic work: failure detection of endpoints, reconciliation of shard assignments, and the progress of
 //! rollouts.
+use crate::departures;
 use crate::rollouts::Endpoints;
 use crate::state::State;
 use crate::store::KeyValue;
@@ -16,12 +17,25 @@
             self.feed.put_endpoint(suspect);
         }
         self.heartbeats.record_reports_of_live_members(now, &self.core, &self.feed, &self.timeouts);
-        for endpoint in self.heartbeats.remove_expired(now) {
-            self.feed.forget_endpoint(&endpoint);
-        }
+        self.forget_endpoints(now);
         self.followers.forget_silent(now);
     }
 
+    /// Forgets endpoints without heartbeats; the leader forgets their departures too.
+    fn forget_endpoints(&mut self, now: Ms) {
+        let forgotten = self.heartbeats.remove_expired(now);
+        for endpoint in &forgotten {
+            self.feed.forget_endpoint(endpoint);
+        }
+        if !self.holds_leader_lease(now) {
+            return;
+        }
+        let removals = departures::removals(self.core.state(), &forgotten);
+        if !removals.is_empty() {
+            self.proposals.submit(removals);
+        }
+    }
+
     /// Announces new members to all followers, whatever their position in the feed.
     fn announce_new_members(&mut self, now: Ms) {
         let new = self.members.unannounced(now, &self.core);
--- a/crates/control-plane/server/src/replication.rs
+++ b/crates/control-plane/server/src/replication.rs
@@ -1,9 +1,10 @@
 //! Handling of outputs of the consensus core: commits, failed proposals, changes of leadership.
+use crate::departures;
 use crate::orders::{Orders, CONFIG_KEY};
 use crate::rollouts;
 use crate::state::State;
 use coppersail_consensus::{Change, Ms};
-use coppersail_peer_protocol::ConfigDocument;
+use coppersail_peer_protocol::{ConfigDocument, EndpointUpdate};
 
 impl State {
     /// Called when this member becomes the leader. A newly elected leader loads the replicated state, and
@@ -20,6 +21,7 @@
         if let Some(config) = config {
             self.put_config(&config);
         }
+        self.publish_departures(now);
         for rollout in self.rollouts.recover(now, self.core.state().iter()) {
             self.feed.put_rollout(&rollout);
         }
@@ -58,6 +60,14 @@
         self.pending_replies.check_due = true;
     }
 
+    /// Publishes the committed departures, which this member may not have heard of.
+    fn publish_departures(&mut self, now: Ms) {
+        for departure in departures::recover(self.core.state()) {
+            self.heartbeats.entry(now, &departure.id);
+            self.feed.put_endpoint(&EndpointUpdate { reported_by: self.core.id.clone(), ..departure });
+        }
+    }
+
     fn put_config(&mut self, config: &ConfigDocument) {
         self.feed.put_config(config);
         self.load_config();
--- a/crates/control-plane/server/tests/stored_format.rs
+++ b/crates/control-plane/server/tests/stored_format.rs
@@ -242,6 +242,23 @@
     cluster.assert_answer(0, show, 200, shown);
 }
 
+#[test]
+fn a_departure_keeps_its_key_and_value() {
+    let mut cluster = Cluster::start();
+    let reply = r#"{"reportTo":"10.1.0.1:8544"}"#;
+    let draining = r#"{"backend":"s","address":"10.9.0.1:80","area":"a","revision":"v1","capacity":4,"stage":"emptying","warmLeft":"2s","callCount":3}"#;
+    cluster.assert_answer(0, heartbeat(draining), 200, reply);
+    let value = |state: &str, sequence: u64| {
+        let value = r#"{"ident":"i-1","backend":"s","address":"10.9.0.1:80","area":"a","capacity":4,"revision":"v1","stage":"@","silent":false,"cold_ms":0,"calls":#,"via":"10.1.0.1:8544"}"#;
+        put("departure/i-1", &value.replace('@', state).replace('#', &sequence.to_string()))
+    };
+    cluster.assert_writes(&[("1", &[value("emptying", 3)])]);
+    cluster.assert_answer(0, heartbeat(&draining.replace(":3}", ":4}")), 200, reply);
+    cluster.assert_writes(&[]);
+    cluster.assert_answer(0, AdminRequest::SignOff { endpoint_id: "i-1".into() }, 200, reply);
+    cluster.assert_writes(&[("2", &[value("gone", 5)])]);
+}
+
 #[test]
 fn heartbeat_responses_keep_their_bytes() {
     let mut cluster = Cluster::start();
--- a/crates/data-plane/load-balancing/src/merge.rs
+++ b/crates/data-plane/load-balancing/src/merge.rs
@@ -117,14 +117,15 @@
     }
 
     fn merge_endpoint(&mut self, update: &EndpointUpdate, now: Ms, changes: &mut RegistryChanges) {
-        let Ok(address) = update.address.parse::<SocketAddr>() else { return };
         if self.removed.contains(update.id.as_str()) {
             return;
         }
+        // The address is empty if the endpoint signed off at a node that had no heartbeat of it.
         if update.state == EndpointState::Removed {
             self.remove_for_good(&update.id, UnusableCause::Removed, changes);
             return;
         }
+        let Ok(address) = update.address.parse::<SocketAddr>() else { return };
         match self.endpoints.get_mut(update.id.as_str()) {
             Some(endpoint) => {
                 if endpoint.merge(update, address, now) {
--- a/crates/tools/simulator/src/endpoint.rs
+++ b/crates/tools/simulator/src/endpoint.rs
@@ -21,6 +21,16 @@
 /// Time to the next heartbeat when a drain is to be reported.
 const UNREPORTED_DRAIN_DELAY: Micros = 1000;
 
+/// What an endpoint that leaves announces first.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) enum Departure {
+    /// Its heartbeats report that it drains, and it signs off when it has drained.
+    #[default]
+    Drain,
+    /// It signs off, and sends no heartbeats from then on.
+    SignOff,
+}
+
 /// A request in flight.
 pub(crate) struct SentRequest {
     pub(crate) request_id: u64,
@@ -49,6 +59,7 @@
     pub(crate) selector: MachineSelector,
     pub(crate) in_flight: Option<SentRequest>,
     pub(crate) draining_since: Option<Micros>,
+    pub(crate) departure: Departure,
     pub(crate) drain_acknowledged_at: Option<Micros>,
     /// How long it goes on serving after the edges know that it drains.
     pub(crate) linger: Micros,
@@ -115,7 +126,20 @@
         }
     }
 
-    fn drain_ends_at(&self, acknowledged_at: Micros) -> Micros {
+    /// Whether its next request is a sign-off.
+    pub(crate) fn must_sign_off(&self, now: Micros) -> bool {
+        match self.departure {
+            Departure::Drain => self.is_drain_over(now),
+            Departure::SignOff => self.draining_since.is_some(),
+        }
+    }
+
+    /// Whether it ends now: it has signed off first, and has served on for long enough.
+    pub(crate) fn ends_after_sign_off(&self, now: Micros) -> bool {
+        self.departure == Departure::SignOff && self.is_drain_over(now)
+    }
+
+    pub(crate) fn drain_ends_at(&self, acknowledged_at: Micros) -> Micros {
         acknowledged_at + DRAIN_MS * MICROS_PER_MILLI + self.linger
     }
 
--- a/crates/tools/simulator/src/fault.rs
+++ b/crates/tools/simulator/src/fault.rs
@@ -180,6 +180,8 @@
     },
     /// An endpoint begins a graceful shutdown.
     EndpointDrain(usize),
+    /// An endpoint signs off without having drained, and goes on serving.
+    EndpointSignOff(usize),
     /// An endpoint crashes.
     EndpointCrash(usize),
     /// An edge restarts without state.
@@ -212,6 +214,7 @@
         !matches!(
             self,
             EndpointDrain(_)
+                | EndpointSignOff(_)
                 | EndpointCrash(_)
                 | EdgeRestart(_)
                 | EdgePartition { .. }
--- a/crates/tools/simulator/src/generator.rs
+++ b/crates/tools/simulator/src/generator.rs
@@ -135,7 +135,8 @@
 
 fn random_client_fault(rng: &mut Rng, chance: u8, scenario: &Scenario) -> FaultKind {
     match chance {
-        86..=88 => FaultKind::EndpointDrain(rng.usize(0..scenario.endpoints)),
+        86..=87 => FaultKind::EndpointDrain(rng.usize(0..scenario.endpoints)),
+        88 => FaultKind::EndpointSignOff(rng.usize(0..scenario.endpoints)),
         89 => FaultKind::EndpointCrash(rng.usize(0..scenario.endpoints)),
         90 => FaultKind::EdgeRestart(rng.usize(0..scenario.edges)),
         91 => FaultKind::EdgePartition {
--- a/crates/tools/simulator/src/world.rs
+++ b/crates/tools/simulator/src/world.rs
@@ -42,7 +42,8 @@
 /// The name in a trace line that concerns all machines.
 const ALL_MACHINES: &str = "all";
 
-/// A drain that was acknowledged in a stable period: the edges must know of it in time.
+/// A drain or a sign-off that was acknowledged, whatever the state of the node that did: the edges must know
+/// of it in time.
 struct AcknowledgedDrain {
     endpoint_id: String,
     at: Micros,
--- a/crates/tools/simulator/src/world/endpoints.rs
+++ b/crates/tools/simulator/src/world/endpoints.rs
@@ -2,7 +2,7 @@
 
 use super::{AcknowledgedDrain, World};
 use crate::admin_client::{AdminCall, MAX_REDIRECTS, REQUEST_TIMEOUT};
-use crate::endpoint::{Endpoint, SentRequest, LONG_LINGER, SHORT_LINGER};
+use crate::endpoint::{Departure, Endpoint, SentRequest, LONG_LINGER, SHORT_LINGER};
 use crate::event::{Request, Response, SimEvent};
 use crate::invariants::{first_overlap, rule, CheckError, CheckResult};
 use crate::participant::{MachineId, Origin, Participant};
@@ -49,10 +49,13 @@
             self.start_endpoint(endpoint_id);
         }
         let now = self.now;
-        let sign_off = self.endpoints[endpoint_id].is_drain_over(now);
-        if sign_off {
+        if self.endpoints[endpoint_id].is_drain_over(now) {
             self.check_drain_acknowledged(endpoint_id);
         }
+        if self.endpoints[endpoint_id].ends_after_sign_off(now) {
+            return self.stop_endpoint(endpoint_id);
+        }
+        let sign_off = self.endpoints[endpoint_id].must_sign_off(now);
         let endpoint = &mut self.endpoints[endpoint_id];
         let call = if sign_off {
             AdminCall::SignOff { endpoint_id: endpoint.id.as_str().into() }
@@ -123,9 +126,17 @@
         let Some(request) = self.endpoints[endpoint_id].in_flight.take() else { return };
         let reply = HeartbeatResponse::parse(body.as_bytes()).ok().filter(|_| (200..300).contains(&status));
         let reply = reply.filter(|_| body.len() <= HeartbeatResponse::MAX_BYTES);
+        let first_announcement = self.endpoints[endpoint_id].departure == Departure::SignOff;
         let selector = &mut self.endpoints[endpoint_id].selector;
         match reply {
-            _ if request.sign_off => {
+            Some(reply) if request.sign_off && first_announcement => {
+                selector.record_success(reply.report_to);
+                self.record_drain_acknowledged(endpoint_id);
+                let endpoint = &self.endpoints[endpoint_id];
+                let end = endpoint.drain_ends_at(self.now);
+                self.schedule_endpoint(endpoint_id, end - self.now);
+            }
+            _ if request.sign_off && !first_announcement => {
                 if reply.is_none() {
                     selector.record_failure();
                 }
@@ -162,9 +173,7 @@
         endpoint.drain_acknowledged_at = Some(at);
         let endpoint_id = endpoint.id.clone();
         self.statistics.drains += 1;
-        if self.is_stable() {
-            self.acknowledged_drains.push(AcknowledgedDrain { endpoint_id, at });
-        }
+        self.acknowledged_drains.push(AcknowledgedDrain { endpoint_id, at });
     }
 
     fn apply_leases(&mut self, endpoint_id: usize, sent_at: Micros, reply: &HeartbeatResponse) {
@@ -234,13 +243,14 @@
         self.schedule_endpoint(endpoint_id, delay);
     }
 
-    pub(super) fn drain_endpoint(&mut self, endpoint: usize) {
+    pub(super) fn drain_endpoint(&mut self, endpoint: usize, departure: Departure) {
         let endpoint_id = endpoint % self.endpoints.len();
         let endpoint = &mut self.endpoints[endpoint_id];
         if !endpoint.up || endpoint.draining_since.is_some() {
             return;
         }
         endpoint.draining_since = Some(self.now);
+        endpoint.departure = departure;
         if endpoint.in_flight.is_none() {
             self.schedule_endpoint(endpoint_id, 0);
         }
--- a/crates/tools/simulator/src/world/faults.rs
+++ b/crates/tools/simulator/src/world/faults.rs
@@ -1,6 +1,7 @@
 //! Injection of faults: whether a fault may be injected now, and what it does.
 
 use super::{World, ALL_MACHINES};
+use crate::endpoint::Departure;
 use crate::fault::{Fault, FaultKind, Trigger};
 use crate::machine::Power;
 use crate::participant::MachineId;
@@ -129,7 +130,8 @@
             | FaultKind::DiskAndPowerLossAll { downtime } => {
                 self.stop_all_machines(machine_id, kind, micros(downtime), random_value);
             }
-            FaultKind::EndpointDrain(endpoint) => self.drain_endpoint(*endpoint),
+            FaultKind::EndpointDrain(endpoint) => self.drain_endpoint(*endpoint, Departure::Drain),
+            FaultKind::EndpointSignOff(endpoint) => self.drain_endpoint(*endpoint, Departure::SignOff),
             FaultKind::EndpointCrash(endpoint) => self.crash_endpoint(*endpoint),
             FaultKind::EdgeRestart(edge) => self.restart_edge(*edge),
             FaultKind::EdgePartition { edge, duration } => self.partition_edge(*edge, micros(duration)),
--- a/crates/tools/simulator/tests/scenarios.rs
+++ b/crates/tools/simulator/tests/scenarios.rs
@@ -373,3 +373,109 @@
         }
     }
 }
+
+/// All endpoints leave, from `from` on, every other one by a sign-off without a drain.
+fn departures(from: Millis, interval: Millis) -> impl Iterator<Item = Fault> {
+    (0..8).map(move |n| {
+        let kind = if n % 2 == 0 { FaultKind::EndpointSignOff(n) } else { FaultKind::EndpointDrain(n) };
+        at(from + interval * n as Millis, FaultTarget::Slot(0), kind)
+    })
+}
+
+/// Acknowledged departures reach the edges, whatever happens to nodes and edges meanwhile.
+fn assert_departures_hold(seeds: u64, machines: usize, interval: Millis, disturbances: &[Fault]) {
+    for seed in 1..=seeds {
+        let mut faults = disturbances.to_vec();
+        faults.extend(departures(12_000, interval));
+        faults.sort_by_key(|fault| fault.at);
+        let scenario = Scenario { order_interval: 0, forced: true, ..scenario(seed, machines, faults) };
+        assert_holds(&scenario);
+    }
+}
+
+/// Guards against a departure that is acknowledged and forgotten: after a restart of all nodes none of them
+/// knows an endpoint until its next heartbeat, and one that signs off sends no more.
+#[test]
+fn departures_soon_after_all_nodes_were_killed() {
+    let kill = at(11_600, FaultTarget::Slot(0), FaultKind::KillAll { downtime: 300 });
+    assert_departures_hold(20, 3, 150, &[kill]);
+}
+
+/// Guards against a departure that is kept in the memory of the nodes alone.
+#[test]
+fn departures_just_before_all_nodes_are_killed_again_and_again() {
+    let kills = [12_050, 14_000, 16_500];
+    let kill = |time| at(time, FaultTarget::Slot(0), FaultKind::KillAll { downtime: 200 });
+    assert_departures_hold(20, 3, 10, &kills.map(kill));
+    let power_loss = |time| at(time, FaultTarget::Slot(0), FaultKind::PowerLossAll { downtime: 300 });
+    assert_departures_hold(5, 4, 400, &kills.map(power_loss));
+}
+
+/// Guards against a departure that is kept in the memory of the nodes alone: an edge that has not heard of it
+/// when it is acknowledged must hear of it after a restart of all nodes.
+#[test]
+fn departures_while_edges_are_cut_off_and_then_all_nodes_are_killed() {
+    let cut = |edge| FaultKind::EdgePartition { edge, duration: 1500 };
+    let mut disturbances: Vec<Fault> =
+        (0..2).map(|edge| at(11_900, FaultTarget::Slot(0), cut(edge))).collect();
+    disturbances.push(at(12_900, FaultTarget::Slot(0), FaultKind::KillAll { downtime: 300 }));
+    assert_departures_hold(10, 3, 10, &disturbances);
+}
+
+#[test]
+fn departures_while_nodes_restart_one_after_the_other() {
+    let restarts = (0..12).map(|n| {
+        let target = FaultTarget::Slot(n % 3);
+        at(11_500 + 250 * n as Millis, target, FaultKind::Kill { downtime: 200 })
+    });
+    assert_departures_hold(10, 3, 300, &restarts.collect::<Vec<_>>());
+}
+
+#[test]
+fn departures_while_the_leader_is_lost_or_shuts_down() {
+    let losses = [
+        FaultKind::Kill { downtime: 6000 },
+        FaultKind::PowerLoss { downtime: 2000 },
+        FaultKind::Freeze { duration: 4000 },
+        FaultKind::Terminate { downtime: 500 },
+        FaultKind::DiskHang { duration: 3000 },
+        FaultKind::DiskFull { duration: 5000 },
+    ];
+    for loss in losses {
+        assert_departures_hold(3, 4, 200, &[at(11_950, FaultTarget::Leader, loss)]);
+    }
+}
+
+/// Endpoints reach both sides of the partition.
+#[test]
+fn departures_on_both_sides_of_a_partition() {
+    for (machines, with) in [(3, Vec::new()), (5, vec![FaultTarget::Voter])] {
+        for target in ROLES {
+            for duration in [2500, 8000] {
+                let (with, direction) = (with.clone(), PartitionDirection::Both);
+                let kind = FaultKind::Partition { with, direction, duration, include_clients: false };
+                assert_departures_hold(3, machines, 250, &[at(11_900, target, kind)]);
+            }
+        }
+    }
+}
+
+/// Edges come from another node, or with nothing, to nodes that have just started.
+#[test]
+fn departures_while_edges_change_nodes() {
+    let mut disturbances = vec![at(12_500, FaultTarget::Slot(0), FaultKind::KillAll { downtime: 300 })];
+    for edge in 0..4 {
+        let time = 12_000 + 300 * edge as Millis;
+        let cut = FaultKind::EdgePartition { edge, duration: 1500 };
+        disturbances.push(at(time, FaultTarget::Slot(0), cut));
+        disturbances.push(at(time + 1600, FaultTarget::Slot(0), FaultKind::EdgeRestart(edge)));
+    }
+    for n in 0..3 {
+        disturbances.push(at(
+            15_000 + 400 * n as Millis,
+            FaultTarget::Slot(n),
+            FaultKind::Kill { downtime: 200 },
+        ));
+    }
+    assert_departures_hold(10, 3, 200, &disturbances);
+}
--- a/crates/tools/simulator/tests/trace_format.rs
+++ b/crates/tools/simulator/tests/trace_format.rs
@@ -35,6 +35,7 @@
         (FaultKind::SlowLinks { max_extra_delay: 2, duration: 3 }, "Slow { extra: 2, ms: 3 }"),
         (FaultKind::DiskAndPowerLossAll { downtime: 3 }, "DiskAndPowerAll { down: 3 }"),
         (FaultKind::EndpointDrain(3), "HostLeaves(3)"),
+        (FaultKind::EndpointSignOff(3), "HostSignsOff(3)"),
         (FaultKind::EdgePartition { edge: 2, duration: 3 }, "EdgeCut { edge: 2, ms: 3 }"),
         (FaultKind::ResendOrder, "Again"),
     ] {
