Tests of departures on three members in memory; their harness in its own file

The harness of stored_format.rs (three members in memory, messages as text) moves to tests/memory_cluster as it was, with two additions: a disk that hangs, and a poll of an edge. On it: members that do not lead pass departures on, an endpoint that no member knows is removed at all of them and stays so whatever heartbeats come after, and nothing is acknowledged that is on one disk only or without quorum contact.

--- /dev/null
+++ b/crates/control-plane/server/tests/departures.rs
@@ -0,0 +1,72 @@
+//! Departures of endpoints: what an acknowledgement of a drain or a sign-off rests on.
+mod memory_cluster;
+
+use coppersail_control_plane::node::AdminRequest;
+use coppersail_peer_protocol::EndpointState;
+use memory_cluster::Cluster;
+use serde_json::json;
+
+const ENDPOINT: &str = "i-1";
+
+fn heartbeat(state: &str, sequence: u64) -> AdminRequest {
+    let body = json!({"backend": "s", "address": "10.9.0.1:80", "stage": state, "callCount": sequence});
+    AdminRequest::Heartbeat { endpoint_id: ENDPOINT.into(), body: body.to_string() }
+}
+
+fn sign_off() -> AdminRequest {
+    AdminRequest::SignOff { endpoint_id: ENDPOINT.into() }
+}
+
+/// The state of the endpoint in the snapshot of each member.
+fn states(cluster: &mut Cluster) -> Vec<Option<EndpointState>> {
+    let state = |at| {
+        let update = cluster.snapshot(at);
+        update.endpoints.iter().find(|endpoint| endpoint.id == ENDPOINT).map(|endpoint| endpoint.state)
+    };
+    (0..3).map(state).collect()
+}
+
+#[test]
+fn members_that_do_not_lead_pass_departures_on_to_the_leader() {
+    let mut cluster = Cluster::start();
+    let leader = "http://10.1.0.1:8544/servers/i-1";
+    cluster.assert_answer(1, heartbeat("emptying", 1), 307, &format!("{leader}/pulse"));
+    cluster.assert_answer(2, sign_off(), 307, &format!("{leader}/sign-off"));
+    cluster.run(500);
+    assert_eq!(states(&mut cluster), [Some(EndpointState::Removed); 3], "their followers know at once");
+}
+
+/// Guards against an endpoint that signs off at a member which has never heard of it.
+#[test]
+fn an_unknown_endpoint_that_signs_off_is_removed_at_all_members_and_stays_so() {
+    let mut cluster = Cluster::start();
+    assert_eq!(cluster.request(0, sign_off()).0, 200);
+    cluster.run(500);
+    assert_eq!(states(&mut cluster), [Some(EndpointState::Removed); 3]);
+    // A heartbeat from before the sign-off, and ones of an endpoint that goes on.
+    for (at, sequence) in [(1, 1), (2, 40), (0, 41)] {
+        assert_eq!(cluster.request(at, heartbeat("ready", sequence)).0, 200);
+    }
+    cluster.run(500);
+    assert_eq!(states(&mut cluster), [Some(EndpointState::Removed); 3]);
+}
+
+#[test]
+fn a_departure_that_is_on_one_disk_only_is_not_acknowledged() {
+    for departure in [|| heartbeat("emptying", 1), sign_off] {
+        let mut cluster = Cluster::start();
+        cluster.disk_hangs = true;
+        assert_eq!(cluster.request(0, departure()).0, 503);
+    }
+}
+
+#[test]
+fn without_quorum_contact_no_departure_is_acknowledged() {
+    let mut cluster = Cluster::start();
+    cluster.partitioned = true;
+    cluster.run(5_000);
+    for at in 0..3 {
+        assert_eq!(cluster.request(at, heartbeat("emptying", 1)).0, 503);
+        assert_eq!(cluster.request(at, sign_off()).0, 503);
+    }
+}
--- a/crates/control-plane/server/tests/stored_format.rs
+++ b/crates/control-plane/server/tests/stored_format.rs
@@ -1,167 +1,22 @@
 //! The bytes of the replicated state on disk, of the generation file (`mark`) beside it, and of responses to
 //! endpoints and operators. Other versions read these bytes; a change here breaks rolling upgrades or stored
 //! data.
-use coppersail_control_plane::node::{AdminRequest, Effect, Event, Node, PeerRequest, PeerResponse, Startup};
+mod memory_cluster;
+
+use coppersail_control_plane::node::AdminRequest;
 use coppersail_control_plane::orders::{digest, OrderDecision, Orders};
 use coppersail_control_plane::rollouts;
 use coppersail_control_plane::store::{DiskWriter, FolderCondition, KeyValue, WriteBatch};
 use coppersail_rollout::lifecycle::{Phase, RolloutState};
 use coppersail_shard_leases::LeaseTable;
-use serde::{de::DeserializeOwned, Serialize};
-use std::collections::{BTreeMap, VecDeque};
+use memory_cluster::Cluster;
+use std::collections::BTreeMap;
 use std::path::Path;
 
-const MEMBERS: [&str; 3] = ["10.1.0.1:8544", "10.2.0.1:8544", "10.3.0.1:8544"];
-
 fn put(name: &str, value: &str) -> KeyValue {
     (name.into(), value.into())
 }
 
-/// Three members in memory. They answer each other's requests in the next time step. All writes succeed.
-struct Cluster {
-    nodes: Vec<Node>,
-    now: u64,
-    due: VecDeque<(usize, Event)>,
-    /// The requests between members: (member, operation id).
-    calls: Vec<(usize, u64)>,
-    /// The writes of the replicated state by the first member.
-    writes: Vec<WriteBatch>,
-    answers: Vec<(u16, String)>,
-    /// No message between members arrives.
-    partitioned: bool,
-}
-
-/// The id of all requests of endpoints and operators, different from those between members.
-const ADMIN_REQUEST_ID: u64 = u64::MAX;
-
-impl Cluster {
-    fn start() -> Cluster {
-        let (nodes, calls, writes, answers) = (Vec::new(), Vec::new(), Vec::new(), Vec::new());
-        let mut cluster =
-            Cluster { nodes, now: 1, due: VecDeque::new(), calls, writes, answers, partitioned: false };
-        let mut effects = Vec::new();
-        for me in MEMBERS {
-            let ip = me.split(':').next().unwrap();
-            let settings = serde_json::json!({
-                "self": {"ipAddress": ip, "area": "a", "initialBoot": true, "dataFolder": "unused"},
-                "network": {"binds": {"admin": me}, "sparePorts": [7540, 7555], "knownPeers": MEMBERS},
-                "provider": {"heartbeat": "1s"},
-                "terms": {"survive": {"boxes": 1}, "timeLimits": {"inContact": "3s", "keepMax": "10s"}}
-            });
-            let settings = coppersail_config::ProcessSettings::from_json(&settings.to_string()).unwrap();
-            let (node, first) = Node::start(
-                1,
-                Startup { settings, recovered: Default::default(), feed_and_disk_incarnation: 7 },
-            );
-            cluster.nodes.push(node);
-            effects.push(first);
-        }
-        effects.into_iter().enumerate().for_each(|(at, first)| cluster.carry_out(at, first));
-        cluster.run(5_000);
-        assert!(cluster.nodes[0].is_leader());
-        cluster.writes.clear();
-        cluster
-    }
-
-    fn carry_out(&mut self, at: usize, effects: Vec<Effect>) {
-        for effect in effects {
-            match effect {
-                Effect::Persist { operation_id, write } => {
-                    if at == 0 && !write.state.is_empty() {
-                        self.writes.push(write);
-                    }
-                    self.due.push_back((at, Event::WriteFinished { operation_id, ok: true }));
-                }
-                Effect::SendToPeer { operation_id, peer, .. } if self.partitioned => {
-                    assert!(MEMBERS.contains(&peer.as_str()));
-                    self.due.push_back((at, Event::PeerResponded { operation_id, response: None }));
-                }
-                Effect::SendToPeer { operation_id, peer, request, .. } => {
-                    let other = MEMBERS.iter().position(|member| *member == peer).unwrap();
-                    self.calls.push((at, operation_id));
-                    let request_id = self.calls.len() as u64;
-                    self.due.push_back((other, Event::Peer { request_id, request: over_the_wire(request) }));
-                }
-                Effect::RespondToPeer { request_id, response } => {
-                    let (sender, operation_id) = self.calls[request_id as usize - 1];
-                    let response = Some(response_over_the_wire(response)).filter(|_| !self.partitioned);
-                    self.due.push_back((sender, Event::PeerResponded { operation_id, response }));
-                }
-                Effect::RespondToAdmin { request_id, status, body } => {
-                    assert_eq!(request_id, ADMIN_REQUEST_ID);
-                    self.answers.push((status, body));
-                }
-                Effect::Log(_) | Effect::Exit => {}
-            }
-        }
-    }
-
-    fn step(&mut self, at: usize, event: Event) {
-        let mut effects = Vec::new();
-        self.nodes[at].step(self.now, event, &mut effects);
-        self.carry_out(at, effects);
-    }
-
-    fn run(&mut self, ms: u64) {
-        let end = self.now + ms;
-        while self.now < end {
-            self.now += 50;
-            for (at, event) in std::mem::take(&mut self.due) {
-                self.step(at, event);
-            }
-            (0..3).for_each(|at| self.step(at, Event::Tick));
-        }
-    }
-
-    /// Sends a request and advances the time until it is answered.
-    fn request(&mut self, at: usize, request: AdminRequest) -> (u16, String) {
-        self.step(at, Event::Admin { request_id: ADMIN_REQUEST_ID, request });
-        for _ in 0..100 {
-            if let Some(answer) = self.answers.pop() {
-                return answer;
-            }
-            self.run(50);
-        }
-        panic!("no answer");
-    }
-
-    #[track_caller]
-    fn assert_answer(&mut self, at: usize, request: AdminRequest, status: u16, body: &str) {
-        assert_eq!(self.request(at, request), (status, body.to_string()));
-    }
-
-    /// Checks the batches that the first member has written since the last check, each with the sequence
-    /// number of its change.
-    #[track_caller]
-    fn assert_writes(&mut self, expected: &[(&str, &[KeyValue])]) {
-        let batch = |(seq, state): &(&str, &[KeyValue])| WriteBatch {
-            state: state.to_vec(),
-            replace_state: false,
-            metadata: vec![put("seq", seq)],
-        };
-        assert_eq!(std::mem::take(&mut self.writes), expected.iter().map(batch).collect::<Vec<_>>());
-    }
-}
-
-/// Converts a message to JSON and back, as between processes.
-fn through_text<T: Serialize + DeserializeOwned>(value: &T) -> T {
-    serde_json::from_str(&serde_json::to_string(value).unwrap()).unwrap()
-}
-
-fn over_the_wire(request: PeerRequest) -> PeerRequest {
-    match request {
-        PeerRequest::Watch(watch) => PeerRequest::Watch(through_text(&watch)),
-        PeerRequest::Consensus(request) => PeerRequest::Consensus(through_text(&request)),
-    }
-}
-
-fn response_over_the_wire(response: PeerResponse) -> PeerResponse {
-    match response {
-        PeerResponse::Update(update) => PeerResponse::Update(through_text(&update)),
-        PeerResponse::Consensus(response) => PeerResponse::Consensus(through_text(&response)),
-    }
-}
-
 /// A configuration of an operator: `@` stands for the revision, `#` for whether the service is sharded.
 const CONFIGURATION: &str = r#"{"revision":"r@","routes":{"columns":["name","domain","pathStart","sort","giveUp","target_time","backend"],"rows":[["r","d.example","/","repeatable","1000ms","400ms","s"]]},"backends":{"columns":["name","checkPath","maxConnections","splitUp"],"rows":[["s","/w",10,#]]},"caps":{"headSizeBytes":16384,"bodySizeBytes":1000,"headWait":"3000ms","quiet":"15000ms"}}"#;
 
