A late heartbeat of a draining endpoint waits for the commit of its departure

What callers could see: a heartbeat that says `emptying` is acknowledged though its departure is on no disk and no edge knows of it.

Cause: a heartbeat that a later one had overtaken was acknowledged at once, as that one is more current; but the later one may itself still wait for its commit, or be refused. A late heartbeat that announces a departure now takes the same way as any other, without its leases, which have been overtaken.

Evidence: the new test, a disk that hangs and heartbeats 5 and 4 in this order, fails without the change (200 where 503 is due).

--- a/crates/control-plane/server/src/endpoint_requests.rs
+++ b/crates/control-plane/server/src/endpoint_requests.rs
@@ -51,7 +51,8 @@
             Ok(heartbeat) => heartbeat,
             Err(rejection) => return replies.push(Reply::Admin(request_id, rejection.into())),
         };
-        if !self.record_heartbeat(now, endpoint, &heartbeat) {
+        let is_late = !self.record_heartbeat(now, endpoint, &heartbeat);
+        if is_late && heartbeat.state == EndpointState::Ready {
             return replies.push(Reply::Admin(request_id, Response::acknowledged()));
         }
         let departure = self.uncommitted_departure(now, endpoint, heartbeat.state);
@@ -61,8 +62,10 @@
             let path = format!("/servers/{endpoint}/pulse");
             return self.redirect_and_publish(now, request_id, &path, departure, replies);
         }
+        // What a late heartbeat says of leases has been overtaken.
+        let reports_leases = is_sharded && !is_late;
         let mut ticket = None;
-        if is_sharded {
+        if reports_leases {
             ticket = self.release_leases(endpoint, &heartbeat);
         }
         if departure.is_some() {
@@ -72,7 +75,7 @@
             }
         }
         let sequence = departure.is_some().then_some(self.feed.sequence);
-        let sharded_service = is_sharded.then_some(heartbeat.service);
+        let sharded_service = reports_leases.then_some(heartbeat.service);
         let kind = ReplyKind::Heartbeat { endpoint: endpoint.into(), departure, sharded_service };
         let deadline = now + self.timeouts.acknowledgement_wait;
         self.pending_replies.push(PendingReply { request_id, deadline, ticket, sequence, kind });
--- a/crates/control-plane/server/tests/departures.rs
+++ b/crates/control-plane/server/tests/departures.rs
@@ -1,7 +1,7 @@
 //! Departures of endpoints: what an acknowledgement of a drain or a sign-off rests on.
 mod memory_cluster;
 
-use coppersail_control_plane::node::AdminRequest;
+use coppersail_control_plane::node::{AdminRequest, Event};
 use coppersail_peer_protocol::EndpointState;
 use memory_cluster::Cluster;
 use serde_json::json;
@@ -60,6 +60,18 @@
     }
 }
 
+/// Guards against an acknowledgement that rests on a later heartbeat, which is not acknowledged itself yet.
+#[test]
+fn a_late_heartbeat_of_a_draining_endpoint_is_acknowledged_no_sooner_than_the_latest() {
+    let mut cluster = Cluster::start();
+    cluster.disk_hangs = true;
+    let request = heartbeat("emptying", 5);
+    cluster.step(0, Event::Admin { request_id: u64::MAX, request });
+    assert_eq!(cluster.request(0, heartbeat("emptying", 4)).0, 503);
+    cluster.run(1_000);
+    assert!(cluster.answers.iter().all(|(status, _)| *status == 503), "{:?}", cluster.answers);
+}
+
 #[test]
 fn without_quorum_contact_no_departure_is_acknowledged() {
     let mut cluster = Cluster::start();
