A drain that a new leader publishes gives edges no grace for owned keys

What callers could see: requests for keys that a draining endpoint owns reach it for a second after the edge hears of the drain. That is right when the edge hears of it before the acknowledgement. Since departures are committed, an edge may also hear of a drain from a new leader, long after it was acknowledged, and would count its second from then.

An endpoint in the change feed now carries `drain_acknowledged`, set by a new leader on the drains of the replicated state, kept by every merge, and absent from the wire otherwise. An edge that learns of a drain so sends the endpoint nothing more. Edges and nodes of earlier builds ignore the field.

Found by reading related paths; not seen on real processes.

--- a/crates/control-plane/peer-protocol/src/endpoints.rs
+++ b/crates/control-plane/peer-protocol/src/endpoints.rs
@@ -1,4 +1,5 @@
 //! Changes of the endpoints of backend services.
+use crate::optional::is_default;
 use serde::{Deserialize, Serialize};
 use std::fmt;
 
@@ -66,4 +67,8 @@
     /// The control-plane node that receives its heartbeats.
     #[serde(rename = "via")]
     pub reported_by: String,
+    /// It is draining, and that may have been acknowledged some time ago: a receiver that learns of it now
+    /// must not count the drain from now.
+    #[serde(skip_serializing_if = "is_default")]
+    pub drain_acknowledged: bool,
 }
--- a/crates/control-plane/peer-protocol/tests/wire_format.rs
+++ b/crates/control-plane/peer-protocol/tests/wire_format.rs
@@ -123,6 +123,7 @@
         slow_start_ms: 1500,
         heartbeat_sequence: 4,
         reported_by: "a:1".into(),
+        drain_acknowledged: false,
     }
 }
 
@@ -138,6 +139,13 @@
 
 const ASSIGNMENT: &str = r#"{"backend":"s","slices":4,"rows":[[0,2,"i-1",4294967297],[3,3,"",4294967298]]}"#;
 
+#[test]
+fn an_endpoint_names_an_acknowledged_drain_only_if_there_is_one() {
+    assert_text(endpoint(), ENDPOINT);
+    let drained = EndpointUpdate { drain_acknowledged: true, ..endpoint() };
+    assert_text(drained, &ENDPOINT.replace("}", r#","drain_acknowledged":true}"#));
+}
+
 #[test]
 fn a_watch_request_keeps_its_bytes() {
     let request = WatchRequest {
--- a/crates/control-plane/server/src/departures.rs
+++ b/crates/control-plane/server/src/departures.rs
@@ -17,7 +17,8 @@
 
 /// The write that makes a departure durable.
 pub(crate) fn write(departure: &EndpointUpdate) -> KeyValue {
-    let stored = EndpointUpdate { suspect: false, slow_start_ms: 0, ..departure.clone() };
+    let stored =
+        EndpointUpdate { suspect: false, slow_start_ms: 0, drain_acknowledged: false, ..departure.clone() };
     // A struct whose keys are strings: this does not fail.
     (key(&departure.id), serde_json::to_string(&stored).unwrap_or_default())
 }
--- a/crates/control-plane/server/src/endpoint_requests.rs
+++ b/crates/control-plane/server/src/endpoint_requests.rs
@@ -146,6 +146,7 @@
             slow_start_ms: heartbeat.slow_start_ms(),
             heartbeat_sequence: heartbeat.sequence,
             reported_by: self.core.id.clone(),
+            drain_acknowledged: false,
         });
     }
 
--- a/crates/control-plane/server/src/feed.rs
+++ b/crates/control-plane/server/src/feed.rs
@@ -190,7 +190,11 @@
     let old_wins = old.suspect || new.reported_by < old.reported_by;
     let is_late = new.heartbeat_sequence < old.heartbeat_sequence;
     let latest = if is_late || (is_same_heartbeat && old_wins) { old } else { new };
-    EndpointUpdate { state: old.state.max(new.state), ..latest.clone() }
+    EndpointUpdate {
+        state: old.state.max(new.state),
+        drain_acknowledged: old.drain_acknowledged || new.drain_acknowledged,
+        ..latest.clone()
+    }
 }
 
 /// Whether only the heartbeat differs, of which followers need no update.
--- a/crates/control-plane/server/src/replication.rs
+++ b/crates/control-plane/server/src/replication.rs
@@ -4,7 +4,7 @@
 use crate::rollouts;
 use crate::state::State;
 use coppersail_consensus::{Change, Ms};
-use coppersail_peer_protocol::{ConfigDocument, EndpointUpdate};
+use coppersail_peer_protocol::{ConfigDocument, EndpointState, EndpointUpdate};
 
 impl State {
     /// Called when this member becomes the leader. A newly elected leader loads the replicated state, and
@@ -64,7 +64,11 @@
     fn publish_departures(&mut self, now: Ms) {
         for departure in departures::recover(self.core.state()) {
             self.heartbeats.entry(now, &departure.id);
-            self.feed.put_endpoint(&EndpointUpdate { reported_by: self.core.id.clone(), ..departure });
+            self.feed.put_endpoint(&EndpointUpdate {
+                reported_by: self.core.id.clone(),
+                drain_acknowledged: departure.state == EndpointState::Draining,
+                ..departure
+            });
         }
     }
 
--- a/crates/control-plane/server/tests/departures.rs
+++ b/crates/control-plane/server/tests/departures.rs
@@ -72,6 +72,23 @@
     assert!(cluster.answers.iter().all(|(status, _)| *status == 503), "{:?}", cluster.answers);
 }
 
+/// Guards against a departure that only the last leader knew of, and against edges that count a drain from the
+/// moment at which they hear of it again.
+#[test]
+fn a_new_leader_publishes_the_departures_that_the_last_one_acknowledged() {
+    let mut cluster = Cluster::start();
+    assert_eq!(cluster.request(0, heartbeat("emptying", 1)).0, 200);
+    cluster.stopped.insert(0);
+    cluster.run(10_000);
+    let leader = (1..3).find(|at| cluster.nodes[*at].is_leader()).expect("one of two others leads");
+    let update = cluster.snapshot(leader);
+    let endpoint = update.endpoints.iter().find(|endpoint| endpoint.id == ENDPOINT).unwrap();
+    assert_eq!((endpoint.state, endpoint.drain_acknowledged), (EndpointState::Draining, true));
+    // The endpoint goes on to report that it drains.
+    assert_eq!(cluster.request(leader, heartbeat("emptying", 2)).0, 200);
+    assert!(cluster.snapshot(leader).endpoints[0].drain_acknowledged, "that was acknowledged before");
+}
+
 #[test]
 fn without_quorum_contact_no_departure_is_acknowledged() {
     let mut cluster = Cluster::start();
--- a/crates/control-plane/server/tests/memory_cluster/mod.rs
+++ b/crates/control-plane/server/tests/memory_cluster/mod.rs
@@ -6,7 +6,7 @@
 use coppersail_control_plane::store::{KeyValue, WriteBatch};
 use coppersail_peer_protocol::{Update, WatchRequest};
 use serde::{de::DeserializeOwned, Serialize};
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 
 const MEMBERS: [&str; 3] = ["10.1.0.1:8544", "10.2.0.1:8544", "10.3.0.1:8544"];
 
@@ -22,6 +22,8 @@
     pub(crate) answers: Vec<(u16, String)>,
     /// No message between members arrives.
     pub(crate) partitioned: bool,
+    /// These members do nothing, and requests to them fail.
+    pub(crate) stopped: BTreeSet<usize>,
     /// No write of the first member is finished.
     pub(crate) disk_hangs: bool,
     /// The update for the last poll of a test.
@@ -44,6 +46,7 @@
             writes,
             answers,
             partitioned: false,
+            stopped: BTreeSet::new(),
             disk_hangs: false,
             update: None,
         };
@@ -88,6 +91,10 @@
                 }
                 Effect::SendToPeer { operation_id, peer, request, .. } => {
                     let other = MEMBERS.iter().position(|member| *member == peer).unwrap();
+                    if self.stopped.contains(&other) {
+                        self.due.push_back((at, Event::PeerResponded { operation_id, response: None }));
+                        continue;
+                    }
                     self.calls.push((at, operation_id));
                     let request_id = self.calls.len() as u64;
                     self.due.push_back((other, Event::Peer { request_id, request: over_the_wire(request) }));
@@ -113,6 +120,9 @@
     }
 
     pub(crate) fn step(&mut self, at: usize, event: Event) {
+        if self.stopped.contains(&at) {
+            return;
+        }
         let mut effects = Vec::new();
         self.nodes[at].step(self.now, event, &mut effects);
         self.carry_out(at, effects);
--- a/crates/data-plane/load-balancing/src/endpoint.rs
+++ b/crates/data-plane/load-balancing/src/endpoint.rs
@@ -81,7 +81,9 @@
         self.unlisted_until = None;
         let advanced = self.state < update.state;
         if advanced {
-            (self.state, self.draining_since) = (update.state, now);
+            // The time since an earlier acknowledgement is not known, so the endpoint may be about to exit.
+            let draining_since = if update.drain_acknowledged { 0 } else { now };
+            (self.state, self.draining_since) = (update.state, draining_since);
         }
         if update.heartbeat_sequence > self.heartbeat_sequence {
             // A heartbeat from the endpoint itself confirms the address.
