Soak: several endpoints, some leaving, judged by DRAIN

The soak had one endpoint that stayed, so it could not see a request that reaches an endpoint after its departure was acknowledged. It has four endpoints that stay and twelve places now in which one endpoint after the other leaves: with `emptying`, by a sign-off alone, or without a word; it serves on for `empty` and 0.2 to 7 s, on the connections that edges keep, and then its process "ends". After a restart of all nodes half of them leave before their next heartbeat is due. Bursts of faults restart nodes in series too and end with restarts of all nodes, in a row at times.

Requests carry their edge and time in their id. Long requests go to a service of their own whose endpoints stay: one of them kept a leaving endpoint from getting others for seconds.

--- a/crates/tools/soak/src/backend.rs
+++ b/crates/tools/soak/src/backend.rs
@@ -1,59 +1,117 @@
-//! An endpoint inside the soak: it serves each request for as long as the request asks for, and remembers which it has begun.
-use crate::observers::{call, Shared};
-use serde_json::json;
+//! An endpoint's server inside the soak: it serves each request for as long as the request asks for, until its process would be
+//! gone, and tells the history what it has begun.
+use crate::observers::Shared;
+use crate::request_id::RequestId;
 use std::collections::HashSet;
 use std::io::{self, BufRead, BufReader, Write};
-use std::net::{TcpListener, TcpStream};
-use std::sync::{Arc, Mutex, PoisonError};
-use std::thread::{sleep, spawn, JoinHandle};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread::{sleep, spawn};
 use std::time::Duration;
 
 /// The header by which a client says how many milliseconds its request takes.
 pub(crate) const WORK_HEADER: &str = "Work-Ms";
 /// The header with the id of a request.
 pub(crate) const ID_HEADER: &str = "Try-Id";
-/// The service that all routes lead to.
+/// The service of short requests, whose endpoints leave.
 pub(crate) const SERVICE: &str = "s";
-const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
-/// More than all clients send at once.
-const CAPACITY: u32 = 1_000;
+/// The service of long requests, whose endpoints stay: a leaving endpoint with a long request would get no others meanwhile.
+pub(crate) const LONG_SERVICE: &str = "long";
+/// How long a connection may take that only wakes the listener of a server that ends.
+const WAKE_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// The ids of the requests that an endpoint has begun.
+/// The ids of the requests that any endpoint has begun.
 #[derive(Clone, Default)]
 pub(crate) struct BegunRequests(Arc<Mutex<HashSet<String>>>);
 
 impl BegunRequests {
+    fn ids(&self) -> MutexGuard<'_, HashSet<String>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub(crate) fn contains(&self, id: &str) -> bool {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner).contains(id)
+        self.ids().contains(id)
     }
 
     fn insert(&self, id: &str) {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner).insert(id.to_owned());
+        self.ids().insert(id.to_owned());
+    }
+}
+
+/// What the threads of a server share.
+struct ServerState {
+    /// The id of the endpoint.
+    endpoint: String,
+    shared: Shared,
+    begun: BegunRequests,
+    has_ended: AtomicBool,
+    connections: Mutex<Vec<TcpStream>>,
+}
+
+/// A server that accepts connections until it is dropped; then all its connections end, as with their process.
+pub(crate) struct Server {
+    address: SocketAddr,
+    state: Arc<ServerState>,
+}
+
+impl Server {
+    /// Serves as an endpoint at an address.
+    pub(crate) fn start(
+        endpoint: &str,
+        address: SocketAddr,
+        shared: Shared,
+        begun: BegunRequests,
+    ) -> io::Result<Server> {
+        let listener = TcpListener::bind(address)?;
+        let (has_ended, connections) = (AtomicBool::new(false), Mutex::default());
+        let state = ServerState { endpoint: endpoint.into(), shared, begun, has_ended, connections };
+        let state = Arc::new(state);
+        let accepting = state.clone();
+        spawn(move || accept(&listener, &accepting));
+        Ok(Server { address, state })
     }
 }
 
-/// Serves at `address` until the process ends.
-pub(crate) fn start(address: &str) -> io::Result<BegunRequests> {
-    let listener = TcpListener::bind(address)?;
-    let begun = BegunRequests::default();
-    let shared = begun.clone();
-    spawn(move || {
-        for stream in listener.incoming().flatten() {
-            let begun = shared.clone();
-            spawn(move || serve(&stream, &begun));
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.state.has_ended.store(true, Ordering::SeqCst);
+        let connections = self.state.connections.lock();
+        for connection in connections.unwrap_or_else(PoisonError::into_inner).iter() {
+            let _ = connection.shutdown(Shutdown::Both);
         }
-    });
-    Ok(begun)
+        // The listener ends with its next connection.
+        let _ = TcpStream::connect_timeout(&self.address, WAKE_TIMEOUT);
+    }
+}
+
+fn accept(listener: &TcpListener, state: &Arc<ServerState>) {
+    for stream in listener.incoming().flatten() {
+        if state.has_ended.load(Ordering::SeqCst) {
+            return;
+        }
+        let Ok(copy) = stream.try_clone() else { continue };
+        state.connections.lock().unwrap_or_else(PoisonError::into_inner).push(copy);
+        let state = state.clone();
+        spawn(move || {
+            serve(&stream, &state);
+            let _ = stream.shutdown(Shutdown::Both);
+        });
+    }
 }
 
 /// Serves the requests of one connection, which have no bodies.
-fn serve(stream: &TcpStream, begun: &BegunRequests) -> Option<()> {
+fn serve(stream: &TcpStream, state: &ServerState) -> Option<()> {
     let _ = stream.set_nodelay(true);
     let mut reader = BufReader::new(stream);
-    loop {
+    while !state.has_ended.load(Ordering::SeqCst) {
         let head = read_head(&mut reader)?;
         let id = header(&head, ID_HEADER)?;
-        begun.insert(id);
+        state.begun.insert(id);
+        if let Ok(request) = id.parse::<RequestId>() {
+            let arrived = state.shared.elapsed();
+            state.shared.history().departures.arrive(&state.endpoint, request, arrived);
+        }
         let work = header(&head, WORK_HEADER).and_then(|value| value.parse().ok()).unwrap_or(0);
         sleep(Duration::from_millis(work));
         let response = format!(
@@ -61,6 +119,7 @@
         );
         (&*stream).write_all(response.as_bytes()).ok()?;
     }
+    None
 }
 
 /// The lines of the next head. `None`: the connection has ended.
@@ -83,21 +142,3 @@
     let fields = head.iter().filter_map(|line| line.split_once(':'));
     fields.filter(|(field, _)| field.eq_ignore_ascii_case(name)).map(|(_, value)| value.trim()).next()
 }
-
-/// Sends the heartbeats of the endpoint to one node after the other.
-pub(crate) fn start_heartbeats(shared: Shared, nodes: Vec<String>, address: String) -> JoinHandle<()> {
-    spawn(move || {
-        let agent = crate::observers::agent();
-        let mut sequence: usize = 0;
-        while !shared.is_over() {
-            sequence += 1;
-            let body = json!({
-                "backend": SERVICE, "address": address, "area": "north", "revision": "v1", "capacity": CAPACITY,
-                "stage": "ready", "warmLeft": "0ms", "callCount": sequence
-            });
-            let _ =
-                call(&agent, &nodes[sequence % nodes.len()], "/servers/i-1/pulse", Some(&body.to_string()));
-            sleep(HEARTBEAT_INTERVAL);
-        }
-    })
-}
--- a/crates/tools/soak/src/clients.rs
+++ b/crates/tools/soak/src/clients.rs
@@ -1,6 +1,6 @@
 //! Clients that keep their connections open and use them until the edge closes them.
 use crate::backend::{header, read_head, BegunRequests, ID_HEADER, WORK_HEADER};
-use crate::observers::Shared;
+use crate::observers::{Shared, LONG_PATH};
 use std::io::{BufReader, Read, Write};
 use std::net::TcpStream;
 use std::thread::{sleep, spawn, JoinHandle};
@@ -8,7 +8,7 @@
 
 /// How long a client waits between two requests on a connection, as a rule and at times.
 const IDLE_MS: [std::ops::Range<u64>; 2] = [0..1_000, 1_000..4_000];
-/// How long a request takes at its endpoint, as a rule and at times: what an edge that shuts down takes until it accepts no more
+/// How long a request takes at its endpoint, as a rule and at times, and the path that it goes to: what an edge that shuts down takes until it accepts no more
 /// connections (2.5 s) ends before the edge does (5.7 s), and what it took a second later would not.
 const WORK_MS: [std::ops::Range<u64>; 2] = [0..400, 2_400..2_900];
 /// One in so many waits and requests is long.
@@ -20,8 +20,8 @@
 const RECONNECT_PAUSE: Duration = Duration::from_millis(20);
 /// The endpoint notes a request before the edge can know that it has come.
 const NOTE_TIME: Duration = Duration::from_millis(50);
-/// The path of the first revision, which every later one routes as well.
-const PATH: &str = "/1/";
+/// The path of the first revision, which every later one routes as well, and that of long requests.
+const PATHS: [&str; 2] = ["/1/", LONG_PATH];
 
 /// What came of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -66,10 +66,12 @@
     let _ = stream.set_read_timeout(Some(READ_TIMEOUT));
     let mut reader = BufReader::new(stream);
     while !shared.is_over() {
-        sleep(Duration::from_millis(random_ms(random, &IDLE_MS)));
-        let id = format!("{edge}-{:016x}", random.u64(..));
+        let idle = IDLE_MS[length_index(random)].clone();
+        sleep(Duration::from_millis(random.u64(idle)));
+        let id = shared.request_id(edge, random).to_string();
         let sent = Instant::now();
-        match exchange(&mut reader, &id, random_ms(random, &WORK_MS)) {
+        let length = length_index(random);
+        match exchange(&mut reader, &id, PATHS[length], random.u64(WORK_MS[length].clone())) {
             Exchange::Answered { closes: false } => shared.history().answer(),
             Exchange::Answered { closes: true } => return shared.history().answer(),
             Exchange::Foreign => return shared.history().foreign_answer(edge),
@@ -85,16 +87,15 @@
     }
 }
 
-/// A time of the first range as a rule, and of the second at times.
-fn random_ms(random: &mut fastrand::Rng, ranges: &[std::ops::Range<u64>; 2]) -> u64 {
-    let is_long = random.usize(0..LONG_ONES) == 0;
-    random.u64(ranges[usize::from(is_long)].clone())
+/// The index of a long wait or request, at times, or of a usual one.
+fn length_index(random: &mut fastrand::Rng) -> usize {
+    usize::from(random.usize(0..LONG_ONES) == 0)
 }
 
 /// Sends one request and reads its answer.
-fn exchange(reader: &mut BufReader<&TcpStream>, id: &str, work: u64) -> Exchange {
+fn exchange(reader: &mut BufReader<&TcpStream>, id: &str, path: &str, work: u64) -> Exchange {
     let request = format!(
-        "GET {PATH} HTTP/1.1\r\nHost: d.example\r\n{ID_HEADER}: {id}\r\nTime-Left-Ms: {TIME_LEFT_MS}\r\n\
+        "GET {path} HTTP/1.1\r\nHost: d.example\r\n{ID_HEADER}: {id}\r\nTime-Left-Ms: {TIME_LEFT_MS}\r\n\
          {WORK_HEADER}: {work}\r\n\r\n"
     );
     if reader.get_mut().write_all(request.as_bytes()).is_err() {
--- a/crates/tools/soak/src/cluster.rs
+++ b/crates/tools/soak/src/cluster.rs
@@ -2,18 +2,28 @@
 //!
 //! A node is known by the address of its relay: its settings name that as the address for operators, and edges and other nodes
 //! derive from it where they reach the node; the process itself listens on another address.
+use crate::drain::EMPTY;
+use crate::endpoints::HEARTBEAT_INTERVAL;
+use crate::history::{APPLY, CONTACT};
 use crate::relay::{self, Link};
 use eyre::WrapErr;
 use serde_json::{json, Value};
 use std::fs::File;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command};
+use std::time::Duration;
 
 pub(crate) const NODES: usize = 3;
 const ADMIN_PORT: u16 = 8544;
 const PEER_PORT: u16 = 7540;
 const CLIENT_PORT: u16 = 8080;
 
+/// A duration as settings files have it.
+fn milliseconds(duration: Duration) -> String {
+    format!("{}ms", duration.as_millis())
+}
+
 /// A process and what it is started with.
 struct Process {
     program: PathBuf,
@@ -80,8 +90,12 @@
 }
 
 impl Network {
+    fn ip(&self, subnet: u8, index: usize) -> IpAddr {
+        Ipv4Addr::new(127, self.second, self.first_subnet + subnet, index as u8 + 1).into()
+    }
+
     fn address(&self, subnet: u8, index: usize) -> String {
-        format!("127.{}.{}.{}", self.second, self.first_subnet + subnet, index + 1)
+        self.ip(subnet, index).to_string()
     }
 }
 
@@ -160,9 +174,9 @@
         format!("{}:{ADMIN_PORT}", self.relay_ip(node))
     }
 
-    /// Where the endpoint is, "ip:port". It shares the subnet of the relays.
-    pub(crate) fn endpoint_address(&self) -> String {
-        format!("{}:{CLIENT_PORT}", self.network.address(0, NODES))
+    /// Where the endpoints of a slot are. They share the subnet of the relays.
+    pub(crate) fn endpoint_address(&self, slot: usize) -> SocketAddr {
+        SocketAddr::new(self.network.ip(0, NODES + slot), CLIENT_PORT)
     }
 
     /// Where clients reach an edge, "ip:port".
@@ -175,10 +189,13 @@
         json!({
             "self": {"ipAddress": ip, "area": "north", "initialBoot": initial_boot},
             "network": {"sparePorts": [PEER_PORT, PEER_PORT], "knownPeers": peers, "binds": {}},
-            "provider": {"heartbeat": "300ms"},
+            "provider": {"heartbeat": milliseconds(HEARTBEAT_INTERVAL)},
             "terms": {
                 "survive": {"boxes": 1},
-                "timeLimits": {"inContact": "1500ms", "apply": "2s", "keepMax": "2s", "leeway": "6s"}
+                "timeLimits": {
+                    "inContact": milliseconds(CONTACT), "apply": milliseconds(APPLY), "empty": milliseconds(EMPTY),
+                    "keepMax": "10s", "leeway": "6s"
+                }
             }
         })
     }
--- a/crates/tools/soak/src/faults.rs
+++ b/crates/tools/soak/src/faults.rs
@@ -1,6 +1,7 @@
 //! Random faults with a beginning and an end, and planned restarts; several may be active at once.
 use crate::cluster::{Cluster, ProcessId, NODES};
 use crate::relay::LinkMode;
+use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
 /// How many faults are active at once, at most; restarts in series come on top.
@@ -11,6 +12,11 @@
 const SERIES_GAP_MS: std::ops::Range<u64> = 20..400;
 /// The longest series.
 const MAX_SERIES: usize = 40;
+/// How long all nodes are down at most when they are killed at the same moment.
+const ALL_DOWN_MS: std::ops::Range<u64> = 100..1_000;
+/// How often all nodes are killed in a row at the end of a burst, as a rule and at times, and the time from one kill to the next.
+const LAST_RESTARTS: [u32; 2] = [1, 3];
+const LAST_RESTART_GAP_MS: std::ops::Range<u64> = 500..2_500;
 /// Operators and platforms repeat themselves: only the first counts.
 const TERMINATION_SIGNALS: [&str; 3] = ["TERM", "HUP", "TERM"];
 /// A process that was told to end has ended within this: its grace period, and what a machine full of processes adds.
@@ -38,7 +44,7 @@
         let link = |mode| Fault::Link { node: node.index(), mode };
         match random.u8(0..16) {
             0..=2 => Fault::Killed(vec![node]),
-            3 => Fault::Killed((0..NODES).map(ProcessId::Node).collect()),
+            3 => Fault::all_nodes_killed(),
             4 => Fault::Killed(vec![edge]),
             5..=6 => Fault::Paused(node),
             7 => link(LinkMode::Cut),
@@ -51,6 +57,20 @@
         }
     }
 
+    fn all_nodes_killed() -> Fault {
+        Fault::Killed((0..NODES).map(ProcessId::Node).collect())
+    }
+
+    /// Whether it takes what it hits out of touch; a signal to read settings again does not.
+    fn disturbs(&self) -> bool {
+        !matches!(self, Fault::HungUp(_))
+    }
+
+    fn random_length(&self, random: &mut fastrand::Rng) -> Duration {
+        let range = if *self == Fault::all_nodes_killed() { ALL_DOWN_MS } else { LENGTH_MS };
+        Duration::from_millis(random.u64(range))
+    }
+
     /// The processes and links that it uses: one fault at a time for each.
     fn uses(&self) -> Vec<(bool, ProcessId)> {
         match self {
@@ -103,6 +123,11 @@
 pub(crate) struct FaultStep {
     /// A fault began.
     pub(crate) began: bool,
+    /// A node or a link of one was disturbed.
+    pub(crate) disturbed_core: bool,
+    pub(crate) disturbed_edges: BTreeSet<usize>,
+    /// All nodes, which had been killed at the same moment, were started again.
+    pub(crate) restarted_all_nodes: bool,
     /// Edges that were killed.
     pub(crate) killed_edges: Vec<usize>,
     /// Edges that had ended as they were told, and were started again.
@@ -111,17 +136,36 @@
     pub(crate) not_ended: Vec<ProcessId>,
 }
 
+impl FaultStep {
+    /// A fault begins, lasts or ends.
+    fn record_disturbance(&mut self, fault: &Fault) {
+        if !fault.disturbs() {
+            return;
+        }
+        for (_, process) in fault.uses() {
+            match process {
+                ProcessId::Node(_) => self.disturbed_core = true,
+                ProcessId::Edge(edge) => drop(self.disturbed_edges.insert(edge)),
+            }
+        }
+    }
+}
+
 /// Begins and ends faults as time goes on.
 pub(crate) struct FaultSchedule {
     random: fastrand::Rng,
     edges: usize,
     active: Vec<ActiveFault>,
-    /// Processes that are to be told to end, and when: the rest of a series.
-    series: Vec<(Instant, ProcessId)>,
+    /// The restarts that are left of series, and when they begin.
+    series: Vec<(Instant, Fault)>,
     next_at: Instant,
+    /// When all nodes are to be killed after a burst.
+    last_restarts: Vec<Instant>,
     pub(crate) begun: u64,
     pub(crate) overlapping: u64,
     pub(crate) terminated: u64,
+    /// How often all nodes were killed at the same moment.
+    pub(crate) core_kills: u64,
 }
 
 impl FaultSchedule {
@@ -132,9 +176,11 @@
             active: Vec::new(),
             series: Vec::new(),
             next_at: now,
+            last_restarts: Vec::new(),
             begun: 0,
             overlapping: 0,
             terminated: 0,
+            core_kills: 0,
         }
     }
 
@@ -142,6 +188,21 @@
         !self.active.is_empty()
     }
 
+    /// Whether a fault is active or will follow without a new burst.
+    pub(crate) fn is_under_way(&self) -> bool {
+        self.is_active() || !self.last_restarts.is_empty()
+    }
+
+    /// Ends a burst: no further faults begin, but all nodes may be killed a few times in a row.
+    pub(crate) fn end_burst(&mut self, now: Instant) {
+        self.series.clear();
+        let mut at = now;
+        for _ in 0..LAST_RESTARTS[usize::from(self.random.u8(0..3) == 0)] {
+            self.last_restarts.push(at);
+            at += Duration::from_millis(self.random.u64(LAST_RESTART_GAP_MS));
+        }
+    }
+
     /// Ends what is due, and begins what is due if `may_begin`.
     pub(crate) fn step(
         &mut self,
@@ -150,15 +211,16 @@
         may_begin: bool,
     ) -> eyre::Result<FaultStep> {
         let mut step = FaultStep::default();
+        self.active.iter().for_each(|active| step.record_disturbance(&active.fault));
         self.end_due(cluster, now, &mut step)?;
         if !may_begin {
-            self.series.clear();
+            self.begin_last_restart_if_due(cluster, now, &mut step)?;
             return Ok(step);
         }
         let (due, later) = std::mem::take(&mut self.series).into_iter().partition(|(at, _)| *at <= now);
         self.series = later;
-        for (_, process) in due {
-            self.begin(Fault::Terminated(process), cluster, now, &mut step)?;
+        for (_, restart) in due {
+            self.begin(restart, cluster, now, &mut step)?;
         }
         if now >= self.next_at && self.active.len() < MAX_ACTIVE {
             self.next_at = now + Duration::from_millis(self.random.u64(PAUSE_MS));
@@ -167,7 +229,25 @@
         Ok(step)
     }
 
-    /// A fault, or a series of restarts of edges while those before are still ending.
+    /// Kills all nodes if it is time; while one of them is in another fault, that waits.
+    fn begin_last_restart_if_due(
+        &mut self,
+        cluster: &mut Cluster,
+        now: Instant,
+        step: &mut FaultStep,
+    ) -> eyre::Result<()> {
+        let is_due = self.last_restarts.first().is_some_and(|at| *at <= now);
+        let is_used = self.active.iter().any(|active| {
+            active.fault.uses().iter().any(|(_, process)| matches!(process, ProcessId::Node(_)))
+        });
+        if !is_due || is_used {
+            return Ok(());
+        }
+        self.last_restarts.remove(0);
+        self.begin(Fault::all_nodes_killed(), cluster, now, step)
+    }
+
+    /// A fault, or a series of restarts of edges or nodes while those before are still ending.
     fn begin_random(
         &mut self,
         cluster: &mut Cluster,
@@ -179,11 +259,17 @@
             return self.begin(fault, cluster, now, step);
         }
         let gap = Duration::from_millis(self.random.u64(SERIES_GAP_MS));
-        let first = self.random.usize(0..self.edges);
-        let count = self.random.usize(1..=self.edges.min(MAX_SERIES));
-        let edges = self.edges;
-        let process = |index: usize| ProcessId::Edge((first + index) % edges);
-        self.series.extend((0..count).map(|index| (now + gap * index as u32, process(index))));
+        let of_nodes = self.random.u8(0..3) == 0;
+        let processes = if of_nodes { NODES } else { self.edges };
+        let first = self.random.usize(0..processes);
+        let count = self.random.usize(1..=processes.min(MAX_SERIES));
+        let kills = of_nodes && self.random.bool();
+        let restart = |index: usize| match (of_nodes, (first + index) % processes) {
+            (true, node) if kills => Fault::Killed(vec![ProcessId::Node(node)]),
+            (true, node) => Fault::Terminated(ProcessId::Node(node)),
+            (false, edge) => Fault::Terminated(ProcessId::Edge(edge)),
+        };
+        self.series.extend((0..count).map(|index| (now + gap * index as u32, restart(index))));
         Ok(())
     }
 
@@ -204,7 +290,9 @@
         self.begun += 1;
         self.overlapping += u64::from(self.is_active());
         self.terminated += u64::from(matches!(fault, Fault::Terminated(_)));
-        let end = now + Duration::from_millis(self.random.u64(LENGTH_MS));
+        self.core_kills += u64::from(fault == Fault::all_nodes_killed());
+        step.record_disturbance(&fault);
+        let end = now + fault.random_length(&mut self.random);
         self.active.push(ActiveFault { fault, begun: now, end });
         Ok(())
     }
@@ -216,6 +304,7 @@
                 continue;
             }
             active.fault.end(cluster)?;
+            step.restarted_all_nodes |= active.fault == Fault::all_nodes_killed();
             if let Fault::Terminated(ProcessId::Edge(edge)) = active.fault {
                 step.restarted_edges.push(edge);
             }
--- a/crates/tools/soak/src/history.rs
+++ b/crates/tools/soak/src/history.rs
@@ -1,5 +1,6 @@
 //! What was acknowledged, read and seen at edges, and what that violates. Pure: times are passed in.
 use crate::cluster::ProcessId;
+use crate::drain::{BrokenDrain, Departures};
 use std::collections::BTreeMap;
 use std::fmt;
 use std::time::{Duration, Instant};
@@ -26,6 +27,8 @@
     Lost { edge: usize, id: String },
     /// A client got the answer to another request.
     Foreign { edge: usize },
+    /// Requests reached an endpoint that had left.
+    Drain(BrokenDrain),
     /// A process did not end within its grace period after SIGTERM.
     DidNotEnd { process: ProcessId },
     /// At the end a node gave no answer, or an older one.
@@ -53,6 +56,7 @@
             Violation::Lost { edge, id } => write!(out, "edge {edge} lost the request {id}"),
             Violation::Foreign { edge } => write!(out, "edge {edge} gave an answer to another request"),
             Violation::DidNotEnd { process } => write!(out, "{process:?} did not end after SIGTERM"),
+            Violation::Drain(drain) => drain.fmt(out),
             Violation::NotReadBack { node } => write!(out, "node {node} does not let the newest be read"),
             Violation::Logged { line } => write!(out, "log: {line}"),
         }
@@ -93,6 +97,8 @@
     pub(crate) answers: u64,
     /// The longest time from an acknowledgement to an edge, in times without faults.
     pub(crate) latest_edge: Duration,
+    /// Of endpoints.
+    pub(crate) departures: Departures,
     pub(crate) violations: Vec<Violation>,
 }
 
--- a/crates/tools/soak/src/main.rs
+++ b/crates/tools/soak/src/main.rs
@@ -1,13 +1,16 @@
 //! `coppersail-soak`: runs real control-plane nodes and edge proxies on loopback under random faults that overlap, and checks
-//! what must hold of configurations and of clients' requests. Exit status 0: no violation; 1: a violation, or a process that does not start; 2: a
+//! what must hold of configurations, of clients' requests and of endpoints that leave. Exit status 0: no violation; 1: a violation, or a process that does not start; 2: a
 //! wrong argument.
 mod backend;
 mod clients;
 mod cluster;
+mod drain;
+mod endpoints;
 mod faults;
 mod history;
 mod observers;
 mod relay;
+mod request_id;
 mod run;
 
 use std::path::PathBuf;
--- a/crates/tools/soak/src/observers.rs
+++ b/crates/tools/soak/src/observers.rs
@@ -1,6 +1,7 @@
 //! Threads that act as an operator, a reader and the clients of edges, and tell the history what they see.
-use crate::backend::SERVICE;
+use crate::backend::{ID_HEADER, LONG_SERVICE, SERVICE};
 use crate::history::History;
+use crate::request_id::RequestId;
 use serde_json::{json, Value};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -15,17 +16,40 @@
 /// A configuration routes the path of the first revision and those of so many others, its own the last: more than an edge may be
 /// ahead of the one that it should have.
 const ROUTED_REVISIONS: u64 = 200;
+/// The path of long requests, which every configuration routes.
+pub(crate) const LONG_PATH: &str = "/long/";
 /// No configuration routes it.
 const UNROUTED_PATH: &str = "/never/";
 
 /// What the threads of a run share.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub(crate) struct Shared {
+    started: Instant,
     history: Arc<Mutex<History>>,
     is_over: Arc<AtomicBool>,
 }
 
 impl Shared {
+    /// Begins a run.
+    pub(crate) fn start() -> Shared {
+        Shared { started: Instant::now(), history: Arc::default(), is_over: Arc::default() }
+    }
+
+    /// The time since the start of the run.
+    pub(crate) fn elapsed(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    /// The time from the start of the run to a moment.
+    pub(crate) fn time_of(&self, at: Instant) -> Duration {
+        at.saturating_duration_since(self.started)
+    }
+
+    /// The id of a request that is sent through an edge now.
+    pub(crate) fn request_id(&self, edge: usize, random: &mut fastrand::Rng) -> RequestId {
+        RequestId { edge, sent: self.elapsed(), nonce: random.u32(..) }
+    }
+
     pub(crate) fn history(&self) -> MutexGuard<'_, History> {
         self.history.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -55,11 +79,12 @@
     let rows: Vec<Value> = std::iter::once(1)
         .chain(first..=revision)
         .map(|n| json!(["d.example", format!("/{n}/"), "repeatable", SERVICE]))
+        .chain(std::iter::once(json!(["d.example", LONG_PATH, "repeatable", LONG_SERVICE])))
         .collect();
     json!({
         "revision": format!("r{revision}"),
         "routes": {"columns": ["domain", "pathStart", "sort", "backend"], "rows": rows},
-        "backends": {"columns": ["name"], "rows": [[SERVICE]]},
+        "backends": {"columns": ["name"], "rows": [[SERVICE], [LONG_SERVICE]]},
         "caps": {}
     })
 }
@@ -161,23 +186,24 @@
 /// Asks an edge for the paths of revisions, to see by which it serves.
 pub(crate) fn start_client(shared: Shared, edge: usize, address: String) -> JoinHandle<()> {
     spawn(move || {
-        let agent = agent();
+        let (agent, mut random) = (agent(), fastrand::Rng::new());
         while !shared.is_over() {
-            probe_edge(&shared, &agent, edge, &address);
+            probe_edge(&shared, &agent, edge, &address, &mut random);
             sleep(PROBE_PAUSE);
         }
     })
 }
 
 /// The revisions that tell most: the one that the edge should have, the one that it had, and the newest.
-fn probe_edge(shared: &Shared, agent: &ureq::Agent, edge: usize, address: &str) {
+fn probe_edge(shared: &Shared, agent: &ureq::Agent, edge: usize, address: &str, random: &mut fastrand::Rng) {
     let revisions = {
         let history = shared.history();
         [history.newest_due(Instant::now()), history.highest_seen(edge), history.newest_acknowledged()]
     };
     for revision in revisions.into_iter().filter(|revision| *revision > 0) {
         let probe = shared.history().probe(edge, Instant::now());
-        match has_route(agent, address, revision) {
+        let id = shared.request_id(edge, random);
+        match has_route(agent, address, id, revision) {
             Some(true) => shared.history().see_at_least(probe, revision),
             Some(false) => shared.history().see_below(probe, revision),
             None => return,
@@ -187,13 +213,14 @@
 
 /// Whether the edge routes the path of this revision. `None`: no answer. An edge without the route answers 404, and one without a
 /// configuration 503 to everything.
-fn has_route(agent: &ureq::Agent, address: &str, revision: u64) -> Option<bool> {
-    let has_config = status_of(agent, address, UNROUTED_PATH)? == 404;
-    Some(has_config && status_of(agent, address, &format!("/{revision}/"))? != 404)
+fn has_route(agent: &ureq::Agent, address: &str, id: RequestId, revision: u64) -> Option<bool> {
+    let has_config = status_of(agent, address, id, UNROUTED_PATH)? == 404;
+    Some(has_config && status_of(agent, address, id, &format!("/{revision}/"))? != 404)
 }
 
-fn status_of(agent: &ureq::Agent, address: &str, path: &str) -> Option<u16> {
+fn status_of(agent: &ureq::Agent, address: &str, id: RequestId, path: &str) -> Option<u16> {
     let request = agent.get(format!("http://{address}{path}"));
-    let request = request.header("Host", "d.example").header("Try-Id", "soak").header("Time-Left-Ms", "500");
+    let request =
+        request.header("Host", "d.example").header(ID_HEADER, id.to_string()).header("Time-Left-Ms", "500");
     request.call().ok().map(|response| response.status().as_u16())
 }
--- a/crates/tools/soak/src/run.rs
+++ b/crates/tools/soak/src/run.rs
@@ -1,11 +1,12 @@
 //! One run: start, a time of faults, a time of calm, and the last checks.
-use crate::backend;
+use crate::backend::{BegunRequests, LONG_SERVICE, SERVICE};
 use crate::clients;
 use crate::cluster::{Cluster, Network, NODES};
-use crate::faults::FaultSchedule;
+use crate::endpoints::{self, RestartNotices, Slot, Surroundings};
+use crate::faults::{FaultSchedule, FaultStep};
 use crate::history::{Violation, APPLY, CONTACT};
 use crate::observers::{read_back, start_client, start_operator, start_reader, Shared};
-use eyre::{ensure, WrapErr};
+use eyre::ensure;
 use std::fmt;
 use std::path::Path;
 use std::thread::sleep;
@@ -18,6 +19,9 @@
 const BURST: Duration = Duration::from_secs(6);
 const CALM: Duration = Duration::from_secs(6);
 
+/// Endpoints of each service that stay for the whole run, and places in which one endpoint after the other leaves.
+const LASTING_ENDPOINTS: usize = 2;
+const LEAVING_ENDPOINTS: usize = 12;
 /// How many clients of each edge keep their connections.
 const KEPT_CONNECTIONS: usize = 4;
 
@@ -26,24 +30,32 @@
     faults: u64,
     overlapping: u64,
     terminated: u64,
+    core_kills: u64,
     acknowledged: usize,
     reads: u64,
     answers: u64,
+    announced_departures: usize,
+    acknowledged_departures: usize,
+    unacknowledged_departures: usize,
     latest_edge: Duration,
     pub(crate) violations: Vec<Violation>,
 }
 
 impl fmt::Display for Report {
     fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Report { faults, overlapping, terminated, acknowledged, reads, answers, latest_edge, violations } =
-            self;
-        let latest = latest_edge.as_millis();
+        let Report { faults, overlapping, terminated, core_kills, acknowledged, reads, answers, .. } = self;
         write!(
             out,
-            "{faults} faults ({overlapping} overlapping, {terminated} SIGTERM), {acknowledged} acknowledged, {reads} reads, \
-             {answers} answers on kept connections, latest edge {latest} ms, {} violations",
-            violations.len()
+            "{faults} faults ({overlapping} overlapping, {terminated} SIGTERM, {core_kills} of all nodes), \
+             {acknowledged} acknowledged, {reads} reads, {answers} answers on kept connections, {} departures \
+             ({} acknowledged, {} not), latest edge {} ms, {} violations",
+            self.announced_departures,
+            self.acknowledged_departures,
+            self.unacknowledged_departures,
+            self.latest_edge.as_millis(),
+            self.violations.len()
         )?;
+        let violations = &self.violations;
         violations.iter().take(10).try_for_each(|violation| write!(out, "\n  {violation}"))
     }
 }
@@ -55,15 +67,25 @@
     let network =
         Network { second: 20 + (std::process::id() % 200) as u8, first_subnet: (seed % 80) as u8 * 3 };
     let mut cluster = Cluster::start(programs, folder.clone(), network, edges)?;
-    let shared = Shared::default();
+    let shared = Shared::start();
     let nodes: Vec<String> = (0..NODES).map(|node| cluster.admin_address(node)).collect();
-    let endpoint = cluster.endpoint_address();
-    let begun = backend::start(&endpoint).wrap_err_with(|| format!("can't listen at {endpoint}"))?;
+    let begun = BegunRequests::default();
+    let surroundings = Surroundings { shared: shared.clone(), begun: begun.clone(), nodes: nodes.clone() };
+    let mut notices = RestartNotices::default();
     let mut threads = vec![
-        backend::start_heartbeats(shared.clone(), nodes.clone(), endpoint),
         start_operator(shared.clone(), nodes.clone(), seed),
         start_reader(shared.clone(), nodes.clone(), seed + 1),
     ];
+    for number in 0..2 * LASTING_ENDPOINTS + LEAVING_ENDPOINTS {
+        let slot = Slot {
+            number,
+            service: if number < LASTING_ENDPOINTS { LONG_SERVICE } else { SERVICE },
+            address: cluster.endpoint_address(number),
+            leaves: number >= 2 * LASTING_ENDPOINTS,
+        };
+        let seed = seed.wrapping_mul(100) + number as u64;
+        threads.push(endpoints::start(slot, surroundings.clone(), &mut notices, seed)?);
+    }
     threads.extend((0..edges).map(|edge| start_client(shared.clone(), edge, cluster.client_address(edge))));
     let clients = (0..edges * KEPT_CONNECTIONS).map(|number| {
         let edge = number % edges;
@@ -74,14 +96,16 @@
     let result = wait_for_start(&shared, edges)
         .and_then(|()| cluster.end_first_start())
         .and_then(|()| {
-            inject_faults(&mut cluster, &shared, FaultSchedule::new(seed, edges, Instant::now()), faults_for)
+            let schedule = FaultSchedule::new(seed, edges, Instant::now());
+            inject_faults(&mut cluster, &shared, &notices, schedule, faults_for)
         })
         .map(|faults| (faults, check_end(&cluster, &shared, &nodes)));
     shared.finish();
     threads.into_iter().for_each(|thread| drop(thread.join()));
     let (faults, ()) = result?;
     let mut history = shared.history();
-    let violations = std::mem::take(&mut history.violations);
+    let mut violations = std::mem::take(&mut history.violations);
+    violations.extend(history.departures.broken().into_iter().map(Violation::Drain));
     if violations.is_empty() {
         let _ = std::fs::remove_dir_all(&folder);
     }
@@ -89,9 +113,13 @@
         faults: faults.begun,
         overlapping: faults.overlapping,
         terminated: faults.terminated,
+        core_kills: faults.core_kills,
         acknowledged: history.acknowledged_count(),
         reads: history.reads,
         answers: history.answers,
+        announced_departures: history.departures.announced,
+        acknowledged_departures: history.departures.acknowledged_count(),
+        unacknowledged_departures: history.departures.unacknowledged,
         latest_edge: history.latest_edge,
         violations,
     })
@@ -118,6 +146,7 @@
 fn inject_faults(
     cluster: &mut Cluster,
     shared: &Shared,
+    notices: &RestartNotices,
     mut faults: FaultSchedule,
     faults_for: Duration,
 ) -> eyre::Result<FaultSchedule> {
@@ -125,9 +154,14 @@
     let end = now + faults_for;
     while now < end {
         let burst_end = end.min(now + BURST);
-        while now < burst_end || faults.is_active() {
-            let step = faults.step(cluster, now, now < burst_end)?;
-            record(shared, &step, &faults);
+        while now < burst_end {
+            record(shared, now, &faults.step(cluster, now, true)?, &faults, notices);
+            sleep(STEP);
+            now = Instant::now();
+        }
+        faults.end_burst(now);
+        while faults.is_under_way() {
+            record(shared, now, &faults.step(cluster, now, false)?, &faults, notices);
             sleep(STEP);
             now = Instant::now();
         }
@@ -138,12 +172,28 @@
     Ok(faults)
 }
 
-fn record(shared: &Shared, step: &crate::faults::FaultStep, faults: &FaultSchedule) {
+/// Records a step that was begun at `begun`.
+fn record(
+    shared: &Shared,
+    begun: Instant,
+    step: &FaultStep,
+    faults: &FaultSchedule,
+    notices: &RestartNotices,
+) {
     let mut history = shared.history();
     if step.began || faults.is_active() {
         history.begin_fault();
     }
     let now = Instant::now();
+    for at in [begun, now].map(|at| shared.time_of(at)) {
+        if step.disturbed_core {
+            history.departures.disturb_core(at);
+        }
+        step.disturbed_edges.iter().for_each(|edge| history.departures.disturb_edge(*edge, at));
+    }
+    if step.restarted_all_nodes {
+        notices.send();
+    }
     step.killed_edges.iter().for_each(|edge| history.kill_edge(*edge, now));
     step.restarted_edges.iter().for_each(|edge| history.restart_edge(*edge));
     let not_ended = step.not_ended.iter().map(|process| Violation::DidNotEnd { process: *process });
