--- a/crates/tools/simulator/src/statistics.rs
+++ b/crates/tools/simulator/src/statistics.rs
@@ -44,8 +44,10 @@
     pub reads: u64,
     /// Responses to endpoints that carry shard leases.
     pub grants: u64,
-    /// Drains of endpoints that were acknowledged.
+    /// Departures of endpoints that were acknowledged.
     pub drains: u64,
+    /// Endpoints that ended without an acknowledgement of their departure.
+    pub unacknowledged_drains: u64,
     /// By [`FaultKind::name`](crate::FaultKind::name).
     pub faults: BTreeMap<&'static str, FaultCount>,
     /// By the fault before it: milliseconds without a node that answers reads as leader.
@@ -68,6 +70,7 @@
         self.reads += other.reads;
         self.grants += other.grants;
         self.drains += other.drains;
+        self.unacknowledged_drains += other.unacknowledged_drains;
         for (name, count) in other.faults {
             let sum = self.faults.entry(name).or_default();
             sum.injected += count.injected;
@@ -107,8 +110,8 @@
         )?;
         writeln!(
             f,
-            "checked             {} reads, {} grants, {} leavings",
-            self.reads, self.grants, self.drains
+            "checked             {} reads, {} grants, {} leavings, {} more without an acknowledgement",
+            self.reads, self.grants, self.drains, self.unacknowledged_drains
         )?;
         let (median, worst) = median_and_worst(&self.recovery_times);
         let count = self.recovery_times.len();
--- a/crates/tools/simulator/src/world/endpoints.rs
+++ b/crates/tools/simulator/src/world/endpoints.rs
@@ -83,6 +83,7 @@
     fn check_drain_acknowledged(&mut self, endpoint_id: usize) {
         let endpoint = &self.endpoints[endpoint_id];
         let (None, Some(since)) = (endpoint.drain_acknowledged_at, endpoint.draining_since) else { return };
+        self.statistics.unacknowledged_drains += 1;
         if self.available_since.is_some_and(|available_since| available_since <= since) {
             let detail = format!("{} ends unheard, leaving since {} ms", endpoint.id, since / 1000);
             self.record_violation(rule::DRAIN_NOT_ACKNOWLEDGED, detail);
