Soak: an edge's new life begins before its new process does

The soak started the new process and counted its life anew only at the end of the step, milliseconds later; a probe in between got the 503 of a process without a configuration and was held against the last one. The life is counted before the start now.

--- a/crates/tools/soak/src/faults.rs
+++ b/crates/tools/soak/src/faults.rs
@@ -130,8 +130,6 @@
     pub(crate) restarted_all_nodes: bool,
     /// Edges that were killed.
     pub(crate) killed_edges: Vec<usize>,
-    /// Edges that had ended as they were told, and were started again.
-    pub(crate) restarted_edges: Vec<usize>,
     /// Processes that had not ended in time, and were killed.
     pub(crate) not_ended: Vec<ProcessId>,
 }
@@ -203,16 +201,18 @@
         }
     }
 
-    /// Ends what is due, and begins what is due if `may_begin`.
+    /// Ends what is due, and begins what is due if `may_begin`. Calls `on_restart` for each edge that has ended as it was told,
+    /// before it is started again.
     pub(crate) fn step(
         &mut self,
         cluster: &mut Cluster,
         now: Instant,
         may_begin: bool,
+        on_restart: &mut dyn FnMut(usize),
     ) -> eyre::Result<FaultStep> {
         let mut step = FaultStep::default();
         self.active.iter().for_each(|active| step.record_disturbance(&active.fault));
-        self.end_due(cluster, now, &mut step)?;
+        self.end_due(cluster, now, &mut step, on_restart)?;
         if !may_begin {
             self.begin_last_restart_if_due(cluster, now, &mut step)?;
             return Ok(step);
@@ -297,17 +297,23 @@
         Ok(())
     }
 
-    fn end_due(&mut self, cluster: &mut Cluster, now: Instant, step: &mut FaultStep) -> eyre::Result<()> {
+    fn end_due(
+        &mut self,
+        cluster: &mut Cluster,
+        now: Instant,
+        step: &mut FaultStep,
+        on_restart: &mut dyn FnMut(usize),
+    ) -> eyre::Result<()> {
         for active in std::mem::take(&mut self.active) {
             if active.end > now || !has_ended(&active, cluster, now, step) {
                 self.active.push(active);
                 continue;
             }
-            active.fault.end(cluster)?;
-            step.restarted_all_nodes |= active.fault == Fault::all_nodes_killed();
             if let Fault::Terminated(ProcessId::Edge(edge)) = active.fault {
-                step.restarted_edges.push(edge);
+                on_restart(edge);
             }
+            active.fault.end(cluster)?;
+            step.restarted_all_nodes |= active.fault == Fault::all_nodes_killed();
         }
         Ok(())
     }
--- a/crates/tools/soak/src/run.rs
+++ b/crates/tools/soak/src/run.rs
@@ -150,18 +150,22 @@
     mut faults: FaultSchedule,
     faults_for: Duration,
 ) -> eyre::Result<FaultSchedule> {
+    // What a new process answers must not be taken for an answer of the last one.
+    let mut on_restart = |edge| shared.history().restart_edge(edge);
     let mut now = Instant::now();
     let end = now + faults_for;
     while now < end {
         let burst_end = end.min(now + BURST);
         while now < burst_end {
-            record(shared, now, &faults.step(cluster, now, true)?, &faults, notices);
+            let step = faults.step(cluster, now, true, &mut on_restart)?;
+            record(shared, now, &step, &faults, notices);
             sleep(STEP);
             now = Instant::now();
         }
         faults.end_burst(now);
         while faults.is_under_way() {
-            record(shared, now, &faults.step(cluster, now, false)?, &faults, notices);
+            let step = faults.step(cluster, now, false, &mut on_restart)?;
+            record(shared, now, &step, &faults, notices);
             sleep(STEP);
             now = Instant::now();
         }
@@ -195,7 +199,6 @@
         notices.send();
     }
     step.killed_edges.iter().for_each(|edge| history.kill_edge(*edge, now));
-    step.restarted_edges.iter().for_each(|edge| history.restart_edge(*edge));
     let not_ended = step.not_ended.iter().map(|process| Violation::DidNotEnd { process: *process });
     history.violations.extend(not_ended);
 }
