Edges that learn of a drain after its acknowledgement give no grace for owned keys

As with a drain that a new leader publishes: an edge whose node does not answer learns of a drain up to some 2 s after the acknowledgement, and would go on for a second with the keys that the endpoint owns. The leader marks the drain in its feed when it acknowledges it; members pass that on, and an edge that knows of the drain already is not affected.

Evidence: the new test on three members fails without the change. Found by adding up the timeouts of an edge's poll (1.6 s, then 0.3 s for the next node), not seen on real processes.

--- a/crates/control-plane/server/src/due_replies.rs
+++ b/crates/control-plane/server/src/due_replies.rs
@@ -5,7 +5,7 @@
 use crate::proposals::ProposalStatus;
 use crate::responses::{
     heartbeat_response, GrantedShards, Rejection, RenewedLeases, Reply, Response, CONFLICTING_REVISION,
-    NOT_COMMITTED,
+    NOT_COMMITTED, STATUS_OK,
 };
 use crate::state::State;
 use coppersail_consensus::Ms;
@@ -35,7 +35,7 @@
                 Readiness::NotCommitted => Rejection::unavailable(NOT_COMMITTED).into(),
                 Readiness::Due => self.final_response(now, &pending.kind),
             };
-            self.log_departure_reply(now, &pending, &response);
+            self.record_departure_reply(now, &pending, &response);
             replies.push(Reply::Admin(pending.request_id, response));
         }
         self.publish_assignments();
@@ -104,8 +104,9 @@
         }
     }
 
-    /// Logs what an endpoint that leaves is answered, and how many followers know of it by then.
-    fn log_departure_reply(&mut self, now: Ms, pending: &PendingReply, response: &Response) {
+    /// Logs what an endpoint that leaves is answered, and how many followers know of it by then. Those that learn of
+    /// an acknowledged drain later are told so.
+    fn record_departure_reply(&mut self, now: Ms, pending: &PendingReply, response: &Response) {
         let ReplyKind::Heartbeat { endpoint, departure: Some(departure), .. } = &pending.kind else { return };
         let Departure { state, announced_at } = departure;
         let Acknowledgements { acknowledged, followers } =
@@ -115,6 +116,9 @@
             response.status,
             now - announced_at
         ));
+        if *state == EndpointState::Draining && response.status == STATUS_OK {
+            self.feed.mark_drain_acknowledged(endpoint);
+        }
     }
 
     fn heartbeat_reply(&mut self, now: Ms, endpoint: &str, sharded_service: Option<&str>) -> Response {
--- a/crates/control-plane/server/src/feed.rs
+++ b/crates/control-plane/server/src/feed.rs
@@ -113,6 +113,13 @@
         true
     }
 
+    /// Records that the drain of an endpoint has been acknowledged.
+    pub(crate) fn mark_drain_acknowledged(&mut self, id: &str) {
+        if let Some(endpoint) = self.endpoint(id).cloned() {
+            self.put_endpoint(&EndpointUpdate { drain_acknowledged: true, ..endpoint });
+        }
+    }
+
     fn record_departure(&mut self, id: &str) {
         self.departures.retain(|other| other != id);
         if self.departures.len() == MAX_DEPARTURES {
--- a/crates/control-plane/server/src/responses.rs
+++ b/crates/control-plane/server/src/responses.rs
@@ -15,6 +15,9 @@
 pub(crate) const CONFLICTING_REVISION: &str =
     "revision: its number has another content already, expected a higher one";
 
+/// The status of a request that was carried out.
+pub(crate) const STATUS_OK: u16 = 200;
+
 const EMPTY_BODY: &str = "{}";
 
 #[derive(Serialize)]
@@ -71,7 +74,7 @@
 
 impl Response {
     pub(crate) fn ok(body: String) -> Response {
-        Response { status: 200, body }
+        Response { status: STATUS_OK, body }
     }
 
     pub(crate) fn json(body: &impl Serialize) -> Response {
--- a/crates/control-plane/server/tests/departures.rs
+++ b/crates/control-plane/server/tests/departures.rs
@@ -89,6 +89,22 @@
     assert!(cluster.snapshot(leader).endpoints[0].drain_acknowledged, "that was acknowledged before");
 }
 
+/// Guards against an edge that hears of a drain late, from a node that did not answer for a while, and counts the
+/// time in which it may still use the endpoint from then.
+#[test]
+fn an_edge_that_learns_of_a_drain_after_its_acknowledgement_is_told_so_by_every_member() {
+    let mut cluster = Cluster::start();
+    cluster.disk_hangs = true;
+    cluster.step(0, Event::Admin { request_id: u64::MAX, request: heartbeat("emptying", 1) });
+    let is_marked = |cluster: &mut Cluster, at| cluster.snapshot(at).endpoints[0].drain_acknowledged;
+    cluster.run(300);
+    assert!(cluster.answers.is_empty() && (0..3).all(|at| !is_marked(&mut cluster, at)));
+    let mut cluster = Cluster::start();
+    assert_eq!(cluster.request(0, heartbeat("emptying", 1)).0, 200);
+    cluster.run(500);
+    assert!((0..3).all(|at| is_marked(&mut cluster, at)));
+}
+
 #[test]
 fn without_quorum_contact_no_departure_is_acknowledged() {
     let mut cluster = Cluster::start();
