The departure of an unknown endpoint bears an address, for edges of earlier builds

What callers could see: edges of an earlier build, under nodes of this one, go on sending requests to a host that signed off at a node which had no heartbeat of it.

Cause: an edge of an earlier build passes over an update whose address it cannot parse, and such a host's was empty. It is 0.0.0.0:0 now.

--- a/crates/control-plane/server/src/endpoint_requests.rs
+++ b/crates/control-plane/server/src/endpoint_requests.rs
@@ -8,6 +8,10 @@
 use coppersail_shard_leases::ReleasedRange;
 use serde::Deserialize;
 
+/// The address of a removed endpoint that is not known here. Edges of earlier builds ignore an update without an
+/// address.
+const UNKNOWN_ADDRESS: &str = "0.0.0.0:0";
+
 /// The body of a heartbeat. Endpoints of other versions may leave out the fields that have a default.
 #[derive(Deserialize)]
 struct HeartbeatRequest {
@@ -190,8 +194,11 @@
     fn publish_removal(&mut self, now: Ms, endpoint: &str) {
         let last_sequence = self.heartbeats.entry(now, endpoint).sequence;
         let known = self.feed.endpoint(endpoint).cloned();
-        let known =
-            known.unwrap_or_else(|| EndpointUpdate { id: endpoint.into(), ..EndpointUpdate::default() });
+        let known = known.unwrap_or_else(|| EndpointUpdate {
+            id: endpoint.into(),
+            address: UNKNOWN_ADDRESS.into(),
+            ..EndpointUpdate::default()
+        });
         self.feed.put_endpoint(&EndpointUpdate {
             state: EndpointState::Removed,
             heartbeat_sequence: known.heartbeat_sequence.max(last_sequence) + 1,
--- a/crates/control-plane/server/tests/stored_format.rs
+++ b/crates/control-plane/server/tests/stored_format.rs
@@ -114,6 +114,18 @@
     cluster.assert_writes(&[("2", &[value("gone", 5)])]);
 }
 
+/// Edges of earlier builds ignore an endpoint whose address they cannot parse.
+#[test]
+fn the_departure_of_an_unknown_endpoint_has_an_address() {
+    let mut cluster = Cluster::start();
+    let reply = r#"{"reportTo":"10.1.0.1:8544"}"#;
+    cluster.assert_answer(0, AdminRequest::SignOff { endpoint_id: "i-9".into() }, 200, reply);
+    let value = r#"{"ident":"i-9","backend":"","address":"0.0.0.0:0","area":"","capacity":0,"revision":"","stage":"gone","silent":false,"cold_ms":0,"calls":1,"via":"10.1.0.1:8544"}"#;
+    cluster.assert_writes(&[("1", &[put("departure/i-9", value)])]);
+    let update = cluster.snapshot(1);
+    assert!(update.endpoints[0].address.parse::<std::net::SocketAddr>().is_ok());
+}
+
 #[test]
 fn heartbeat_responses_keep_their_bytes() {
     let mut cluster = Cluster::start();
--- a/crates/data-plane/load-balancing/src/merge.rs
+++ b/crates/data-plane/load-balancing/src/merge.rs
@@ -120,7 +120,7 @@
         if self.removed.contains(update.id.as_str()) {
             return;
         }
-        // The address is empty if the endpoint signed off at a node that had no heartbeat of it.
+        // An endpoint that signed off at a node which had no heartbeat of it has no usable address.
         if update.state == EndpointState::Removed {
             self.remove_for_good(&update.id, UnusableCause::Removed, changes);
             return;
