--- a/review/stand-ins-2/src/bodies.rs
+++ b/review/stand-ins-2/src/bodies.rs
@@ -37,6 +37,7 @@
         heartbeat: Duration::from_millis(500),
         answer_bytes,
         early,
+        keep_alive: 8,
     };
     let Some(host) = Host::start(settings, admins.clone(), runs.clone(), record.clone()) else {
         return Err(could_not_run(record, "the host can't listen"));
--- a/review/stand-ins-2/src/host.rs
+++ b/review/stand-ins-2/src/host.rs
@@ -50,6 +50,8 @@
     pub answer_bytes: usize,
     /// Requests with this beginning of the path are answered before their body is read; the host reads on later.
     pub early: Option<&'static str>,
+    /// The idle time in seconds that `Keep-Alive` tells.
+    pub keep_alive: u64,
 }
 
 impl Host {
@@ -144,8 +146,9 @@
     let text = format!("{} by {}\n", request.path(), settings.id).into_bytes();
     let body: Vec<u8> = text.iter().copied().cycle().take(settings.answer_bytes.max(text.len())).collect();
     let head = format!(
-        "HTTP/1.1 200 OK\r\nTry-Id: {try_id}\r\nServer-Seal: {}.{try_id}\r\nKeep-Alive: timeout=8\r\nContent-Length: {}\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTry-Id: {try_id}\r\nServer-Seal: {}.{try_id}\r\nKeep-Alive: timeout={}\r\nContent-Length: {}\r\n\r\n",
         settings.id,
+        settings.keep_alive,
         body.len()
     );
     let mut answer = head.into_bytes();
--- a/review/stand-ins-2/src/run.rs
+++ b/review/stand-ins-2/src/run.rs
@@ -120,6 +120,11 @@
         }
     }
 
+    /// How the process has ended by itself, if it has.
+    pub fn end_status(&mut self) -> Option<String> {
+        self.child.as_mut().and_then(|child| child.try_wait().ok().flatten()).map(|status| status.to_string())
+    }
+
     pub fn settings_path(&self) -> &Path {
         &self.settings
     }
--- a/review/stand-ins-2/src/seeds.rs
+++ b/review/stand-ins-2/src/seeds.rs
@@ -50,6 +50,7 @@
                 heartbeat: Duration::from_millis(500),
                 answer_bytes: 0,
                 early: None,
+                keep_alive: 8,
             };
             Host::start(settings, admins.clone(), runs.clone(), record.clone())
         })
