--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -6,6 +6,7 @@
 mod host;
 mod http;
 mod operator;
+mod orders;
 mod run;
 mod scale_in;
 mod seeds;
@@ -26,6 +27,7 @@
     let outcome = match case.as_str() {
         "early" => bodies::early(&record, trouble),
         "chunked" => bodies::chunked(&record, trouble),
+        "orders" => orders::run(&record, trouble),
         "scale-in" => scale_in::run(&record, trouble),
         "seeds" => seeds::run(&record, trouble),
         "two" => two::run(&record, trouble),
