--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -1,4 +1,4 @@
-//! Runs one case of the second review: `review-case-2 CASE FOLDER`, from the root of the repository. `FOLDER/record.txt` gets
+//! Runs one case of the second review: `review-case-2 CASE RECORD`, from the root of the repository. The file RECORD gets
 //! what was sent, answered and run. The status is 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 //! With `TROUBLE=0` the disruption is left out.
 mod bodies;
@@ -17,11 +17,11 @@
 
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
-    let [_, case, folder] = &arguments[..] else {
-        eprintln!("review-case-2 CASE FOLDER");
+    let [_, case, path] = &arguments[..] else {
+        eprintln!("review-case-2 CASE RECORD");
         std::process::exit(2);
     };
-    let record = Record::create(Path::new(folder));
+    let record = Record::create(Path::new(path));
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     record.line(format!("case {case}, {} the disruption", if trouble { "with" } else { "without" }));
     let outcome = match case.as_str() {
--- a/review/stand-ins-2/src/run.rs
+++ b/review/stand-ins-2/src/run.rs
@@ -32,8 +32,8 @@
 }
 
 impl Record {
-    pub fn create(folder: &Path) -> Record {
-        let file = File::create(folder.join("record.txt")).expect("record.txt can't be written");
+    pub fn create(path: &Path) -> Record {
+        let file = File::create(path).expect("the record can't be written");
         Record { file: Arc::new(Mutex::new(file)), start: Instant::now() }
     }
 
--- a/review/stand-ins-2/src/scale_in.rs
+++ b/review/stand-ins-2/src/scale_in.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 const HOSTS: u8 = 65;
-const LEFT: usize = 4;
+const LEFT: usize = 6;
 /// The largest share of the hosts that leave in one step: the default of `scale_in`.
 const SHARE: f64 = 0.15;
 const STEP: Duration = Duration::from_millis(1800);
@@ -19,22 +19,38 @@
 const EDGE: u8 = 200;
 const FIRST_HOST: u8 = 50;
 
+/// Clients that send side by side.
+const CLIENTS: u64 = 4;
+
 /// What was served on the first route and on the later one, of how many requests.
 fn traffic(edge: SocketAddr, length: Duration, record: &Record) -> [(u32, u32); 2] {
-    let (began, mut counts, mut statuses, mut number) = (Instant::now(), [(0, 0); 2], BTreeMap::new(), 0u32);
-    while began.elapsed() < length {
-        for (route, path) in ["/ledger/1", "/tables/1"].iter().enumerate() {
-            // Keys all over the space, in an order without a pattern.
-            let key = (route == 1).then_some((number.wrapping_mul(40_503) >> 3) as u16);
-            let seen = get_key(edge, "shop.example", path, Duration::from_secs(2), key);
-            counts[route].1 += 1;
-            counts[route].0 += u32::from(seen.status() == 200);
-            *statuses.entry((*path, seen.status())).or_insert(0u32) += 1;
+    let client = move |number: u64| {
+        let (began, mut statuses) = (Instant::now(), BTreeMap::new());
+        // Keys are drawn evenly from the whole space (xorshift64).
+        let mut random = 0x9e37_79b9_7f4a_7c15_u64.wrapping_mul(number + 1);
+        while began.elapsed() < length {
+            for (route, path) in ["/ledger/1", "/tables/1"].iter().enumerate() {
+                random ^= random << 13;
+                random ^= random >> 7;
+                random ^= random << 17;
+                let key = (route == 1).then_some((random >> 40) as u16);
+                let seen = get_key(edge, "shop.example", path, Duration::from_secs(2), key);
+                *statuses.entry((route, seen.status())).or_insert(0u32) += 1;
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        statuses
+    };
+    let clients: Vec<_> = (0..CLIENTS).map(|number| std::thread::spawn(move || client(number))).collect();
+    let (mut counts, mut sums) = ([(0, 0); 2], BTreeMap::new());
+    for client in clients {
+        for ((route, status), count) in client.join().unwrap_or_default() {
+            counts[route].1 += count;
+            counts[route].0 += if status == 200 { count } else { 0 };
+            *sums.entry((["/ledger/1", "/tables/1"][route], status)).or_insert(0u32) += count;
         }
-        number += 1;
-        std::thread::sleep(Duration::from_millis(20));
     }
-    record.line(format!("by path and status (0: no answer): {statuses:?}"));
+    record.line(format!("by path and status (0: no answer): {sums:?}"));
     counts
 }
 
@@ -71,7 +87,7 @@
     }
     let mut leaving: Vec<Process> = Vec::new();
     while trouble && hosts.len() > LEFT {
-        let count = ((hosts.len() as f64 * SHARE).round() as usize).clamp(1, hosts.len() - LEFT);
+        let count = ((hosts.len() as f64 * SHARE) as usize).clamp(1, hosts.len() - LEFT);
         let step: Vec<Process> = hosts.drain(..count).collect();
         record.line(format!("{count} of {} hosts begin to leave", hosts.len() + count));
         step.iter().for_each(|host| host.signal("TERM", record));
--- a/review/stand-ins-2/src/seeds.rs
+++ b/review/stand-ins-2/src/seeds.rs
@@ -69,20 +69,22 @@
     if !wait_until(Duration::from_secs(10), || ready(&site)) {
         return could_not_run(record, "the edges are not ready");
     }
-    // The control machines are replaced one at a time, as planned work: the new one first, then SIGTERM.
+    // The control machines are replaced one at a time, as planned work: the new one first, and once it has had `sync_time`,
+    // SIGTERM to the old one.
+    std::thread::sleep(SYNC_TIME);
     for old in 1..=3u8 {
         let new = old + 3;
         let running: Vec<u8> = (old..new).collect();
         let mut node = site.node(new, zones[old as usize - 1], false, &running);
         node.start(record);
         nodes.push(node);
-        std::thread::sleep(Duration::from_secs(1));
+        std::thread::sleep(SYNC_TIME + Duration::from_millis(300));
         set_list(&admins, (old..=new).map(|host| site.admin(host)).collect());
         nodes[old as usize - 1].signal("TERM", record);
         nodes[old as usize - 1].wait_for_end(LEEWAY, record);
         set_list(&admins, (old + 1..=new).map(|host| site.admin(host)).collect());
-        std::thread::sleep(SYNC_TIME);
     }
+    std::thread::sleep(SYNC_TIME);
     let (before_sent, before_served) = traffic(&site, Duration::from_secs(3), record, "before the fault");
     if before_served * 4 < before_sent {
         return could_not_run(record, "less than a quarter is served before the fault");
