Half of an even number of voters is a quorum if another voter's disk is lost

Cause: a voter is a disk, so the returned node counts in no quorum of the record that names its old disk; a majority of two voters is both, also for the joint configuration that would replace the lost one. Only a leader replaces it.

Change: a quorum is a majority, or exactly half of the voters if the node of another one grants the same request with another disk, which proves that the one of the record is lost. That is a majority of the votes that can still be given; two such quorums share a disk that is there (docs/control.md). Silence proves nothing, the new disk has no vote, and it must grant promise, record and lease itself, so neither node leads alone. Nothing on the wire or on disks changes.

Five injected bugs of the new rule are found.

--- a/crates/control-plane/consensus/src/acceptor.rs
+++ b/crates/control-plane/consensus/src/acceptor.rs
@@ -1,5 +1,5 @@
 //! The Paxos acceptor of the leadership record, with a leader lease (Raft 6.4.1).
-use crate::{Id, LeadershipRecord, Ms, Term, Voter};
+use crate::{Id, LeadershipRecord, Ms, Term, Voter, VoterAnswer};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -155,6 +155,7 @@
 
     /// Whether a quorum of the record's voters still grants the lease.
     pub fn is_held(&self, record: &LeadershipRecord, now: Ms) -> bool {
-        record.has_quorum(|voter| self.0.get(voter).is_some_and(|until| *until > now))
+        let granted = || self.0.iter().filter(|(_, until)| **until > now).map(|(voter, _)| voter);
+        record.has_quorum(|voter| VoterAnswer::find(voter, granted()))
     }
 }
--- a/crates/control-plane/consensus/src/core/election.rs
+++ b/crates/control-plane/consensus/src/core/election.rs
@@ -2,10 +2,11 @@
 //! record accepted.
 use super::tracker::{Campaign, CampaignPhase, DiskWrite, MembershipChange, PendingCall, WriteBatch};
 use super::{Core, Role};
+use crate::injected_bugs::{is_injected, InjectedBug};
 use crate::messages::{snapshot_checksum, REPLICA_WRITE_VERSION};
 use crate::{
     Id, LeadershipRecord, LeaseGrants, Ms, Output, Rejection, ReplicaWrite, ReplicaWriteKind, Request, Term,
-    Voter, VoterRequest,
+    Voter, VoterAnswer, VoterRequest,
 };
 use std::collections::BTreeSet;
 
@@ -32,6 +33,7 @@
                 now < p.last_heard + READY_HEARTBEATS * self.timeouts.heartbeat_interval
                     && p.status.disk_healthy
                     && !p.status.draining
+                    && !self.has_lost_replica(id, record)
             })
         };
         let another_is_ready =
@@ -114,11 +116,16 @@
             _ => &campaign.base_record,
         };
         // Of the voters without a response, only those that are alive are worth waiting for.
-        let may_still_accept = |voter: &Voter| {
-            !campaign.rejected_by.contains(&voter.id)
-                && (voter.id == self.id || self.is_peer_alive(now, &voter.id))
+        let best_answer = |voter: &Voter| {
+            let may_still_grant = !campaign.rejected_by.contains(&voter.id)
+                && (voter.id == self.id || self.is_peer_alive(now, &voter.id));
+            if may_still_grant {
+                VoterAnswer::Granted
+            } else {
+                VoterAnswer::Missing
+            }
         };
-        if !record.has_quorum(may_still_accept) {
+        if !record.has_quorum(best_answer) {
             let reason = rejection.map_or("no response".into(), |rejection| rejection.reason);
             self.abandon_campaign(now, &format!("voter {voter_id}: {reason}"), out);
         }
@@ -139,8 +146,12 @@
         else {
             return;
         };
+        let is_ignored = is_injected(InjectedBug::UnknownDiskRecordIgnored)
+            && !campaign.base_record.voters.contains(&voter);
         campaign.prepared_by.insert(voter);
-        if record.term > campaign.base_record.term {
+        // The record of a disk that is no voter of the base record counts as well: the disk of this node may be
+        // the one that was replaced, in a record that it never saw.
+        if record.term > campaign.base_record.term && !is_ignored {
             campaign.base_record = record.clone();
             let new_voters: Vec<Id> =
                 record.voter_ids().into_iter().filter(|id| campaign.contacted.insert(id.clone())).collect();
@@ -157,7 +168,8 @@
         else {
             return;
         };
-        if !campaign.base_record.has_quorum(|voter| campaign.prepared_by.contains(voter)) {
+        let prepared_by = || campaign.prepared_by.iter();
+        if !campaign.base_record.has_quorum(|voter| VoterAnswer::find(voter, prepared_by())) {
             return;
         }
         let was_superseded = campaign
--- a/crates/control-plane/consensus/src/core/membership.rs
+++ b/crates/control-plane/consensus/src/core/membership.rs
@@ -49,12 +49,7 @@
 
     /// Whether a backup is missing or failed and enough others can take its place.
     fn should_replace_backups(&self, now: Ms, record: &LeadershipRecord) -> bool {
-        let lost_its_disk = |id: &Id| {
-            self.peers.get(id).is_some_and(|peer| {
-                peer.status.last_durable_term < record.term && peer.status.record.term >= record.term
-            })
-        };
-        let has_failed = |id: &Id| !self.is_usable_backup(now, id) || lost_its_disk(id);
+        let has_failed = |id: &Id| !self.is_usable_backup(now, id) || self.has_lost_replica(id, record);
         let is_excluded = |id: &Id| self.excluded_until.get(id).is_some_and(|until| now < *until);
         let candidates = self.backup_candidates(now, record);
         let usable =
--- a/crates/control-plane/consensus/src/core/peers.rs
+++ b/crates/control-plane/consensus/src/core/peers.rs
@@ -1,7 +1,8 @@
 //! Peers: their status, contact with them, and the targets of heartbeats.
 use super::tracker::{DiskWrite, WriteBatch};
 use super::{json, metadata_keys, Core, Peer};
-use crate::{Id, LeadershipRecord, Ms, Output, PeerStatus, Voter};
+use crate::injected_bugs::{is_injected, InjectedBug};
+use crate::{Id, LeadershipRecord, Ms, Output, PeerStatus, Voter, VoterAnswer};
 use std::collections::BTreeSet;
 
 impl Core {
@@ -15,17 +16,19 @@
     /// Whether a quorum of voters has answered calls that this node sent within the last lease duration
     /// (check quorum, Raft 6.2).
     pub fn has_quorum_contact(&self, now: Ms) -> bool {
-        let is_in_contact = |voter: &Voter| {
-            if voter.id == self.id {
-                return voter.incarnation == self.incarnation();
+        let contacted = |id: &Id| {
+            if *id == self.id {
+                return Some(self.incarnation());
             }
-            self.peers.get(&voter.id).is_some_and(|p| {
-                p.last_contact > 0
-                    && now < p.last_contact + self.timeouts.lease
-                    && p.status.incarnation == voter.incarnation
-            })
+            let peer = self.peers.get(id)?;
+            let is_recent = peer.last_contact > 0 && now < peer.last_contact + self.timeouts.lease;
+            is_recent.then_some(peer.status.incarnation)
         };
-        self.record.has_quorum(is_in_contact)
+        self.record.has_quorum(|voter| match contacted(&voter.id) {
+            Some(incarnation) if incarnation == voter.incarnation => VoterAnswer::Granted,
+            Some(_) => VoterAnswer::DiskLost,
+            None => VoterAnswer::Missing,
+        })
     }
 
     /// Whether a request or response from the peer arrived within the last lease duration.
@@ -39,6 +42,14 @@
             && self.peers.get(id).is_some_and(|p| p.status.disk_healthy && !p.status.draining)
     }
 
+    /// Whether the peer, a replica of the record, has lost its disk: it knows the record, but its disk has not
+    /// reached the term of the record.
+    pub(super) fn has_lost_replica(&self, id: &str, record: &LeadershipRecord) -> bool {
+        self.peers.get(id).is_some_and(|peer| {
+            peer.status.last_durable_term < record.term && peer.status.record.term >= record.term
+        })
+    }
+
     /// The status that this node sends with each heartbeat.
     pub fn status(&self, now: Ms) -> PeerStatus {
         PeerStatus {
@@ -74,6 +85,10 @@
             self.leader_seen_at = now;
         }
         self.add_members(now, std::iter::once(&status.id).chain(&status.members), out);
+        let sender = Voter::new(&status.id, status.incarnation);
+        if is_injected(InjectedBug::UnknownDiskRecordIgnored) && !self.record.voters.contains(&sender) {
+            return;
+        }
         self.observe_record(now, &status.record, out);
     }
 
--- a/crates/control-plane/consensus/src/injected_bugs.rs
+++ b/crates/control-plane/consensus/src/injected_bugs.rs
@@ -20,6 +20,16 @@
     NoLease,
     /// A backup accepts a probe whatever state it holds.
     UnverifiedProbe,
+    /// A voter that does not answer counts as one whose disk is lost.
+    SilenceCountsAsLoss,
+    /// The new disk of a node votes in the place of the lost one.
+    ReplacedDiskVotes,
+    /// Of an odd number of voters, the smaller half is a quorum if a disk is lost.
+    HalfOfOddVoters,
+    /// A replica with an empty disk may lead.
+    EmptyDiskLeads,
+    /// A node ignores the records of disks that its own record does not name as voters.
+    UnknownDiskRecordIgnored,
 }
 
 #[cfg(feature = "injected-bugs")]
--- a/crates/control-plane/consensus/src/lib.rs
+++ b/crates/control-plane/consensus/src/lib.rs
@@ -34,6 +34,7 @@
 mod injected_bugs;
 mod messages;
 mod output;
+mod quorum;
 
 pub use crate::core::{Core, InitialState, Peer, Role, Timeouts, LAST_SEQUENCE_KEY};
 pub use acceptor::{Acceptor, LeaseGrants, Rejection, VoterRequest, VoterResponse, VoterState};
@@ -44,6 +45,7 @@
     Change, KeyValue, PeerStatus, ReplicaWrite, ReplicaWriteKind, ReplicaWriteResponse, Request, Response,
 };
 pub use output::{OperationId, Output, RequestId};
+pub use quorum::VoterAnswer;
 use serde::{Deserialize, Serialize};
 
 #[cfg(test)]
@@ -79,7 +81,8 @@
 }
 
 /// A voter is one disk of one node. A node that lost its disk is a different voter with the same id: its
-/// promises are gone, so its votes do not count until a record names its new incarnation.
+/// promises are gone, so its votes do not count until a record names its new incarnation. Until then they
+/// only prove that the old disk is lost ([`VoterAnswer::DiskLost`]).
 #[derive(Debug, Clone, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Voter {
     /// The node.
@@ -127,18 +130,22 @@
     /// as a replica, and its last durable term shows that its disk is the one that was named, not an empty
     /// replacement.
     pub fn may_lead(&self, id: &str, last_durable_term: &Term) -> bool {
-        self.is_replica(id) && *last_durable_term >= self.term
+        let has_state =
+            *last_durable_term >= self.term || injected_bugs::is_injected(InjectedBug::EmptyDiskLeads);
+        self.is_replica(id) && has_state
     }
 
-    /// Whether the voters for which `accepts` is true are a quorum: a majority of the voters and, in a joint
-    /// configuration, of the outgoing voters as well.
-    pub fn has_quorum(&self, accepts: impl Fn(&Voter) -> bool) -> bool {
-        let has_majority =
-            |voters: &[Voter]| voters.iter().filter(|voter| accepts(voter)).count() > voters.len() / 2;
-        let new_majority = has_majority(&self.voters)
+    /// Whether the answers of the voters are a quorum: a majority of the voters, or half of them if the disk of
+    /// another is lost; in a joint configuration, of the outgoing voters as well.
+    pub fn has_quorum(&self, answer: impl Fn(&Voter) -> VoterAnswer) -> bool {
+        let is_quorum = |voters: &[Voter]| {
+            let answers: Vec<VoterAnswer> = voters.iter().map(&answer).collect();
+            quorum::is_quorum(&answers)
+        };
+        let has_new_quorum = is_quorum(&self.voters)
             || injected_bugs::is_injected(InjectedBug::OutgoingMajorityOnly)
                 && !self.outgoing_voters.is_empty();
-        new_majority && (self.outgoing_voters.is_empty() || has_majority(&self.outgoing_voters))
+        has_new_quorum && (self.outgoing_voters.is_empty() || is_quorum(&self.outgoing_voters))
     }
 
     /// The ids of all voters, sorted, each once.
--- a/crates/control-plane/consensus/tests/core.rs
+++ b/crates/control-plane/consensus/tests/core.rs
@@ -16,6 +16,9 @@
         instant_responses: true,
         time_step: 8,
         fault_targets: 0xff,
+        disk_loss_targets: 0xff,
+        keeps_old_disks: false,
+        absent_nodes: 0,
         clock_drift: [0; 5],
     }
 }
@@ -295,3 +298,102 @@
     commit_change(&mut cluster);
     assert_eq!(cluster.reference.committed, [1, 2, 3, 4, 5]);
 }
+
+fn two_nodes() -> ModelConfig {
+    ModelConfig { node_count: 2, initial_voters: 2, ..config() }
+}
+
+/// Runs without faults until all losses are repaired, and commits a change.
+fn repair(cluster: &mut Cluster, max_ticks: usize) {
+    for _ in 0..max_ticks {
+        cluster.run_without_faults(1).unwrap();
+        if cluster.is_repaired() {
+            return commit_change(cluster);
+        }
+    }
+    let nodes: Vec<String> = (0..cluster.nodes.len()).map(|node| cluster.describe_node(node)).collect();
+    panic!("not repaired after {max_ticks} ticks:\n{}", nodes.join("\n"));
+}
+
+/// Guards against review case 5: with two nodes one lost disk ended the control plane for good.
+#[test]
+fn each_of_two_nodes_may_lose_its_disk_again_and_again() {
+    let mut cluster = started_cluster(two_nodes());
+    commit_change(&mut cluster);
+    for node in [0, 1, 1, 0, 0, 1] {
+        apply_all(&mut cluster, &[Step::Crash(node, 0), ADVANCE, Step::RestartWithEmptyDisk(node)]);
+        repair(&mut cluster, 100);
+    }
+    assert_eq!(cluster.reference.committed, [1, 2, 3, 4, 5, 6, 7]);
+}
+
+#[test]
+fn two_nodes_are_repaired_if_both_are_killed_and_the_one_with_an_empty_disk_starts_first() {
+    for wiped in [0, 1] {
+        let mut cluster = started_cluster(two_nodes());
+        commit_change(&mut cluster);
+        let other = 1 - wiped;
+        apply_all(&mut cluster, &[Step::Crash(0, 0), Step::Crash(1, 0), ADVANCE]);
+        apply_all(&mut cluster, &[Step::RestartWithEmptyDisk(wiped)]);
+        for _ in 0..20 {
+            apply_all(&mut cluster, &[ADVANCE]);
+            assert!(cluster.lease_holders().is_empty(), "an empty disk leads");
+        }
+        apply_all(&mut cluster, &[Step::Restart(other)]);
+        repair(&mut cluster, 100);
+        assert_eq!(cluster.reference.committed, [1, 2]);
+    }
+}
+
+#[test]
+fn two_nodes_are_repaired_if_the_new_disk_is_lost_or_the_other_node_is_killed_while_it_joins() {
+    for steps in 0..40 {
+        let mut cluster = started_cluster(two_nodes());
+        commit_change(&mut cluster);
+        apply_all(&mut cluster, &[Step::Crash(0, 0), ADVANCE, Step::RestartWithEmptyDisk(0)]);
+        for _ in 0..steps {
+            apply_all(&mut cluster, &[ADVANCE]);
+            deliver_all(&mut cluster);
+        }
+        apply_all(&mut cluster, &[Step::Crash(0, 0), Step::Crash(1, 0), ADVANCE]);
+        apply_all(&mut cluster, &[Step::RestartWithEmptyDisk(0), Step::Restart(1)]);
+        repair(&mut cluster, 100);
+        assert_eq!(cluster.reference.committed, [1, 2], "wiped again after {steps} steps");
+    }
+}
+
+#[test]
+fn one_of_two_nodes_does_not_lead_while_the_other_is_down_frozen_or_partitioned() {
+    for fault in [Isolation::Paused(0), Isolation::Partitioned(0)] {
+        let mut cluster = started_cluster(two_nodes());
+        for _ in 0..60 {
+            apply_all(&mut cluster, &[Step::Advance { delayed: None, isolation: fault }]);
+            assert!(!cluster.lease_holders().contains(&1), "b leads alone: {fault:?}");
+        }
+    }
+    let mut cluster = started_cluster(two_nodes());
+    apply_all(&mut cluster, &[Step::Crash(0, 0)]);
+    cluster.run_without_faults(200).unwrap();
+    assert!(cluster.lease_holders().is_empty(), "b leads alone");
+    apply_all(&mut cluster, &[ADVANCE, Step::Restart(0)]);
+    repair(&mut cluster, 100);
+}
+
+#[test]
+fn an_old_disk_that_comes_back_to_two_nodes_is_brought_up_to_date() {
+    let mut cluster = started_cluster(ModelConfig { keeps_old_disks: true, ..two_nodes() });
+    commit_change(&mut cluster);
+    for node in [0, 1] {
+        apply_all(&mut cluster, &[Step::Crash(node, 0), ADVANCE, Step::RestartWithEmptyDisk(node)]);
+        repair(&mut cluster, 100);
+    }
+    // Both nodes are voters with new disks, of which the old one of a knows nothing.
+    apply_all(&mut cluster, &[Step::Crash(0, 0), ADVANCE, Step::RestartWithOldDisk(0)]);
+    for _ in 0..20 {
+        apply_all(&mut cluster, &[ADVANCE]);
+        deliver_all(&mut cluster);
+        assert_ne!(cluster.lease_holders(), [0], "the old disk leads");
+    }
+    repair(&mut cluster, 100);
+    assert_eq!(cluster.reference.committed, [1, 2, 3, 4]);
+}
--- a/crates/control-plane/consensus/tests/model.rs
+++ b/crates/control-plane/consensus/tests/model.rs
@@ -11,6 +11,8 @@
 mod cluster;
 #[path = "model/search.rs"]
 mod search;
+#[path = "model/two_voters.rs"]
+mod two_voters;
 #[path = "model/walk.rs"]
 mod walk;
 
@@ -56,6 +58,25 @@
     );
 }
 
+#[test]
+fn invariants_hold_in_random_faults_with_one_of_two_or_three_disks_lost() {
+    let timeouts = Timeouts { replace_after: 300, shutdown_grace: 1_000_000, ..timeouts() };
+    for (name, node_count) in [("two, one", 2), ("three, one", 3)] {
+        run_walks(
+            name,
+            ModelConfig {
+                node_count,
+                timeouts,
+                time_step: 12,
+                fault_targets: 31,
+                keeps_old_disks: true,
+                clock_drift: CLOCK_DRIFT,
+                ..two_voters::two_nodes()
+            },
+        );
+    }
+}
+
 /// The limit of states of a search. A search that exceeds it fails, because a search that is cut off
 /// proves nothing.
 const MAX_STATES: usize = 2_000_000;
@@ -114,6 +135,23 @@
     assert_no_violation("late answers");
 }
 
+/// Guards against review case 5: with two voters one lost disk ended the control plane for good.
+#[test]
+fn invariants_hold_if_one_of_two_voters_loses_its_disk() {
+    assert_no_violation("two voters, a lost disk");
+    assert_no_violation("two voters, lost again");
+}
+
+#[test]
+fn invariants_hold_if_one_of_two_voters_is_cut_off_frozen_or_down() {
+    assert_no_violation("two voters, cut off");
+}
+
+#[test]
+fn invariants_hold_if_an_old_disk_comes_back_to_two_voters() {
+    assert_no_violation("two voters, an old disk");
+}
+
 /// Each injected bug must be found by the search that is listed with it.
 #[cfg(feature = "injected-bugs")]
 #[test]
@@ -128,6 +166,11 @@
         (OutgoingMajorityOnly, "replaced"),
         (NoLease, "takeovers"),
         (UnverifiedProbe, "replaced"),
+        (SilenceCountsAsLoss, "two voters, cut off"),
+        (ReplacedDiskVotes, "lost disk"),
+        (HalfOfOddVoters, "lost disk"),
+        (EmptyDiskLeads, "two voters, a lost disk"),
+        (UnknownDiskRecordIgnored, "two voters, an old disk"),
     ];
     for (bug, name) in all {
         let inject = || coppersail_consensus::inject(Some(bug));
--- a/crates/control-plane/consensus/tests/model/config.rs
+++ b/crates/control-plane/consensus/tests/model/config.rs
@@ -24,6 +24,8 @@
     /// Time steps during which one node is paused.
     pub(crate) pauses: u8,
     pub(crate) shutdowns: u8,
+    /// Restarts with the disk that was lost last.
+    pub(crate) old_disks: u8,
 }
 
 impl FaultBudget {
@@ -43,6 +45,7 @@
             lost_responses: MANY,
             pauses: MANY,
             shutdowns: MANY,
+            old_disks: MANY,
         }
     }
 }
@@ -65,6 +68,12 @@
     pub(crate) time_step: u64,
     /// Mask of the nodes that may fail.
     pub(crate) fault_targets: u8,
+    /// Mask of the nodes that may lose their disk.
+    pub(crate) disk_loss_targets: u8,
+    /// Whether a lost disk may come back.
+    pub(crate) keeps_old_disks: bool,
+    /// Mask of the nodes that are not started at first.
+    pub(crate) absent_nodes: u8,
     /// How much faster than true time the clock of each node runs, in parts in a thousand.
     pub(crate) clock_drift: [i64; 5],
 }
--- a/crates/control-plane/consensus/tests/model/step.rs
+++ b/crates/control-plane/consensus/tests/model/step.rs
@@ -39,6 +39,8 @@
     Crash(usize, usize),
     Restart(usize),
     RestartWithEmptyDisk(usize),
+    /// The node restarts with the disk that it lost last; the one that it had since is gone.
+    RestartWithOldDisk(usize),
     /// The node stops permanently.
     Remove(usize),
     Propose(usize),
@@ -103,6 +105,7 @@
             }
             Step::Restart(node) => format!("{} restarts", name(node)),
             Step::RestartWithEmptyDisk(node) => format!("{} restarts with an empty disk", name(node)),
+            Step::RestartWithOldDisk(node) => format!("{} restarts with its old disk", name(node)),
             Step::Remove(node) => format!("{} is removed permanently", name(node)),
             Step::Propose(node) => format!("a change is proposed at {}", name(node)),
             Step::BeginShutdown(node) => format!("{} begins to shut down", name(node)),
