One of two control-plane nodes can be replaced as planned

What callers saw: with two nodes the documented replacement (SIGTERM to the old one, then the start of the new one) left no leader for good: nobody took the vote of the node that left, and silence proves no lost disk.

Change: without a spare member the leader removes a draining voter from an even number of voters, through a joint configuration; a single voter gets a second one as soon as a spare member is there. Odd numbers of voters keep a draining voter without a successor as before.

Evidence: two searches, exhausted ("a third joins" 202,803 states, "one leaves" 520,583), four scenarios. The numbers of states of the other searches are the same.

--- a/crates/control-plane/consensus/src/core/membership.rs
+++ b/crates/control-plane/consensus/src/core/membership.rs
@@ -72,32 +72,57 @@
     }
 
     /// Replaces by a spare member a voter that is draining or has been silent for too long, or else this node
-    /// itself while it shuts down.
+    /// itself while it shuts down. Without a spare member, a voter that is draining may be removed.
     fn voter_replacement(&self, now: Ms, record: &LeadershipRecord) -> Option<MembershipChange> {
-        let spare = self.spare_voters(now, record).into_iter().next()?;
         let must_be_replaced = |voter: &&Voter| {
-            let peer = self.peers.get(&voter.id);
-            let last_heard = peer.map_or(0, |peer| peer.last_heard).max(self.started_at);
-            let is_draining =
-                peer.is_some_and(|peer| peer.status.draining) && self.is_peer_alive(now, &voter.id);
-            is_draining || now > last_heard + self.timeouts.replace_after
+            let last_heard = self.peers.get(&voter.id).map_or(0, |peer| peer.last_heard).max(self.started_at);
+            self.is_draining(now, &voter.id) || now > last_heard + self.timeouts.replace_after
         };
         let others = record.voters.iter().filter(|voter| voter.id != self.id);
         let own = record.voters.iter().find(|voter| voter.id == self.id);
         let own = own.filter(|_| self.shutdown_began_at.is_some());
         let outgoing = others.clone().find(must_be_replaced).or(own)?;
-        Some(self.replace_voter(record, outgoing, spare))
+        match self.spare_voters(now, record).into_iter().next() {
+            Some(spare) => Some(self.replace_voter(record, outgoing, spare)),
+            None => self.voter_removal(now, record, outgoing),
+        }
+    }
+
+    /// Removes a draining voter from an even number of voters: the others tolerate as many failures without it,
+    /// and of two voters the other one could not go on alone.
+    fn voter_removal(
+        &self,
+        now: Ms,
+        record: &LeadershipRecord,
+        outgoing: &Voter,
+    ) -> Option<MembershipChange> {
+        let is_own = outgoing.id == self.id;
+        let is_leaving = is_own || self.is_draining(now, &outgoing.id);
+        let remaining: Vec<Voter> =
+            record.voters.iter().filter(|voter| *voter != outgoing).cloned().collect();
+        let can_stay = |voter: &Voter| {
+            if voter.id == self.id {
+                self.shutdown_began_at.is_none()
+            } else {
+                self.is_usable_backup(now, &voter.id)
+            }
+        };
+        let is_even = record.voters.len().is_multiple_of(2);
+        (is_even && is_leaving && remaining.iter().all(can_stay))
+            .then(|| MembershipChange { voters: remaining, outgoing_voters: record.voters.clone() })
     }
 
     /// Adds a voter if there are fewer than `2 * max_failures + 1` and enough spare members to reach that
-    /// number.
+    /// number. A single voter gets a second one in any case, because its disk may be lost.
     fn voter_addition(&self, now: Ms, record: &LeadershipRecord) -> Option<MembershipChange> {
         let wanted = 2 * self.timeouts.max_failures + 1;
         let spares = self.spare_voters(now, record);
-        if record.voters.len() >= wanted || record.voters.len() + spares.len() < wanted {
+        let reaches_wanted = record.voters.len() + spares.len() >= wanted;
+        if record.voters.len() >= wanted || !reaches_wanted && record.voters.len() > 1 {
             return None;
         }
-        let voters = record.voters.iter().cloned().chain(spares.into_iter().take(1)).collect();
+        let added = spares.into_iter().next()?;
+        let voters = record.voters.iter().cloned().chain([added]).collect();
         Some(MembershipChange { voters, outgoing_voters: record.voters.clone() })
     }
 
@@ -110,6 +135,10 @@
             .collect()
     }
 
+    fn is_draining(&self, now: Ms, id: &str) -> bool {
+        self.is_peer_alive(now, id) && self.peers.get(id).is_some_and(|peer| peer.status.draining)
+    }
+
     fn peer_incarnation(&self, id: &str) -> Option<u64> {
         self.peers.get(id).map(|peer| peer.status.incarnation)
     }
--- a/crates/control-plane/consensus/src/core/shutdown.rs
+++ b/crates/control-plane/consensus/src/core/shutdown.rs
@@ -13,9 +13,9 @@
         self.shutdown_began_at.is_some()
     }
 
-    /// Whether the process may exit: a leader is known and this node is neither a replica nor a replaceable
-    /// voter, or all other members are draining as well, or the grace period is over. An isolated node waits
-    /// for the end of the grace period: a role that no other node has taken over would be lost with it.
+    /// Whether the process may exit: a leader is known and this node is neither a replica nor a voter that is
+    /// still needed, or all other members are draining as well, or the grace period is over. An isolated node
+    /// waits for the end of the grace period: a role that no other node has taken over would be lost with it.
     pub fn may_exit(&self, now: Ms) -> bool {
         let Some(began_at) = self.shutdown_began_at else { return false };
         if now > began_at + self.timeouts.shutdown_grace {
@@ -24,11 +24,19 @@
         let has_leader = self.known_leader(now).is_some();
         let mut others = self.members.iter().filter(|id| **id != self.id && self.is_usable_backup(now, id));
         let has_spare = others.any(|id| !self.record.is_voter(id));
-        let is_needed = self.record.is_replica(&self.id) || self.record.is_voter(&self.id) && has_spare;
+        let is_needed = self.record.is_replica(&self.id) || self.is_vote_needed(has_spare);
         // If the whole system shuts down, there is no node to hand a role over to.
         let is_draining =
             |id: &Id| self.is_peer_alive(now, id) && self.peers.get(id).is_some_and(|p| p.status.draining);
         let all_draining = self.members.iter().filter(|id| **id != self.id).all(is_draining);
         self.role == Role::Follower && (!is_needed && has_leader || all_draining && self.campaign.is_none())
     }
+
+    /// Whether the leader can still replace or remove this voter. In a joint configuration, and with an even
+    /// number of voters, the others may need its vote until then.
+    fn is_vote_needed(&self, has_spare: bool) -> bool {
+        let is_joint = !self.record.outgoing_voters.is_empty();
+        let is_even = self.record.voters.len().is_multiple_of(2);
+        self.record.is_voter(&self.id) && (has_spare || is_joint || is_even)
+    }
 }
--- a/crates/control-plane/consensus/tests/core.rs
+++ b/crates/control-plane/consensus/tests/core.rs
@@ -397,3 +397,83 @@
     repair(&mut cluster, 100);
     assert_eq!(cluster.reference.committed, [1, 2, 3, 4]);
 }
+
+/// Two nodes, and a third one that is started later.
+fn two_nodes_and_a_late_one() -> ModelConfig {
+    ModelConfig { node_count: 3, absent_nodes: 0b100, ..two_nodes() }
+}
+
+/// The ids of the leader's voters; there is no joint configuration.
+fn voter_ids(cluster: &Cluster) -> Vec<String> {
+    let record = leader_record(cluster);
+    assert!(record.outgoing_voters.is_empty(), "{record:?}");
+    record.voters.into_iter().map(|voter| voter.id).collect()
+}
+
+#[test]
+fn one_of_two_nodes_is_replaced_by_a_node_that_starts_after_it_has_exited() {
+    for leaving in [0, 1] {
+        let mut cluster = started_cluster(two_nodes_and_a_late_one());
+        commit_change(&mut cluster);
+        apply_all(&mut cluster, &[Step::BeginShutdown(leaving)]);
+        cluster.run_without_faults(100).unwrap();
+        apply_all(&mut cluster, &[Step::Remove(leaving)]);
+        cluster.run_without_faults(100).unwrap();
+        apply_all(&mut cluster, &[ADVANCE, Step::Restart(2)]);
+        repair(&mut cluster, 200);
+        cluster.run_without_faults(100).unwrap();
+        assert_eq!(voter_ids(&cluster), if leaving == 0 { ["b", "c"] } else { ["a", "c"] });
+        assert_eq!(cluster.reference.committed, [1, 2]);
+    }
+}
+
+#[test]
+fn one_of_two_nodes_is_replaced_by_a_node_that_starts_before_it_exits() {
+    let mut cluster = started_cluster(two_nodes_and_a_late_one());
+    apply_all(&mut cluster, &[Step::Restart(2)]);
+    cluster.run_without_faults(100).unwrap();
+    assert_eq!(voter_ids(&cluster), ["a", "b", "c"]);
+    apply_all(&mut cluster, &[Step::BeginShutdown(0)]);
+    cluster.run_without_faults(100).unwrap();
+    apply_all(&mut cluster, &[Step::Remove(0)]);
+    cluster.run_without_faults(100).unwrap();
+    commit_change(&mut cluster);
+}
+
+#[test]
+fn one_of_two_nodes_that_is_restarted_becomes_a_voter_again() {
+    let mut cluster = started_cluster(two_nodes());
+    commit_change(&mut cluster);
+    apply_all(&mut cluster, &[Step::BeginShutdown(0)]);
+    cluster.run_without_faults(100).unwrap();
+    assert_eq!(voter_ids(&cluster), ["b"]);
+    apply_all(&mut cluster, &[Step::Crash(0, 0), ADVANCE, Step::Restart(0)]);
+    repair(&mut cluster, 100);
+    cluster.run_without_faults(100).unwrap();
+    assert_eq!(voter_ids(&cluster), ["b", "a"]);
+}
+
+#[test]
+fn a_voter_does_not_exit_while_the_voters_that_replace_it_need_its_vote() {
+    for (leaving, steps) in [0, 1].into_iter().flat_map(|node| (0..30).map(move |steps| (node, steps))) {
+        let timeouts = Timeouts { shutdown_grace: 1_000_000, ..timeouts() };
+        let mut cluster = started_cluster(ModelConfig { timeouts, ..two_nodes_and_a_late_one() });
+        commit_change(&mut cluster);
+        apply_all(&mut cluster, &[Step::BeginShutdown(leaving), Step::Restart(2)]);
+        for _ in 0..steps {
+            apply_all(&mut cluster, &[ADVANCE]);
+            deliver_all(&mut cluster);
+        }
+        // A partition of the leader from the other nodes while it replaces the voter.
+        apply_all(
+            &mut cluster,
+            &[Step::Advance { delayed: None, isolation: Isolation::Partitioned(1 - leaving) }],
+        );
+        while !cluster.core(leaving).unwrap().may_exit(cluster.clock(leaving)) {
+            apply_all(&mut cluster, &[ADVANCE]);
+            deliver_all(&mut cluster);
+        }
+        apply_all(&mut cluster, &[Step::Remove(leaving)]);
+        repair(&mut cluster, 400);
+    }
+}
--- a/crates/control-plane/consensus/tests/model.rs
+++ b/crates/control-plane/consensus/tests/model.rs
@@ -142,6 +142,12 @@
     assert_no_violation("two voters, lost again");
 }
 
+#[test]
+fn invariants_hold_if_the_number_of_voters_changes_between_one_two_and_three() {
+    assert_no_violation("two voters, a third joins");
+    assert_no_violation("two voters, one leaves");
+}
+
 #[test]
 fn invariants_hold_if_one_of_two_voters_is_cut_off_frozen_or_down() {
     assert_no_violation("two voters, cut off");
--- a/crates/control-plane/consensus/tests/model/two_voters.rs
+++ b/crates/control-plane/consensus/tests/model/two_voters.rs
@@ -4,6 +4,7 @@
 
 const A: u8 = 1;
 const B: u8 = 2;
+const C: u8 = 4;
 
 const ADVANCE: Step = Step::Advance { delayed: None, isolation: Isolation::None };
 /// A lost disk is replaced within this many ticks without a fault.
@@ -14,6 +15,11 @@
     ModelConfig { node_count: 2, initial_voters: 2, fault_targets: A | B, ..config() }
 }
 
+/// Two nodes, and a third one that is started later.
+pub(crate) fn two_nodes_and_a_late_one() -> ModelConfig {
+    ModelConfig { node_count: 3, absent_nodes: C, ..two_nodes() }
+}
+
 /// Commits a change, wipes the disk of a node, and waits until its new disk is a voter and a backup.
 fn replace_disk(mut cluster: Cluster, node: usize) -> Cluster {
     cluster.budget = FaultBudget::unlimited();
@@ -80,6 +86,19 @@
             let config = ModelConfig { fault_targets: A, keeps_old_disks: true, ..two_nodes() };
             run_prefix(replace_disk(replace_disk(Cluster::started(config), 0), 1), budget, &[])
         }
+        "two voters, a third joins" => {
+            let budget = FaultBudget { time_steps: 4, lease_expiries: 1, crashes: 1, disk_losses: 1, ..none };
+            run_prefix(
+                Cluster::started(two_nodes_and_a_late_one()),
+                budget,
+                &[Step::Propose(0), Step::Restart(2)],
+            )
+        }
+        "two voters, one leaves" => {
+            let budget = FaultBudget { time_steps: 4, lease_expiries: 1, crashes: 1, proposals: 1, ..none };
+            let config = ModelConfig { fault_targets: A | B, ..two_nodes_and_a_late_one() };
+            run_prefix(Cluster::started(config), budget, &[Step::BeginShutdown(0), ADVANCE])
+        }
         _ => panic!("no case {name}"),
     }
 }
@@ -91,6 +110,8 @@
         "two voters, cut off" => 207_619,
         "two voters, lost again" => 937_252,
         "two voters, an old disk" => 71_269,
+        "two voters, a third joins" => 202_803,
+        "two voters, one leaves" => 520_583,
         _ => panic!("no search {name}"),
     }
 }
