Soak: nodes lose their disks, clients send bodies, and two to four nodes by seed

Change: most bursts begin with a kill after which one node, alone or killed with all others, finds its folder empty; the same disk may be lost again in the burst, another one only after sync_time without a fault of the nodes. Other faults overlap with that as before. Runs have 3, 2 or 4 nodes by seed.

--- a/crates/tools/soak/src/backend.rs
+++ b/crates/tools/soak/src/backend.rs
@@ -1,9 +1,10 @@
 //! An endpoint's server inside the soak: it serves each request for as long as the request asks for, until its process would be
 //! gone, and tells the history what it has begun.
+use crate::exchange::{frame, header, read_body, read_head, Framing, Request, SentRequests};
 use crate::observers::Shared;
 use crate::request_id::RequestId;
 use std::collections::HashSet;
-use std::io::{self, BufRead, BufReader, Write};
+use std::io::{self, BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -21,20 +22,23 @@
 /// How long a connection may take that only wakes the listener of a server that ends.
 const WAKE_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// The ids of the requests that any endpoint has begun.
+/// The requests that clients have sent, and the ids of those that any endpoint has begun.
 #[derive(Clone, Default)]
-pub(crate) struct BegunRequests(Arc<Mutex<HashSet<String>>>);
+pub(crate) struct Requests {
+    pub(crate) sent: SentRequests,
+    begun: Arc<Mutex<HashSet<String>>>,
+}
 
-impl BegunRequests {
+impl Requests {
     fn ids(&self) -> MutexGuard<'_, HashSet<String>> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        self.begun.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    pub(crate) fn contains(&self, id: &str) -> bool {
+    pub(crate) fn has_begun(&self, id: &str) -> bool {
         self.ids().contains(id)
     }
 
-    fn insert(&self, id: &str) {
+    fn begin(&self, id: &str) {
         self.ids().insert(id.to_owned());
     }
 }
@@ -44,7 +48,7 @@
     /// The id of the endpoint.
     endpoint: String,
     shared: Shared,
-    begun: BegunRequests,
+    requests: Requests,
     has_ended: AtomicBool,
     connections: Mutex<Vec<TcpStream>>,
 }
@@ -61,11 +65,11 @@
         endpoint: &str,
         address: SocketAddr,
         shared: Shared,
-        begun: BegunRequests,
+        requests: Requests,
     ) -> io::Result<Server> {
         let listener = TcpListener::bind(address)?;
         let (has_ended, connections) = (AtomicBool::new(false), Mutex::default());
-        let state = ServerState { endpoint: endpoint.into(), shared, begun, has_ended, connections };
+        let state = ServerState { endpoint: endpoint.into(), shared, requests, has_ended, connections };
         let state = Arc::new(state);
         let accepting = state.clone();
         spawn(move || accept(&listener, &accepting));
@@ -100,45 +104,32 @@
     }
 }
 
-/// Serves the requests of one connection, which have no bodies.
+/// Serves the requests of one connection. A sealed answer has the body of its request, in one framing after the other.
 fn serve(stream: &TcpStream, state: &ServerState) -> Option<()> {
     let _ = stream.set_nodelay(true);
     let mut reader = BufReader::new(stream);
+    let mut framing = Framing::Length;
     while !state.has_ended.load(Ordering::SeqCst) {
         let head = read_head(&mut reader)?;
         let id = header(&head, ID_HEADER)?;
-        state.begun.insert(id);
+        let mut start = head.first()?.split(' ');
+        let (method, path) = (start.next()?.to_owned(), start.next()?.to_owned());
+        let request = Request { method, path, body: read_body(&mut reader, &head)? };
+        state.requests.begin(id);
+        if let Some(difference) = state.requests.sent.difference(id, &request) {
+            state.shared.history().run_changed_request(id, difference);
+        }
         if let Ok(request) = id.parse::<RequestId>() {
             let arrived = state.shared.elapsed();
             state.shared.history().departures.arrive(&state.endpoint, request, arrived);
         }
         let work = header(&head, WORK_HEADER).and_then(|value| value.parse().ok()).unwrap_or(0);
         sleep(Duration::from_millis(work));
-        let response = format!(
-            "HTTP/1.1 200 OK\r\n{ID_HEADER}: {id}\r\nServer-Seal: soak\r\nContent-Length: 2\r\n\r\nok"
-        );
-        (&*stream).write_all(response.as_bytes()).ok()?;
+        let (field, body) = frame(framing, &request.body);
+        framing = if framing == Framing::Length { Framing::Chunks } else { Framing::Length };
+        let head = format!("HTTP/1.1 200 OK\r\n{ID_HEADER}: {id}\r\nServer-Seal: soak\r\n{field}\r\n");
+        let body = if request.method == "HEAD" { Vec::new() } else { body };
+        (&*stream).write_all(&[head.into_bytes(), body].concat()).ok()?;
     }
     None
 }
-
-/// The lines of the next head. `None`: the connection has ended.
-pub(crate) fn read_head(reader: &mut impl BufRead) -> Option<Vec<String>> {
-    let mut lines = Vec::new();
-    loop {
-        let mut line = String::new();
-        if reader.read_line(&mut line).ok()? == 0 {
-            return None;
-        }
-        match line.trim_end() {
-            "" => return Some(lines),
-            line => lines.push(line.to_owned()),
-        }
-    }
-}
-
-/// The value of a header.
-pub(crate) fn header<'a>(head: &'a [String], name: &str) -> Option<&'a str> {
-    let fields = head.iter().filter_map(|line| line.split_once(':'));
-    fields.filter(|(field, _)| field.eq_ignore_ascii_case(name)).map(|(_, value)| value.trim()).next()
-}
--- a/crates/tools/soak/src/clients.rs
+++ b/crates/tools/soak/src/clients.rs
@@ -1,7 +1,8 @@
 //! Clients that keep their connections open and use them until the edge closes them.
-use crate::backend::{header, read_head, BegunRequests, ID_HEADER, WORK_HEADER};
+use crate::backend::{Requests, ID_HEADER, WORK_HEADER};
+use crate::exchange::{frame, header, read_body, read_head, Framing, Request};
 use crate::observers::{Shared, LONG_PATH};
-use std::io::{BufReader, Read, Write};
+use std::io::{BufReader, Write};
 use std::net::TcpStream;
 use std::thread::{sleep, spawn, JoinHandle};
 use std::time::{Duration, Instant};
@@ -31,6 +32,8 @@
     },
     /// An answer to another request.
     Foreign,
+    /// A success without the seal, or with another body than the endpoint sent.
+    Mixed,
     /// The connection ended before an answer was complete.
     Closed,
 }
@@ -40,14 +43,14 @@
     shared: Shared,
     edge: usize,
     address: String,
-    begun: BegunRequests,
+    requests: Requests,
     seed: u64,
 ) -> JoinHandle<()> {
     spawn(move || {
         let mut random = fastrand::Rng::with_seed(seed);
         while !shared.is_over() {
             if let Ok(stream) = TcpStream::connect(&address) {
-                use_connection(&shared, edge, &stream, &begun, &mut random);
+                use_connection(&shared, edge, &stream, &requests, &mut random);
             }
             sleep(RECONNECT_PAUSE);
         }
@@ -59,7 +62,7 @@
     shared: &Shared,
     edge: usize,
     stream: &TcpStream,
-    begun: &BegunRequests,
+    requests: &Requests,
     random: &mut fastrand::Rng,
 ) {
     let _ = stream.set_nodelay(true);
@@ -71,14 +74,25 @@
         let id = shared.request_id(edge, random).to_string();
         let sent = Instant::now();
         let length = length_index(random);
-        match exchange(&mut reader, &id, PATHS[length], random.u64(WORK_MS[length].clone())) {
-            Exchange::Answered { closes: false } => shared.history().answer(),
-            Exchange::Answered { closes: true } => return shared.history().answer(),
+        let work = random.u64(WORK_MS[length].clone());
+        let request = Request::random(PATHS[length], random);
+        let framing = if random.bool() { Framing::Length } else { Framing::Chunks };
+        requests.sent.insert(&id, request.clone());
+        let exchange = exchange(&mut reader, &id, &request, framing, work);
+        requests.sent.remove(&id);
+        match exchange {
+            Exchange::Answered { closes } => {
+                shared.history().answer(!request.body.is_empty());
+                if closes {
+                    return;
+                }
+            }
             Exchange::Foreign => return shared.history().foreign_answer(edge),
+            Exchange::Mixed => return shared.history().mixed_answer(edge, &id),
             Exchange::Closed => {
                 sleep(NOTE_TIME);
                 // One that crossed the close and reached no endpoint can be sent again.
-                if begun.contains(&id) {
+                if requests.has_begun(&id) {
                     shared.history().lose_request(edge, &id, sent);
                 }
                 return;
@@ -93,26 +107,37 @@
 }
 
 /// Sends one request and reads its answer.
-fn exchange(reader: &mut BufReader<&TcpStream>, id: &str, path: &str, work: u64) -> Exchange {
-    let request = format!(
-        "GET {path} HTTP/1.1\r\nHost: d.example\r\n{ID_HEADER}: {id}\r\nTime-Left-Ms: {TIME_LEFT_MS}\r\n\
-         {WORK_HEADER}: {work}\r\n\r\n"
+fn exchange(
+    reader: &mut BufReader<&TcpStream>,
+    id: &str,
+    request: &Request,
+    framing: Framing,
+    work: u64,
+) -> Exchange {
+    let Request { method, path, body } = request;
+    let (field, body) = frame(framing, body);
+    let head = format!(
+        "{method} {path} HTTP/1.1\r\nHost: d.example\r\n{ID_HEADER}: {id}\r\nTime-Left-Ms: {TIME_LEFT_MS}\r\n\
+         {WORK_HEADER}: {work}\r\n{field}\r\n"
     );
-    if reader.get_mut().write_all(request.as_bytes()).is_err() {
+    if reader.get_mut().write_all(&[head.into_bytes(), body].concat()).is_err() {
         return Exchange::Closed;
     }
-    read_answer(reader, id).unwrap_or(Exchange::Closed)
+    read_answer(reader, id, request).unwrap_or(Exchange::Closed)
 }
 
 /// `None`: the connection ended first.
-fn read_answer(reader: &mut BufReader<&TcpStream>, id: &str) -> Option<Exchange> {
+fn read_answer(reader: &mut BufReader<&TcpStream>, id: &str, request: &Request) -> Option<Exchange> {
     let head = read_head(reader)?;
-    let length = header(&head, "Content-Length").and_then(|value| value.parse().ok()).unwrap_or(0);
-    let mut body = vec![0; length];
-    reader.read_exact(&mut body).ok()?;
+    let body = if request.method == "HEAD" { Vec::new() } else { read_body(reader, &head)? };
     // An answer of the edge's own bears no id.
     if header(&head, ID_HEADER).is_some_and(|other| other != id) {
         return Some(Exchange::Foreign);
     }
+    let is_success = head.first().is_some_and(|line| line.starts_with("HTTP/1.1 2"));
+    let is_whole = request.method == "HEAD" || body == request.body;
+    if is_success && !(is_whole && header(&head, "Server-Seal").is_some()) {
+        return Some(Exchange::Mixed);
+    }
     Some(Exchange::Answered { closes: header(&head, "Connection") == Some("close") })
 }
--- a/crates/tools/soak/src/cluster.rs
+++ b/crates/tools/soak/src/cluster.rs
@@ -14,7 +14,10 @@
 use std::process::{Child, Command};
 use std::time::Duration;
 
-pub(crate) const NODES: usize = 3;
+/// A run has at most this many nodes.
+pub(crate) const MAX_NODES: usize = 4;
+/// The settings name at most this many nodes.
+const KNOWN_PEERS: usize = 3;
 const ADMIN_PORT: u16 = 8544;
 const PEER_PORT: u16 = 7540;
 const CLIENT_PORT: u16 = 8080;
@@ -99,7 +102,7 @@
     }
 }
 
-/// Three nodes and the edges that follow them.
+/// The nodes and the edges that follow them.
 pub(crate) struct Cluster {
     folder: PathBuf,
     network: Network,
@@ -120,20 +123,21 @@
         programs: &Path,
         folder: PathBuf,
         network: Network,
+        nodes: usize,
         edges: usize,
     ) -> eyre::Result<Cluster> {
         let _ = std::fs::remove_dir_all(&folder);
         std::fs::create_dir_all(&folder)?;
         let mut cluster =
             Cluster { folder, network, nodes: Vec::new(), edges: Vec::new(), links: Vec::new() };
-        for node in 0..NODES {
+        for node in 0..nodes {
             let relay = format!("{}:{PEER_PORT}", cluster.relay_ip(node));
             let link = relay::start(&relay, format!("{}:{PEER_PORT}", cluster.node_ip(node)));
             cluster.links.push(link.wrap_err_with(|| format!("can't listen at {relay}"))?);
             let process = cluster.process(programs, "coppersail-control-plane", &format!("node-{node}"));
             cluster.nodes.push(process);
-            cluster.write_node_settings(node, true)?;
         }
+        (0..nodes).try_for_each(|node| cluster.write_node_settings(node, true))?;
         for edge in 0..edges {
             let process = cluster.process(programs, "coppersail-edge-proxy", &format!("edge-{edge}"));
             cluster.edges.push(process);
@@ -145,7 +149,7 @@
 
     /// From now on a start of a node is not the first one. All must have read their settings, and written to their disks.
     pub(crate) fn end_first_start(&self) -> eyre::Result<()> {
-        (0..NODES).try_for_each(|node| self.write_node_settings(node, false))
+        (0..self.nodes.len()).try_for_each(|node| self.write_node_settings(node, false))
     }
 
     fn process(&self, programs: &Path, program: &str, name: &str) -> Process {
@@ -176,7 +180,7 @@
 
     /// Where the endpoints of a slot are. They share the subnet of the relays.
     pub(crate) fn endpoint_address(&self, slot: usize) -> SocketAddr {
-        SocketAddr::new(self.network.ip(0, NODES + slot), CLIENT_PORT)
+        SocketAddr::new(self.network.ip(0, MAX_NODES + slot), CLIENT_PORT)
     }
 
     /// Where clients reach an edge, "ip:port".
@@ -185,7 +189,8 @@
     }
 
     fn common_settings(&self, ip: &str, initial_boot: bool) -> Value {
-        let peers: Vec<String> = (0..NODES).map(|node| self.admin_address(node)).collect();
+        let known = 0..self.nodes.len().min(KNOWN_PEERS);
+        let peers: Vec<String> = known.map(|node| self.admin_address(node)).collect();
         json!({
             "self": {"ipAddress": ip, "area": "north", "initialBoot": initial_boot},
             "network": {"sparePorts": [PEER_PORT, PEER_PORT], "knownPeers": peers, "binds": {}},
@@ -202,9 +207,9 @@
 
     fn write_node_settings(&self, node: usize, initial_boot: bool) -> eyre::Result<()> {
         let mut settings = self.common_settings(&self.node_ip(node), initial_boot);
-        settings["self"]["dataFolder"] = json!(self.folder.join(format!("data-{node}")));
+        settings["self"]["dataFolder"] = json!(self.data_folder(node));
         settings["network"]["binds"]["admin"] = self.admin_address(node).into();
-        std::fs::create_dir_all(self.folder.join(format!("data-{node}")))?;
+        std::fs::create_dir_all(self.data_folder(node))?;
         Ok(std::fs::write(&self.nodes[node].settings, settings.to_string())?)
     }
 
@@ -215,6 +220,17 @@
         Ok(std::fs::write(&self.edges[edge].settings, settings.to_string())?)
     }
 
+    fn data_folder(&self, node: usize) -> PathBuf {
+        self.folder.join(format!("data-{node}"))
+    }
+
+    /// Empties the data folder of a node that does not run.
+    pub(crate) fn lose_disk(&self, node: usize) -> eyre::Result<()> {
+        let folder = self.data_folder(node);
+        std::fs::remove_dir_all(&folder)?;
+        Ok(std::fs::create_dir_all(&folder)?)
+    }
+
     fn get_mut(&mut self, id: ProcessId) -> &mut Process {
         match id {
             ProcessId::Node(node) => &mut self.nodes[node],
--- a/crates/tools/soak/src/endpoints.rs
+++ b/crates/tools/soak/src/endpoints.rs
@@ -1,5 +1,5 @@
 //! The endpoints of a run: they report to the nodes, serve, and leave in one way or another, life after life.
-use crate::backend::{BegunRequests, Server};
+use crate::backend::{Requests, Server};
 use crate::drain::EMPTY;
 use crate::observers::{agent, call, Shared};
 use eyre::WrapErr;
@@ -62,7 +62,7 @@
 #[derive(Clone)]
 pub(crate) struct Surroundings {
     pub(crate) shared: Shared,
-    pub(crate) begun: BegunRequests,
+    pub(crate) requests: Requests,
     /// Where nodes are reached.
     pub(crate) nodes: Vec<String>,
 }
@@ -122,8 +122,8 @@
         let id = format!("i-{}-{}", self.slot.number, self.count);
         let mut address = self.slot.address;
         address.set_port(address.port() + self.count as u16);
-        let Surroundings { shared, begun, .. } = self.surroundings.clone();
-        let server = Server::start(&id, address, shared, begun)?;
+        let Surroundings { shared, requests, .. } = self.surroundings.clone();
+        let server = Server::start(&id, address, shared, requests)?;
         let node = self.random.usize(..);
         Ok(Life { id, address, server, sequence: 0, node, report_to: None, next_heartbeat: Instant::now() })
     }
--- a/crates/tools/soak/src/faults.rs
+++ b/crates/tools/soak/src/faults.rs
@@ -1,5 +1,5 @@
 //! Random faults with a beginning and an end, and planned restarts; several may be active at once.
-use crate::cluster::{Cluster, ProcessId, NODES};
+use crate::cluster::{Cluster, ProcessId};
 use crate::relay::LinkMode;
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
@@ -22,10 +22,19 @@
 /// A process that was told to end has ended within this: its grace period, and what a machine full of processes adds.
 const END_TIMEOUT: Duration = Duration::from_secs(8);
 
-/// What is wrong while a fault is active. Disks are never lost, so that any faults may overlap.
+/// After this time without a fault of the nodes another one may lose its disk (`sync_time`).
+const SYNC_TIME: Duration = Duration::from_secs(4);
+/// One in so many bursts begins without the loss of a disk, and one in so many faults after it is the loss of that disk again.
+const RARE_LOSS: usize = 4;
+
+/// What is wrong while a fault is active. Any faults may overlap, but only one node at a time loses its disk.
 #[derive(Debug, Clone, PartialEq, Eq)]
 enum Fault {
-    Killed(Vec<ProcessId>),
+    Killed {
+        processes: Vec<ProcessId>,
+        /// A node among them that finds its folder empty when it starts again.
+        lost_disk: Option<usize>,
+    },
     /// Told to end, and started again some time after it has.
     Terminated(ProcessId),
     /// Told that its settings file has changed.
@@ -38,14 +47,14 @@
 }
 
 impl Fault {
-    fn random(random: &mut fastrand::Rng, edges: usize) -> Fault {
-        let node = ProcessId::Node(random.usize(0..NODES));
+    fn random(random: &mut fastrand::Rng, nodes: usize, edges: usize) -> Fault {
+        let node = ProcessId::Node(random.usize(0..nodes));
         let edge = ProcessId::Edge(random.usize(0..edges));
         let link = |mode| Fault::Link { node: node.index(), mode };
         match random.u8(0..16) {
-            0..=2 => Fault::Killed(vec![node]),
-            3 => Fault::all_nodes_killed(),
-            4 => Fault::Killed(vec![edge]),
+            0..=2 => Fault::killed(node),
+            3 => Fault::all_nodes_killed(nodes),
+            4 => Fault::killed(edge),
             5..=6 => Fault::Paused(node),
             7 => link(LinkMode::Cut),
             8 => link(LinkMode::LosesAnswers),
@@ -57,8 +66,37 @@
         }
     }
 
-    fn all_nodes_killed() -> Fault {
-        Fault::Killed((0..NODES).map(ProcessId::Node).collect())
+    fn killed(process: ProcessId) -> Fault {
+        Fault::Killed { processes: vec![process], lost_disk: None }
+    }
+
+    fn all_nodes_killed(nodes: usize) -> Fault {
+        Fault::Killed { processes: (0..nodes).map(ProcessId::Node).collect(), lost_disk: None }
+    }
+
+    /// The same kill, after which a node has lost its disk.
+    fn losing_disk_of(self, node: usize) -> Fault {
+        match self {
+            Fault::Killed { processes, .. } => Fault::Killed { processes, lost_disk: Some(node) },
+            other => other,
+        }
+    }
+
+    fn lost_disk(&self) -> Option<usize> {
+        match self {
+            Fault::Killed { lost_disk, .. } => *lost_disk,
+            _ => None,
+        }
+    }
+
+    /// Whether all nodes are killed; there are two or more.
+    fn kills_all_nodes(&self) -> bool {
+        matches!(self, Fault::Killed { processes, .. } if processes.len() > 1)
+    }
+
+    /// Whether it hits a node or a link of one.
+    fn disturbs_core(&self) -> bool {
+        self.disturbs() && self.uses().iter().any(|(_, process)| matches!(process, ProcessId::Node(_)))
     }
 
     /// Whether it takes what it hits out of touch; a signal to read settings again does not.
@@ -67,14 +105,14 @@
     }
 
     fn random_length(&self, random: &mut fastrand::Rng) -> Duration {
-        let range = if *self == Fault::all_nodes_killed() { ALL_DOWN_MS } else { LENGTH_MS };
+        let range = if self.kills_all_nodes() { ALL_DOWN_MS } else { LENGTH_MS };
         Duration::from_millis(random.u64(range))
     }
 
     /// The processes and links that it uses: one fault at a time for each.
     fn uses(&self) -> Vec<(bool, ProcessId)> {
         match self {
-            Fault::Killed(processes) => processes.iter().map(|process| (false, *process)).collect(),
+            Fault::Killed { processes, .. } => processes.iter().map(|process| (false, *process)).collect(),
             Fault::Terminated(process) | Fault::HungUp(process) | Fault::Paused(process) => {
                 vec![(false, *process)]
             }
@@ -84,7 +122,10 @@
 
     fn begin(&self, cluster: &mut Cluster) -> eyre::Result<()> {
         match self {
-            Fault::Killed(processes) => processes.iter().for_each(|process| cluster.kill(*process)),
+            Fault::Killed { processes, lost_disk } => {
+                processes.iter().for_each(|process| cluster.kill(*process));
+                lost_disk.map_or(Ok(()), |node| cluster.lose_disk(node))?;
+            }
             Fault::Terminated(process) => {
                 TERMINATION_SIGNALS.iter().for_each(|signal| cluster.signal(*process, signal))
             }
@@ -100,7 +141,7 @@
 
     fn end(&self, cluster: &mut Cluster) -> eyre::Result<()> {
         match self {
-            Fault::Killed(processes) => {
+            Fault::Killed { processes, .. } => {
                 processes.iter().try_for_each(|process| cluster.start_again(*process))?
             }
             Fault::Terminated(process) => cluster.start_again(*process)?,
@@ -152,6 +193,7 @@
 /// Begins and ends faults as time goes on.
 pub(crate) struct FaultSchedule {
     random: fastrand::Rng,
+    nodes: usize,
     edges: usize,
     active: Vec<ActiveFault>,
     /// The restarts that are left of series, and when they begin.
@@ -164,13 +206,22 @@
     pub(crate) terminated: u64,
     /// How often all nodes were killed at the same moment.
     pub(crate) core_kills: u64,
+    pub(crate) lost_disks: u64,
+    /// When a node or a link of one was disturbed last.
+    core_disturbed_at: Option<Instant>,
+    /// The node whose disk was lost in this burst, as long as it may be lost again: the others have all theirs.
+    losing_node: Option<usize>,
 }
 
 impl FaultSchedule {
-    pub(crate) fn new(seed: u64, edges: usize, now: Instant) -> FaultSchedule {
+    pub(crate) fn new(seed: u64, nodes: usize, edges: usize, now: Instant) -> FaultSchedule {
         FaultSchedule {
             random: fastrand::Rng::with_seed(seed),
+            nodes,
             edges,
+            lost_disks: 0,
+            core_disturbed_at: None,
+            losing_node: None,
             active: Vec::new(),
             series: Vec::new(),
             next_at: now,
@@ -212,6 +263,9 @@
     ) -> eyre::Result<FaultStep> {
         let mut step = FaultStep::default();
         self.active.iter().for_each(|active| step.record_disturbance(&active.fault));
+        if step.disturbed_core {
+            self.core_disturbed_at = Some(now);
+        }
         self.end_due(cluster, now, &mut step, on_restart)?;
         if !may_begin {
             self.begin_last_restart_if_due(cluster, now, &mut step)?;
@@ -244,7 +298,33 @@
             return Ok(());
         }
         self.last_restarts.remove(0);
-        self.begin(Fault::all_nodes_killed(), cluster, now, step)
+        let kill = Fault::all_nodes_killed(self.nodes);
+        let kill = match self.losing_node.filter(|_| self.random.bool()) {
+            Some(node) => kill.losing_disk_of(node),
+            None => kill,
+        };
+        self.begin(kill, cluster, now, step)
+    }
+
+    /// A kill that loses a disk, if one may be lost now: all nodes have been in order for [`SYNC_TIME`], or it is the
+    /// disk that was lost last.
+    fn random_disk_loss(&mut self, now: Instant) -> Option<Fault> {
+        let is_settled = self.core_disturbed_at.is_none_or(|at| now >= at + SYNC_TIME);
+        if is_settled {
+            self.losing_node = None;
+        }
+        let node = if is_settled { self.random.usize(0..self.nodes) } else { self.losing_node? };
+        let is_rare = self.random.usize(0..RARE_LOSS) == 0;
+        // A burst mostly begins with a loss; the same disk is seldom lost again.
+        if is_rare == is_settled {
+            return None;
+        }
+        let kill = if self.random.u8(0..3) == 0 {
+            Fault::all_nodes_killed(self.nodes)
+        } else {
+            Fault::killed(ProcessId::Node(node))
+        };
+        Some(kill.losing_disk_of(node))
     }
 
     /// A fault, or a series of restarts of edges or nodes while those before are still ending.
@@ -254,18 +334,21 @@
         now: Instant,
         step: &mut FaultStep,
     ) -> eyre::Result<()> {
+        if let Some(loss) = self.random_disk_loss(now) {
+            return self.begin(loss, cluster, now, step);
+        }
         if self.random.u8(0..5) > 0 {
-            let fault = Fault::random(&mut self.random, self.edges);
+            let fault = Fault::random(&mut self.random, self.nodes, self.edges);
             return self.begin(fault, cluster, now, step);
         }
         let gap = Duration::from_millis(self.random.u64(SERIES_GAP_MS));
         let of_nodes = self.random.u8(0..3) == 0;
-        let processes = if of_nodes { NODES } else { self.edges };
+        let processes = if of_nodes { self.nodes } else { self.edges };
         let first = self.random.usize(0..processes);
         let count = self.random.usize(1..=processes.min(MAX_SERIES));
         let kills = of_nodes && self.random.bool();
         let restart = |index: usize| match (of_nodes, (first + index) % processes) {
-            (true, node) if kills => Fault::Killed(vec![ProcessId::Node(node)]),
+            (true, node) if kills => Fault::killed(ProcessId::Node(node)),
             (true, node) => Fault::Terminated(ProcessId::Node(node)),
             (false, edge) => Fault::Terminated(ProcessId::Edge(edge)),
         };
@@ -290,7 +373,16 @@
         self.begun += 1;
         self.overlapping += u64::from(self.is_active());
         self.terminated += u64::from(matches!(fault, Fault::Terminated(_)));
-        self.core_kills += u64::from(fault == Fault::all_nodes_killed());
+        self.core_kills += u64::from(fault.kills_all_nodes());
+        self.lost_disks += u64::from(fault.lost_disk().is_some());
+        self.losing_node = fault.lost_disk().or(self.losing_node);
+        if fault.disturbs_core() {
+            self.core_disturbed_at = Some(now);
+        }
+        // A node that is told to end may hand its vote over to the one whose disk was lost.
+        if matches!(fault, Fault::Terminated(ProcessId::Node(_))) {
+            self.losing_node = None;
+        }
         step.record_disturbance(&fault);
         let end = now + fault.random_length(&mut self.random);
         self.active.push(ActiveFault { fault, begun: now, end });
@@ -313,7 +405,7 @@
                 on_restart(edge);
             }
             active.fault.end(cluster)?;
-            step.restarted_all_nodes |= active.fault == Fault::all_nodes_killed();
+            step.restarted_all_nodes |= active.fault.kills_all_nodes();
         }
         Ok(())
     }
@@ -336,7 +428,7 @@
 
 fn killed_edge(fault: &Fault, id: ProcessId) -> Option<usize> {
     match fault {
-        Fault::Killed(_) => id.edge(),
+        Fault::Killed { .. } => id.edge(),
         _ => None,
     }
 }
--- a/crates/tools/soak/src/history.rs
+++ b/crates/tools/soak/src/history.rs
@@ -27,6 +27,10 @@
     Lost { edge: usize, id: String },
     /// A client got the answer to another request.
     Foreign { edge: usize },
+    /// A client got a success that is not the endpoint's.
+    Mixed { edge: usize, id: String },
+    /// An endpoint ran a request that is not as its client sent it.
+    Unasked { id: String, difference: String },
     /// Requests reached an endpoint that had left.
     Drain(BrokenDrain),
     /// A process did not end within its grace period after SIGTERM.
@@ -55,6 +59,8 @@
             }
             Violation::Lost { edge, id } => write!(out, "edge {edge} lost the request {id}"),
             Violation::Foreign { edge } => write!(out, "edge {edge} gave an answer to another request"),
+            Violation::Mixed { edge, id } => write!(out, "edge {edge} changed the answer to {id}"),
+            Violation::Unasked { id, difference } => write!(out, "UNASKED: {id}: {difference}"),
             Violation::DidNotEnd { process } => write!(out, "{process:?} did not end after SIGTERM"),
             Violation::Drain(drain) => drain.fmt(out),
             Violation::NotReadBack { node } => write!(out, "node {node} does not let the newest be read"),
@@ -95,6 +101,8 @@
     pub(crate) reads: u64,
     /// Requests of clients that got a complete answer.
     pub(crate) answers: u64,
+    /// Those of them to requests with bodies.
+    pub(crate) bodies: u64,
     /// The longest time from an acknowledgement to an edge, in times without faults.
     pub(crate) latest_edge: Duration,
     /// Of endpoints.
@@ -157,8 +165,19 @@
     }
 
     /// A client got a complete answer.
-    pub(crate) fn answer(&mut self) {
+    pub(crate) fn answer(&mut self, had_body: bool) {
         self.answers += 1;
+        self.bodies += u64::from(had_body);
+    }
+
+    /// A client got a success that lacks the seal, or has another body than the endpoint sent.
+    pub(crate) fn mixed_answer(&mut self, edge: usize, id: &str) {
+        self.violations.push(Violation::Mixed { edge, id: id.into() });
+    }
+
+    /// An endpoint ran a request that differs from the one that was sent.
+    pub(crate) fn run_changed_request(&mut self, id: &str, difference: String) {
+        self.violations.push(Violation::Unasked { id: id.into(), difference });
     }
 
     /// A client got the answer to another request.
--- a/crates/tools/soak/src/main.rs
+++ b/crates/tools/soak/src/main.rs
@@ -6,6 +6,7 @@
 mod cluster;
 mod drain;
 mod endpoints;
+mod exchange;
 mod faults;
 mod history;
 mod observers;
--- a/crates/tools/soak/src/run.rs
+++ b/crates/tools/soak/src/run.rs
@@ -1,7 +1,7 @@
 //! One run: start, a time of faults, a time of calm, and the last checks.
-use crate::backend::{BegunRequests, LONG_SERVICE, SERVICE};
+use crate::backend::{Requests, LONG_SERVICE, SERVICE};
 use crate::clients;
-use crate::cluster::{Cluster, Network, NODES};
+use crate::cluster::{Cluster, Network};
 use crate::endpoints::{self, RestartNotices, Slot, Surroundings};
 use crate::faults::{FaultSchedule, FaultStep};
 use crate::history::{Violation, APPLY, CONTACT};
@@ -9,7 +9,7 @@
 use eyre::ensure;
 use std::fmt;
 use std::path::Path;
-use std::thread::sleep;
+use std::thread::{sleep, JoinHandle};
 use std::time::{Duration, Instant};
 
 const STEP: Duration = Duration::from_millis(20);
@@ -22,6 +22,8 @@
 /// Endpoints of each service that stay for the whole run, and places in which one endpoint after the other leaves.
 const LASTING_ENDPOINTS: usize = 2;
 const LEAVING_ENDPOINTS: usize = 12;
+/// The number of nodes by seed, in turn.
+const NODE_COUNTS: [usize; 3] = [3, 2, 4];
 /// How many clients of each edge keep their connections.
 const KEPT_CONNECTIONS: usize = 4;
 
@@ -31,6 +33,9 @@
     overlapping: u64,
     terminated: u64,
     core_kills: u64,
+    lost_disks: u64,
+    nodes: usize,
+    bodies: u64,
     acknowledged: usize,
     reads: u64,
     answers: u64,
@@ -43,11 +48,13 @@
 
 impl fmt::Display for Report {
     fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Report { faults, overlapping, terminated, core_kills, acknowledged, reads, answers, .. } = self;
+        let Report { faults, overlapping, terminated, core_kills, lost_disks, nodes, .. } = self;
+        let Report { acknowledged, reads, answers, bodies, .. } = self;
         write!(
             out,
-            "{faults} faults ({overlapping} overlapping, {terminated} SIGTERM, {core_kills} of all nodes), \
-             {acknowledged} acknowledged, {reads} reads, {answers} answers on kept connections, {} departures \
+            "{nodes} nodes, {faults} faults ({overlapping} overlapping, {terminated} SIGTERM, {core_kills} of all nodes, \
+             {lost_disks} lost disks), {acknowledged} acknowledged, {reads} reads, {answers} answers on kept connections, \
+             {bodies} of them with bodies, {} departures \
              ({} acknowledged, {} not), latest edge {} ms, {} violations",
             self.announced_departures,
             self.acknowledged_departures,
@@ -66,37 +73,19 @@
     // Seeds that run at once, and runs of several processes, have addresses of their own.
     let network =
         Network { second: 20 + (std::process::id() % 200) as u8, first_subnet: (seed % 80) as u8 * 3 };
-    let mut cluster = Cluster::start(programs, folder.clone(), network, edges)?;
+    let node_count = NODE_COUNTS[seed as usize % NODE_COUNTS.len()];
+    let mut cluster = Cluster::start(programs, folder.clone(), network, node_count, edges)?;
     let shared = Shared::start();
-    let nodes: Vec<String> = (0..NODES).map(|node| cluster.admin_address(node)).collect();
-    let begun = BegunRequests::default();
-    let surroundings = Surroundings { shared: shared.clone(), begun: begun.clone(), nodes: nodes.clone() };
+    let nodes: Vec<String> = (0..node_count).map(|node| cluster.admin_address(node)).collect();
+    let requests = Requests::default();
+    let surroundings =
+        Surroundings { shared: shared.clone(), requests: requests.clone(), nodes: nodes.clone() };
     let mut notices = RestartNotices::default();
-    let mut threads = vec![
-        start_operator(shared.clone(), nodes.clone(), seed),
-        start_reader(shared.clone(), nodes.clone(), seed + 1),
-    ];
-    for number in 0..2 * LASTING_ENDPOINTS + LEAVING_ENDPOINTS {
-        let slot = Slot {
-            number,
-            service: if number < LASTING_ENDPOINTS { LONG_SERVICE } else { SERVICE },
-            address: cluster.endpoint_address(number),
-            leaves: number >= 2 * LASTING_ENDPOINTS,
-        };
-        let seed = seed.wrapping_mul(100) + number as u64;
-        threads.push(endpoints::start(slot, surroundings.clone(), &mut notices, seed)?);
-    }
-    threads.extend((0..edges).map(|edge| start_client(shared.clone(), edge, cluster.client_address(edge))));
-    let clients = (0..edges * KEPT_CONNECTIONS).map(|number| {
-        let edge = number % edges;
-        let address = cluster.client_address(edge);
-        clients::start(shared.clone(), edge, address, begun.clone(), seed.wrapping_mul(1_000) + number as u64)
-    });
-    threads.extend(clients);
+    let threads = start_threads(&surroundings, &cluster, &mut notices, edges, seed)?;
     let result = wait_for_start(&shared, edges)
         .and_then(|()| cluster.end_first_start())
         .and_then(|()| {
-            let schedule = FaultSchedule::new(seed, edges, Instant::now());
+            let schedule = FaultSchedule::new(seed, node_count, edges, Instant::now());
             inject_faults(&mut cluster, &shared, &notices, schedule, faults_for)
         })
         .map(|faults| (faults, check_end(&cluster, &shared, &nodes)));
@@ -114,6 +103,9 @@
         overlapping: faults.overlapping,
         terminated: faults.terminated,
         core_kills: faults.core_kills,
+        lost_disks: faults.lost_disks,
+        nodes: node_count,
+        bodies: history.bodies,
         acknowledged: history.acknowledged_count(),
         reads: history.reads,
         answers: history.answers,
@@ -125,6 +117,45 @@
     })
 }
 
+/// Starts the operator, the reader, the endpoints, and the clients of the edges.
+fn start_threads(
+    surroundings: &Surroundings,
+    cluster: &Cluster,
+    notices: &mut RestartNotices,
+    edges: usize,
+    seed: u64,
+) -> eyre::Result<Vec<JoinHandle<()>>> {
+    let Surroundings { shared, requests, .. } = surroundings;
+    let mut threads = vec![
+        start_operator(shared.clone(), surroundings.nodes.clone(), seed),
+        start_reader(shared.clone(), surroundings.nodes.clone(), seed + 1),
+    ];
+    for number in 0..2 * LASTING_ENDPOINTS + LEAVING_ENDPOINTS {
+        let slot = Slot {
+            number,
+            service: if number < LASTING_ENDPOINTS { LONG_SERVICE } else { SERVICE },
+            address: cluster.endpoint_address(number),
+            leaves: number >= 2 * LASTING_ENDPOINTS,
+        };
+        let seed = seed.wrapping_mul(100) + number as u64;
+        threads.push(endpoints::start(slot, surroundings.clone(), notices, seed)?);
+    }
+    threads.extend((0..edges).map(|edge| start_client(shared.clone(), edge, cluster.client_address(edge))));
+    let clients = (0..edges * KEPT_CONNECTIONS).map(|number| {
+        let edge = number % edges;
+        let address = cluster.client_address(edge);
+        clients::start(
+            shared.clone(),
+            edge,
+            address,
+            requests.clone(),
+            seed.wrapping_mul(1_000) + number as u64,
+        )
+    });
+    threads.extend(clients);
+    Ok(threads)
+}
+
 fn wait_for_start(shared: &Shared, edges: usize) -> eyre::Result<()> {
     let end = Instant::now() + START_TIMEOUT;
     let all_serve = || {
