Soak: a database whose creation was cut off on a lost disk is no torn folder

Traced: a node was killed again within the millisecond in which it created its database in an empty folder.

Change: these two causes are no violation at a node whose disk the soak had taken; at any other node, and with any other cause, the line still is one.

--- a/crates/tools/soak/src/cluster.rs
+++ b/crates/tools/soak/src/cluster.rs
@@ -8,6 +8,7 @@
 use crate::relay::{self, Link};
 use eyre::WrapErr;
 use serde_json::{json, Value};
+use std::collections::BTreeSet;
 use std::fs::File;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
@@ -22,6 +23,9 @@
 const PEER_PORT: u16 = 7540;
 const CLIENT_PORT: u16 = 8080;
 
+/// What a log line names that tells of a process which was killed while it created its database: there was nothing in the folder.
+const INTERRUPTED_CREATION: [&str; 2] = ["AlreadyExists", "InvalidVersion(None)"];
+
 /// A duration as settings files have it.
 fn milliseconds(duration: Duration) -> String {
     format!("{}ms", duration.as_millis())
@@ -109,6 +113,8 @@
     nodes: Vec<Process>,
     edges: Vec<Process>,
     pub(crate) links: Vec<Link>,
+    /// The nodes whose disks were lost.
+    lost_disks: BTreeSet<usize>,
 }
 
 impl Drop for Cluster {
@@ -128,8 +134,14 @@
     ) -> eyre::Result<Cluster> {
         let _ = std::fs::remove_dir_all(&folder);
         std::fs::create_dir_all(&folder)?;
-        let mut cluster =
-            Cluster { folder, network, nodes: Vec::new(), edges: Vec::new(), links: Vec::new() };
+        let mut cluster = Cluster {
+            folder,
+            network,
+            nodes: Vec::new(),
+            edges: Vec::new(),
+            links: Vec::new(),
+            lost_disks: BTreeSet::new(),
+        };
         for node in 0..nodes {
             let relay = format!("{}:{PEER_PORT}", cluster.relay_ip(node));
             let link = relay::start(&relay, format!("{}:{PEER_PORT}", cluster.node_ip(node)));
@@ -225,7 +237,8 @@
     }
 
     /// Empties the data folder of a node that does not run.
-    pub(crate) fn lose_disk(&self, node: usize) -> eyre::Result<()> {
+    pub(crate) fn lose_disk(&mut self, node: usize) -> eyre::Result<()> {
+        self.lost_disks.insert(node);
         let folder = self.data_folder(node);
         std::fs::remove_dir_all(&folder)?;
         Ok(std::fs::create_dir_all(&folder)?)
@@ -276,12 +289,19 @@
 
     /// Lines of any log that tell of a fault of the program.
     pub(crate) fn suspicious_log_lines(&self) -> Vec<String> {
-        let logs = self.nodes.iter().chain(&self.edges).map(|process| &process.log);
-        let texts = logs.filter_map(|log| std::fs::read_to_string(log).ok());
-        let is_suspicious =
-            |line: &&str| ["Invariant violated", "panicked", "torn"].iter().any(|word| line.contains(word));
-        texts
-            .flat_map(|text| text.lines().filter(is_suspicious).map(str::to_owned).collect::<Vec<_>>())
-            .collect()
+        let processes = self.nodes.iter().chain(&self.edges).enumerate();
+        processes.flat_map(|(index, process)| self.suspicious_lines_of(index, process)).collect()
+    }
+
+    /// Those of one process; nodes have the first indices.
+    fn suspicious_lines_of(&self, index: usize, process: &Process) -> Vec<String> {
+        let text = std::fs::read_to_string(&process.log).unwrap_or_default();
+        let has_any = |line: &str, words: &[&str]| words.iter().any(|word| line.contains(word));
+        let has_lost_disk = index < self.nodes.len() && self.lost_disks.contains(&index);
+        let is_suspicious = |line: &&str| {
+            has_any(line, &["Invariant violated", "panicked", "torn"])
+                && !(has_lost_disk && has_any(line, &INTERRUPTED_CREATION))
+        };
+        text.lines().filter(is_suspicious).map(str::to_owned).collect()
     }
 }
