A response whose head does not say where the body ends reaches no client

Cause: the edge left the framing to hyper and took the mere presence of Transfer-Encoding for framing. hyper reads a coding that does not end in "chunked" to the end of the connection, drops other codings before "chunked" undecoded, prefers Transfer-Encoding to a Content-Length beside it whatever that says, and accepts statuses up to 999. Rejections were believed with any framing.

Change: a new package, response-framing, says what a well-formed response is and how its body is framed (RFC 9112, 6 and 6.3): one coding, "chunked", never in HTTP/1.0 nor beside a length; lengths that are decimal and agree; statuses 100 to 599; no body with 1xx and 204. The edge checks each response there, also rejections. What fails is an attempt that may have run (MalformedResponse: 502, or a retry if the request may be repeated), and its connection ends.

--- a/crates/data-plane/edge-proxy/src/attempt.rs
+++ b/crates/data-plane/edge-proxy/src/attempt.rs
@@ -163,7 +163,7 @@
         return AttemptResult::new(AttemptOutcome::NotSent(failure), unsent_body);
     }
     let cause = if error.error().is_parse() {
-        IndeterminateCause::ForeignResponse
+        IndeterminateCause::MalformedResponse
     } else {
         IndeterminateCause::ConnectionReset
     };
--- a/crates/data-plane/edge-proxy/src/headers.rs
+++ b/crates/data-plane/edge-proxy/src/headers.rs
@@ -1,10 +1,12 @@
 //! Header fields of the gateway's protocol (docs/gateway.md), and hop-by-hop header fields.
 use coppersail_load_balancing::Ms;
+use coppersail_response_framing::content_length;
 use hyper::body::Body;
 use hyper::header::{
     HeaderMap, HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, HOST, TE, TRAILER, TRANSFER_ENCODING,
     UPGRADE,
 };
+use hyper::StatusCode;
 use std::time::Duration;
 
 /// Id of a request, the same in all of its attempts. The response repeats it.
@@ -103,6 +105,19 @@
     }
 }
 
+/// Replaces a repeated length of a well-formed response by one field, and removes it where the status allows no such
+/// field (RFC 9110, section 8.6).
+pub(crate) fn state_length_once(status: StatusCode, headers: &mut HeaderMap) {
+    match content_length(headers) {
+        Ok(Some(length)) if status != StatusCode::NO_CONTENT => {
+            headers.insert(CONTENT_LENGTH, HeaderValue::from(length));
+        }
+        _ => {
+            headers.remove(CONTENT_LENGTH);
+        }
+    }
+}
+
 /// Whether the sender closes the connection after this message.
 pub(crate) fn closes_connection(headers: &HeaderMap) -> bool {
     let values = headers.get_all(CONNECTION).iter().filter_map(|value| value.to_str().ok());
--- a/crates/data-plane/edge-proxy/src/rollout/recording.rs
+++ b/crates/data-plane/edge-proxy/src/rollout/recording.rs
@@ -46,7 +46,9 @@
             AttemptOutcome::Completed(_) if self.latency > self.latency_target => Some(OutcomeKind::Late),
             AttemptOutcome::Completed(_) => Some(OutcomeKind::Good),
             AttemptOutcome::Indeterminate(
-                IndeterminateCause::ForeignResponse | IndeterminateCause::Unsealed,
+                IndeterminateCause::ForeignResponse
+                | IndeterminateCause::MalformedResponse
+                | IndeterminateCause::Unsealed,
             ) => Some(OutcomeKind::InvalidResponse),
             AttemptOutcome::Indeterminate(_) => Some(OutcomeKind::Lost),
         }
--- a/crates/data-plane/edge-proxy/src/upstream_response.rs
+++ b/crates/data-plane/edge-proxy/src/upstream_response.rs
@@ -2,17 +2,18 @@
 use crate::body::{buffer_body, Body, BodyError, MAX_BUFFERED};
 use crate::edge::Edge;
 use crate::headers::{
-    closes_connection, keep_alive, optional, remove_hop_by_hop, retry_after, ReportedLoad, NOT_RUN,
-    SERVER_ID, SERVER_SEAL, TRY_ID,
+    closes_connection, keep_alive, optional, remove_hop_by_hop, retry_after, state_length_once, ReportedLoad,
+    NOT_RUN, SERVER_ID, SERVER_SEAL, TRY_ID,
 };
 use crate::in_flight::InFlight;
 use crate::lease::Lease;
 use crate::request::ReceivedRequest;
 use crate::response::{ResponseBody, StreamedResponse};
 use coppersail_load_balancing::Ms;
+use coppersail_response_framing::{BodyFraming, ResponseHead};
 use coppersail_retry::{AttemptOutcome, IndeterminateCause, RejectReason};
-use hyper::body::{Body as HttpBody, Incoming};
-use hyper::header::{HeaderMap, CONTENT_ENCODING, RETRY_AFTER, TRANSFER_ENCODING};
+use hyper::body::Incoming;
+use hyper::header::{HeaderMap, CONTENT_ENCODING, RETRY_AFTER};
 use hyper::{Response, StatusCode, Version};
 use std::rc::Rc;
 use tokio::time::{timeout_at, Instant};
@@ -64,6 +65,8 @@
         response: Response<Incoming>,
         in_flight: &mut InFlight,
     ) -> Result<ResponseOutcome, IndeterminateCause> {
+        let framing = ResponseHead::from(&response).body_framing(&self.request.method);
+        let framing = framing.map_err(|_| IndeterminateCause::MalformedResponse)?;
         let (head, body) = response.into_parts();
         let (status, headers) = (head.status, head.headers);
         // A duplicate response to an earlier request may have been waiting on the connection.
@@ -78,11 +81,11 @@
             in_flight.record_success();
             let retry_after = self.record_rejection(reason, &headers);
             if reusable {
-                self.drain_rejection(&headers, body).await;
+                self.drain_rejection(framing, body).await;
             }
             return Ok(ResponseOutcome { outcome: AttemptOutcome::Rejected(reason), retry_after });
         }
-        check_passable(status, &headers, &body)?;
+        check_passable(status, &headers, framing)?;
         let response = self.read_body(status, headers, body, reusable, in_flight).await?;
         // A 500 or 502 is an internal failure of the endpoint, so another endpoint may succeed. After a 504
         // there is no time left for another attempt.
@@ -128,9 +131,13 @@
 
     /// Reads a rejection to its end, so that its connection can be reused. A rejection that is long or has no
     /// exact length is not read, so that the next attempt does not have to wait for its end.
-    async fn drain_rejection(self, headers: &HeaderMap, body: Incoming) {
-        let is_short = body.size_hint().exact().is_some_and(|length| length <= MAX_BUFFERED as u64);
-        if !is_short || !is_framed(headers, &body) {
+    async fn drain_rejection(self, framing: BodyFraming, body: Incoming) {
+        let is_short = match framing {
+            BodyFraming::NoBody => true,
+            BodyFraming::Length(length) => length <= MAX_BUFFERED as u64,
+            BodyFraming::Chunked | BodyFraming::UntilClose => false,
+        };
+        if !is_short {
             return;
         }
         if let Ok(Ok(_)) = timeout_at(self.deadline(), buffer_body(body, MAX_BUFFERED as u64)).await {
@@ -148,6 +155,7 @@
         in_flight: &mut InFlight,
     ) -> Result<UpstreamResponse, IndeterminateCause> {
         remove_hop_by_hop(&mut headers);
+        state_length_once(status, &mut headers);
         let deadline = self.deadline();
         let body = match timeout_at(deadline, buffer_body(body, u64::MAX)).await {
             Ok(Ok(body)) => body,
@@ -201,16 +209,11 @@
     }
 }
 
-/// Whether the end of the body is defined by a length or by chunks instead of the end of the connection.
-fn is_framed(headers: &HeaderMap, body: &Incoming) -> bool {
-    body.size_hint().exact().is_some() || headers.contains_key(TRANSFER_ENCODING)
-}
-
 /// Checks whether a response may be passed on to the client.
 fn check_passable(
     status: StatusCode,
     headers: &HeaderMap,
-    body: &Incoming,
+    framing: BodyFraming,
 ) -> Result<(), IndeterminateCause> {
     // These statuses must not be passed on without the endpoint's statement that it did not process the
     // request, and that statement must not accompany the response of a processed request.
@@ -222,7 +225,7 @@
         return Err(IndeterminateCause::Unsealed);
     }
     // A body that ends with its connection cannot be distinguished from a truncated one.
-    if !is_framed(headers, body) {
+    if framing == BodyFraming::UntilClose {
         return Err(IndeterminateCause::Truncated);
     }
     Ok(())
--- a/crates/data-plane/edge-proxy/tests/edge_proxy/main.rs
+++ b/crates/data-plane/edge-proxy/tests/edge_proxy/main.rs
@@ -1,5 +1,6 @@
 //! Tests of an edge with endpoints that fail in all ways that the gateway's protocol distinguishes.
 mod bodies;
+mod malformed_responses;
 mod responses;
 mod rollout;
 mod sessions;
--- a/crates/data-plane/retry/src/outcome.rs
+++ b/crates/data-plane/retry/src/outcome.rs
@@ -47,8 +47,11 @@
 pub enum IndeterminateCause {
     /// The connection was closed without a response.
     ConnectionReset,
-    /// The received bytes are not an HTTP response, or belong to the response to another request.
+    /// The response belongs to another request, or switches to another protocol.
     ForeignResponse,
+    /// The received bytes are not a well-formed HTTP response, or its head does not state unambiguously where
+    /// the body ends (RFC 9112, section 6.3).
+    MalformedResponse,
     /// The response ended early, or its framing does not show whether it is complete.
     Truncated,
     /// The response is not proven to be the endpoint's own: a successful one lacks the seal header or its
--- a/crates/data-plane/retry/tests/outcomes.rs
+++ b/crates/data-plane/retry/tests/outcomes.rs
@@ -14,6 +14,7 @@
     let indeterminate = [
         IndeterminateCause::ConnectionReset,
         IndeterminateCause::ForeignResponse,
+        IndeterminateCause::MalformedResponse,
         IndeterminateCause::Truncated,
         IndeterminateCause::Unsealed,
         IndeterminateCause::Timeout,
@@ -44,6 +45,7 @@
         AttemptOutcome::Indeterminate(
             IndeterminateCause::ConnectionReset
             | IndeterminateCause::ForeignResponse
+            | IndeterminateCause::MalformedResponse
             | IndeterminateCause::Truncated
             | IndeterminateCause::Unsealed,
         ) => (false, true, FinalOutcome::OutcomeUnknown),
