Links between edges: only a well-formed, complete 200 has messages

What edges saw: a peer's answer to a post was taken for messages whatever its status, and also with a head that does not say where its body ends.

Change: the head is checked by response-framing; the body must be delimited and the status 200, as all builds send it. Otherwise the post has failed (its messages may have been delivered, which session affinity tolerates), and the connection ends.

Well-formed answers of every framing are read as before.

--- a/crates/data-plane/edge-proxy/src/sessions/peer_links.rs
+++ b/crates/data-plane/edge-proxy/src/sessions/peer_links.rs
@@ -1,11 +1,13 @@
 //! Messages to peer edges: queues, connections, and the wire format of a post, which is one HTTP request.
 use bytes::Bytes;
 use coppersail_config::SessionSettings;
+use coppersail_response_framing::ResponseHead;
 use coppersail_session_affinity::{Message, NodeId};
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
 use hyper::client::conn::http1::{handshake, SendRequest};
 use hyper::header::{HeaderValue, HOST};
-use hyper::{Method, Request, Uri};
+use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
 use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
@@ -146,8 +148,7 @@
             };
             match sender.send_request(post_request(address, body.clone())?).await {
                 Ok(response) => {
-                    let body = Limited::new(response.into_body(), self.max_body).collect().await.ok()?;
-                    let messages = serde_json::from_slice(&body.to_bytes()).ok()?;
+                    let messages = self.read_response(response).await?;
                     self.links.borrow_mut().entry(to).or_default().idle.push(sender);
                     return Some(messages);
                 }
@@ -156,6 +157,16 @@
             }
         }
     }
+
+    /// Reads the messages in a response. Returns `None` unless it is a complete and well-formed success.
+    async fn read_response(&self, response: Response<Incoming>) -> Option<Vec<Message>> {
+        ResponseHead::from(&response).delimited_body_framing(&Method::POST).ok()?;
+        if response.status() != StatusCode::OK {
+            return None;
+        }
+        let body = Limited::new(response.into_body(), self.max_body).collect().await.ok()?;
+        serde_json::from_slice(&body.to_bytes()).ok()
+    }
 }
 
 async fn connect(address: &str) -> Option<SendRequest<Full<Bytes>>> {
@@ -173,3 +184,7 @@
     request.headers_mut().insert(HOST, HeaderValue::from_str(address).ok()?);
     Some(request)
 }
+
+#[cfg(test)]
+#[path = "peer_links_tests.rs"]
+mod tests;
