Calls to control-plane nodes: a malformed response is an error

What callers saw: nodes and edges took the body of a response for the answer to their call although its head said two things about its length, named a coding that was not undone, or did not say where it ends.

Cause: PeerClient left the framing to ureq, which ignores Transfer-Encoding unless a line holds "chunked", prefers it to a length beside it, and reads a body without either to the end of the connection, where a cut one looks complete.

Change: the head is checked by response-framing, the body must be delimited (all nodes state its length). PeerError::Malformed says why; the call may have been executed. The agent is replaced, as ureq may have put the connection back into its pool already and closes none of them on demand.

--- a/crates/control-plane/peer-client/src/error.rs
+++ b/crates/control-plane/peer-client/src/error.rs
@@ -1,4 +1,5 @@
 //! Why a call to a peer failed.
+use coppersail_response_framing::MalformedResponse;
 use std::io::ErrorKind;
 use ureq::http::StatusCode;
 
@@ -20,6 +21,9 @@
     /// The connection ended, or the response is not HTTP or is too long.
     #[error("{0}")]
     Transport(#[source] ureq::Error),
+    /// The head of the response does not state unambiguously where its body ends, or has an invalid status.
+    #[error("malformed response: {0}")]
+    Malformed(#[source] MalformedResponse),
     /// The response has this status instead of 200.
     #[error("status {0}")]
     Status(StatusCode),
--- a/crates/control-plane/peer-client/src/lib.rs
+++ b/crates/control-plane/peer-client/src/lib.rs
@@ -18,11 +18,15 @@
 
 pub use error::PeerError;
 
+use coppersail_response_framing::ResponseHead;
 use resolver::NumericResolver;
 use serde::{de::DeserializeOwned, Serialize};
+use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
-use ureq::http::StatusCode;
+use ureq::config::Config;
+use ureq::http::{Method, StatusCode};
 use ureq::unversioned::transport::DefaultConnector;
+use ureq::Agent;
 
 /// The longest response that is read, in bytes. A snapshot of all assignments and endpoints is far smaller.
 const MAX_RESPONSE_BYTES: u64 = 64 << 20;
@@ -31,14 +35,16 @@
 
 /// A client that keeps one connection to each peer.
 pub struct PeerClient {
-    agent: ureq::Agent,
+    config: Config,
+    /// The agent with the current connections.
+    agent: Mutex<Agent>,
 }
 
 impl PeerClient {
     /// Creates a client. `connect_timeout` limits the making of a connection, and `call_timeout` a complete
     /// call, from connecting to the end of the response.
     pub fn new(connect_timeout: Duration, call_timeout: Duration) -> PeerClient {
-        let config = ureq::Agent::config_builder()
+        let config = Agent::config_builder()
             .http_status_as_error(false)
             .proxy(None)
             .max_redirects(0)
@@ -51,7 +57,7 @@
             .input_buffer_size(BUFFER_BYTES)
             .output_buffer_size(BUFFER_BYTES)
             .build();
-        PeerClient { agent: ureq::Agent::with_parts(config, DefaultConnector::default(), NumericResolver) }
+        PeerClient { agent: Mutex::new(new_agent(&config)), config }
     }
 
     /// Posts `body` as JSON to `path` at `address` ("ip:port"), and reads the response.
@@ -92,7 +98,8 @@
         response_timeout: Option<Duration>,
     ) -> Result<R, PeerError> {
         let text = serde_json::to_vec(body).map_err(PeerError::Encode)?;
-        let request = self.agent.post(format!("http://{address}{path}")).content_type("application/json");
+        let agent = self.agent.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        let request = agent.post(format!("http://{address}{path}")).content_type("application/json");
         let request = match response_timeout {
             Some(timeout) => {
                 request.config().timeout_connect(Some(timeout)).timeout_recv_response(Some(timeout)).build()
@@ -100,10 +107,24 @@
             None => request,
         };
         let mut response = request.send(&text[..])?;
+        if let Err(malformed) = ResponseHead::from(&response).delimited_body_framing(&Method::POST) {
+            self.close_connections();
+            return Err(PeerError::Malformed(malformed));
+        }
         if response.status() != StatusCode::OK {
             return Err(PeerError::Status(response.status()));
         }
         let text = response.body_mut().with_config().limit(MAX_RESPONSE_BYTES).read_to_vec()?;
         serde_json::from_slice(&text).map_err(PeerError::Decode)
     }
+
+    /// Closes all idle connections. After a malformed response, the connection may be idle already although it is
+    /// unknown where the response ends, and an agent cannot close one of its connections.
+    fn close_connections(&self) {
+        *self.agent.lock().unwrap_or_else(PoisonError::into_inner) = new_agent(&self.config);
+    }
+}
+
+fn new_agent(config: &Config) -> Agent {
+    Agent::with_parts(config.clone(), DefaultConnector::default(), NumericResolver)
 }
