The director: a malformed answer of a host or of discovery is unreadable

What the director did: a health check with a status from 600 up or with a head that does not say where its body ends counted by its status, and its body for a load report; a watch with such a head was followed.

Change: get() checks the head by response-framing; a malformed one is RequestError::Unreadable as what is no HTTP is already (a failed check, a watch that is opened again), and its connection ends. Bodies that end with the connection stay allowed: a watch has no other end, a load report is one line.

--- a/crates/director/service/src/adapters/http_client.rs
+++ b/crates/director/service/src/adapters/http_client.rs
@@ -3,11 +3,12 @@
 use super::sockets;
 use super::task::AbortOnDropTask;
 use bytes::Bytes;
+use coppersail_response_framing::ResponseHead;
 use http_body_util::Empty;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::header::HOST;
-use hyper::{Request, Response};
+use hyper::{Method, Request, Response};
 use hyper_util::rt::TokioIo;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -22,7 +23,7 @@
     /// The connection broke before the response arrived.
     #[error("broken")]
     Broken,
-    /// The peer sent something that is not an HTTP response.
+    /// The peer sent something that is not a well-formed HTTP response.
     #[error("unreadable")]
     Unreadable,
 }
@@ -62,6 +63,7 @@
     let request = Request::get(path).header(HOST, address.to_string()).body(Empty::<Bytes>::new());
     let request = request.map_err(|_| RequestError::Broken)?;
     let response = sender.send_request(request).await.map_err(response_error)?;
+    ResponseHead::from(&response).body_framing(&Method::GET).map_err(|_| RequestError::Unreadable)?;
     Ok((response, driver))
 }
 
