gatewayctl: a malformed answer is an error with its reason

What operators saw: the body of an answer whose head contradicts itself, or does not say where it ends, was shown as the answer.

Cause: as in the calls to control-plane nodes: the framing was left to ureq.

Change: both commands check the head by response-framing.

--- a/crates/tools/gatewayctl/src/error.rs
+++ b/crates/tools/gatewayctl/src/error.rs
@@ -1,5 +1,7 @@
 //! Why a command fails. Operators see the text, and that of the source behind it, on one line.
 
+use coppersail_response_framing::MalformedResponse;
+
 /// A failure that isn't one of a file, of JSON or of a body's transfer.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum CommandError {
@@ -30,6 +32,15 @@
         #[source]
         source: Box<ureq::Error>,
     },
+    /// The head of the answer is malformed, or does not say where the answer ends.
+    #[error("{target} sends a malformed answer")]
+    MalformedResponse {
+        /// The URL or the address that was called.
+        target: String,
+        /// What is wrong with the answer.
+        #[source]
+        source: MalformedResponse,
+    },
     /// A control-plane node refused the request.
     #[error("{status}: {reason}")]
     Refused {
--- a/crates/tools/gatewayctl/src/rollout/client.rs
+++ b/crates/tools/gatewayctl/src/rollout/client.rs
@@ -2,7 +2,7 @@
 use crate::error::CommandError;
 use crate::http;
 use serde_json::Value;
-use ureq::http::Response;
+use ureq::http::{Method, Response};
 use ureq::{Agent, Body};
 
 /// As all callers of the control plane do.
@@ -17,8 +17,7 @@
     let agent: Agent = config.build().into();
     let mut url = format!("http://{address}{path}");
     for _ in 0..=MAX_REDIRECTS {
-        let mut response =
-            send(&agent, &url, body).map_err(|source| CommandError::unreachable(&url, source))?;
+        let mut response = send(&agent, &url, body)?;
         let location = response.headers().get("Location").and_then(|v| v.to_str().ok()).map(String::from);
         let status = response.status().as_u16();
         if let (TEMPORARY_REDIRECT, Some(location)) = (status, location) {
@@ -31,11 +30,12 @@
     Err(CommandError::TooManyRedirects { address: address.into() }.into())
 }
 
-fn send(agent: &Agent, url: &str, body: Option<&str>) -> Result<Response<Body>, ureq::Error> {
-    match body {
-        Some(body) => agent.post(url).content_type("application/json").send(body),
-        None => agent.get(url).call(),
-    }
+fn send(agent: &Agent, url: &str, body: Option<&str>) -> Result<Response<Body>, CommandError> {
+    let (method, result) = match body {
+        Some(body) => (Method::POST, agent.post(url).content_type("application/json").send(body)),
+        None => (Method::GET, agent.get(url).call()),
+    };
+    http::well_formed(&method, url, result)
 }
 
 fn refusal(status: u16, text: String) -> CommandError {
--- a/crates/tools/gatewayctl/src/session.rs
+++ b/crates/tools/gatewayctl/src/session.rs
@@ -8,6 +8,7 @@
 use coppersail_edge_proxy::sessions::SessionListing;
 use serde_json::Value;
 use std::fmt::Write as _;
+use ureq::http::Method;
 use ureq::Agent;
 
 /// Lines of the usage.
@@ -64,8 +65,8 @@
 pub(crate) fn run(words: &[String]) -> eyre::Result<String> {
     let (command, edge) = parse(words)?;
     let agent: Agent = http::config().build().into();
-    let response = agent.get(format!("http://{edge}{}", command.path())).call();
-    let mut response = response.map_err(|source| CommandError::unreachable(&edge, source))?;
+    let result = agent.get(format!("http://{edge}{}", command.path())).call();
+    let mut response = http::well_formed(&Method::GET, &edge, result)?;
     match response.status().as_u16() {
         OK => command.render(&response.body_mut().read_to_string()?),
         NOT_FOUND => Err(CommandError::NoSuchSession { edge }.into()),
