--- a/crates/data-plane/edge-proxy/tests/edge_proxy/malformed_responses.rs
+++ b/crates/data-plane/edge-proxy/tests/edge_proxy/malformed_responses.rs
@@ -141,6 +141,7 @@
         "zz\r\nabc\r\n0\r\n\r\n",
         "-3\r\nabc\r\n0\r\n\r\n",
         "fffffffffffffffff\r\nabc",
+        "0\r\nno field at all\r\n\r\n",
         "3\r\nabcdef0\r\n\r\n",
     ];
     for (length, last_chunk) in
