Edge: requests before and after a malformed response get their own, a test

Cause: the tests of malformed responses used new connections alone.

Change: for each malformed head, a client sends three requests on one connection; the second has the malformed response, on a connection to the host that was used before. No product code.

Result: 200, 502, 200 with their own bodies for all heads and both lengths; the third request goes to the host on a new connection.

--- a/crates/data-plane/edge-proxy/tests/edge_proxy/malformed_responses.rs
+++ b/crates/data-plane/edge-proxy/tests/edge_proxy/malformed_responses.rs
@@ -6,6 +6,7 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::io::AsyncWriteExt;
 
 /// A body that the edge buffers, and one that it streams.
 const BODY_LENGTHS: [usize; 2] = [26, 300_000];
@@ -103,6 +104,38 @@
     }
 }
 
+/// The connection to the host has carried a request before, and the client keeps its own.
+#[test]
+fn the_requests_before_and_after_a_malformed_response_get_their_own_responses() {
+    for response in BODY_LENGTHS.into_iter().flat_map(|length| malformed(&body_of(length))) {
+        run_test(|| async move {
+            let case = response.to_string();
+            let host = scripted_host("i-1", move |number, head| match number {
+                1 => HostAction::Respond(sealed(&response, head)),
+                _ => HostAction::Respond(sealed_response(head, &format!("response {number}"))),
+            })
+            .await;
+            let test_edge = start_edge(&[&host]).await;
+            let mut client = test_edge.connect().await;
+            let mut answers = Vec::new();
+            for id in ["1", "2", "3"] {
+                client.write_all(request("/once/", id, "").as_bytes()).await.unwrap();
+                answers.push(read_message(&mut client).await.expect("an answer"));
+            }
+            assert_eq!(
+                [0, 1, 2].map(|index| status(&answers[index])),
+                [200, 502, 200],
+                "{case}: {answers:?}"
+            );
+            assert!(
+                answers[0].ends_with("response 0") && answers[2].ends_with("response 2"),
+                "{case}: {answers:?}"
+            );
+            assert_eq!((host.request_count(), host.connections.get()), (3, 2), "{case}");
+        });
+    }
+}
+
 #[test]
 fn a_response_whose_body_ends_with_the_connection_is_not_passed_on() {
     for length in BODY_LENGTHS {
